Lay down the folders, the core types and the platform's stand-ins

Cause: an empty repository. The key-value service is met by the JSON gateway of etcd version 3, and its stand-in answers the same calls. Conclusion: nothing is measured yet.

--- /dev/null
+++ b/celerypulley/backend_servers/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: model engines and plain services."""
--- /dev/null
+++ b/celerypulley/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts: keys, rates, budgets and the declared configuration."""
--- /dev/null
+++ b/celerypulley/decision_log.py
@@ -0,0 +1,52 @@
+"""One log line for each decision, as text or as JSON."""
+
+import enum
+
+import orjson
+from absl import logging
+
+from celerypulley.clock import Clock
+
+__all__ = ["DecisionLog", "LogFormat"]
+
+
+class LogFormat(enum.Enum):
+    """How a decision is written."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class DecisionLog:
+    """Write the decisions of one part under a fixed prefix.
+
+    Fields that are never passed in cannot leak: callers hand over names and
+    reasons, never keys.
+    """
+
+    format = LogFormat.TEXT
+    host_id = "-"
+
+    def __init__(self, part: str, clock: Clock | None = None) -> None:
+        """Name the part; every line starts with it."""
+        self.part = part
+        self.clock = clock or Clock()
+
+    def write(self, decision: str, reason: str, **fields: object) -> None:
+        """Log `decision` with its `reason` and any further fields."""
+        if self.format is LogFormat.JSON:
+            logging.info("%s", self._json_line(decision, reason, fields))
+            return
+        details = " ".join(f"{name}={value}" for name, value in fields.items())
+        logging.info("%s: %s. %s. %s", self.part, decision, reason, details)
+
+    def _json_line(self, decision: str, reason: str, fields: dict) -> str:
+        line = {
+            "time_ms": self.clock.wall_ms(),
+            "host": self.host_id,
+            "part": self.part,
+            "decision": decision,
+            "reason": reason,
+            **{name: str(value) for name, value in fields.items()},
+        }
+        return orjson.dumps(line).decode()
--- /dev/null
+++ b/celerypulley/failure_domains/__init__.py
@@ -0,0 +1,1 @@
+"""Failure domains: which host owns and which replicates each shard."""
--- /dev/null
+++ b/celerypulley/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Entry hosts: what one process of the system owns and runs."""
--- /dev/null
+++ b/celerypulley/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links: callers, peers, backend servers and the platform's service."""
--- /dev/null
+++ b/celerypulley/links/cuts.py
@@ -0,0 +1,23 @@
+"""Cuts: links that a test has taken down on purpose."""
+
+__all__ = ["CutTable"]
+
+
+class CutTable:
+    """The names of peers, failure domains or services that cannot be reached.
+
+    Every link of a host asks this table before it sends or hands on a message.
+    The table stays empty unless the host's settings allow faults.
+    """
+
+    def __init__(self) -> None:
+        """Start with every link whole."""
+        self._names: frozenset[str] = frozenset()
+
+    def replace(self, names: frozenset[str]) -> None:
+        """Cut exactly the links that lead to `names`."""
+        self._names = names
+
+    def is_cut(self, *names: str) -> bool:
+        """Return whether a link to any of `names` is cut."""
+        return bool(self._names) and not self._names.isdisjoint(names)
--- /dev/null
+++ b/celerypulley/links/platform.py
@@ -0,0 +1,194 @@
+"""The link to the platform's key-value service.
+
+It speaks the JSON gateway of etcd version 3: ranges, compare-and-swap as a
+transaction on the modification revision, leases and watches.
+"""
+
+import base64
+from collections.abc import AsyncIterator
+
+import aiohttp
+import attrs
+import orjson
+
+from celerypulley.links.cuts import CutTable
+
+__all__ = [
+    "KeyValue",
+    "PlatformLink",
+    "PlatformUnavailable",
+    "Snapshot",
+    "WatchCompacted",
+    "prefix_end",
+]
+
+_CALL_TIMEOUT_S = 3.0
+_WATCH_IDLE_S = 60.0
+_PLATFORM = "platform"
+
+
+class PlatformUnavailable(Exception):
+    """The service gave no answer; a write may have taken effect."""
+
+
+class WatchCompacted(Exception):
+    """The watch fell behind; the reader takes a new snapshot."""
+
+
+@attrs.frozen
+class KeyValue:
+    """One key with its value and the revision that last changed it.
+
+    `value` is None where a watch reports a removal.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@attrs.frozen
+class Snapshot:
+    """All keys of a range as of one revision."""
+
+    revision: int
+    items: tuple[KeyValue, ...]
+
+
+def prefix_end(prefix: str) -> str:
+    """Return the first key after all keys that start with `prefix`."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def _encode(text: str | bytes) -> str:
+    raw = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(raw).decode()
+
+
+def _decode(item: dict) -> KeyValue:
+    key = base64.b64decode(item["key"]).decode()
+    value = base64.b64decode(item.get("value", ""))
+    return KeyValue(key, value, int(item.get("mod_revision", 0)))
+
+
+class PlatformLink:
+    """Calls to the key-value service.
+
+    Every method raises PlatformUnavailable when no answer came.
+    """
+
+    def __init__(
+        self, base_url: str, session: aiohttp.ClientSession, cuts: CutTable
+    ) -> None:
+        """Use `session` for calls to the service at `base_url`."""
+        self.base_url = base_url
+        self.session = session
+        self.cuts = cuts
+        self.calls = 0
+
+    async def read(self, key: str) -> KeyValue | None:
+        """Return one key, or None where it does not exist."""
+        answer = await self._post("/v3/kv/range", {"key": _encode(key)})
+        items = answer.get("kvs", [])
+        return _decode(items[0]) if items else None
+
+    async def read_prefix(self, prefix: str) -> Snapshot:
+        """Return every key that starts with `prefix`."""
+        body = {"key": _encode(prefix), "range_end": _encode(prefix_end(prefix))}
+        answer = await self._post("/v3/kv/range", body)
+        items = tuple(_decode(item) for item in answer.get("kvs", []))
+        return Snapshot(int(answer["header"]["revision"]), items)
+
+    async def write_if(
+        self, key: str, value: bytes, revision: int, lease_id: str | None = None
+    ) -> bool:
+        """Write where `key` is still at `revision` (0: does not exist).
+
+        Return whether the write took effect. After PlatformUnavailable the
+        caller reads the key back, since the write may have taken effect.
+        """
+        put = {"key": _encode(key), "value": _encode(value)}
+        if lease_id is not None:
+            put["lease"] = lease_id
+        compare = {
+            "key": _encode(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(revision),
+        }
+        body = {"compare": [compare], "success": [{"request_put": put}]}
+        answer = await self._post("/v3/kv/txn", body)
+        return bool(answer.get("succeeded", False))
+
+    async def grant_lease(self, ttl_ms: int) -> str:
+        """Return the identifier of a new lease."""
+        body = {"TTL": str(max(1, ttl_ms // 1000))}
+        answer = await self._post("/v3/lease/grant", body)
+        return str(answer["ID"])
+
+    async def renew_lease(self, lease_id: str) -> bool:
+        """Return whether the lease is still alive and has been renewed."""
+        answer = await self._post("/v3/lease/keepalive", {"ID": lease_id})
+        return int(answer.get("result", {}).get("TTL", 0)) > 0
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """End a lease and remove the keys that hang on it."""
+        await self._post("/v3/lease/revoke", {"ID": lease_id})
+
+    async def watch(self, prefix: str, revision: int) -> AsyncIterator[list[KeyValue]]:
+        """Yield changes below `prefix` from `revision` on, in batches.
+
+        An empty batch says that the watch stands.
+        """
+        create = {
+            "key": _encode(prefix),
+            "range_end": _encode(prefix_end(prefix)),
+            "start_revision": str(revision),
+        }
+        self._check_cut()
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=_WATCH_IDLE_S)
+        try:
+            async with self.session.post(
+                self.base_url + "/v3/watch",
+                json={"create_request": create},
+                timeout=timeout,
+            ) as response:
+                if response.status != 200:
+                    raise PlatformUnavailable(f"watch answered {response.status}")
+                async for line in response.content:
+                    self._check_cut()
+                    yield _watch_batch(orjson.loads(line)["result"])
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise PlatformUnavailable(f"watch broke: {error!r}") from error
+
+    def _check_cut(self) -> None:
+        if self.cuts.is_cut(_PLATFORM):
+            raise PlatformUnavailable("the link is cut")
+
+    async def _post(self, path: str, body: dict) -> dict:
+        self._check_cut()
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
+        try:
+            async with self.session.post(
+                self.base_url + path, json=body, timeout=timeout
+            ) as response:
+                raw = await response.read()
+                if response.status != 200:
+                    raise PlatformUnavailable(f"{path} answered {response.status}")
+                return orjson.loads(raw)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise PlatformUnavailable(f"{path}: {error!r}") from error
+
+
+def _watch_batch(result: dict) -> list[KeyValue]:
+    if int(result.get("compact_revision", 0)) > 0:
+        raise WatchCompacted(f"compacted at {result['compact_revision']}")
+    batch = []
+    for event in result.get("events", []):
+        item = _decode(event["kv"])
+        if event.get("type") == "DELETE":
+            item = KeyValue(item.key, None, item.revision)
+        batch.append(item)
+    return batch
--- /dev/null
+++ b/celerypulley/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: identifiers, histories and the shards that hold them."""
--- /dev/null
+++ b/celerypulley/programs/identifier.py
@@ -0,0 +1,69 @@
+"""Program identifiers and the shards that they name."""
+
+import re
+import secrets
+
+import attrs
+import xxhash
+
+__all__ = ["ProgramId", "ShardId", "shard_of_key"]
+
+_PATTERN = re.compile(r"([a-z0-9-]{1,63})\.([0-9]{1,4})\.([0-9]{1,12})\.([0-9a-f]{16})")
+_NONCE_BYTES = 8
+
+
+@attrs.frozen(order=True)
+class ShardId:
+    """A shard: its home failure domain and its index there."""
+
+    domain: str
+    index: int
+
+    def __str__(self) -> str:
+        """Return `domain/index`."""
+        return f"{self.domain}/{self.index}"
+
+    @classmethod
+    def parse(cls, text: str) -> "ShardId":
+        """Read `domain/index`; raise ValueError naming the bad value."""
+        domain, separator, index = text.partition("/")
+        if not separator or not index.isdigit():
+            raise ValueError(f"{text!r} is not domain/index")
+        return cls(domain, int(index))
+
+
+@attrs.frozen
+class ProgramId:
+    """A program's name: shard, the epoch that opened it, and a random part."""
+
+    shard: ShardId
+    epoch: int
+    nonce: str
+
+    def __str__(self) -> str:
+        """Return `domain.index.epoch.nonce`."""
+        return f"{self.shard.domain}.{self.shard.index}.{self.epoch}.{self.nonce}"
+
+    @classmethod
+    def new(cls, shard: ShardId, epoch: int) -> "ProgramId":
+        """Return an identifier that has not been used before."""
+        return cls(shard, epoch, secrets.token_hex(_NONCE_BYTES))
+
+    @classmethod
+    def parse(cls, text: str) -> "ProgramId":
+        """Read an identifier; raise ValueError naming the bad value."""
+        match = _PATTERN.fullmatch(text)
+        if match is None:
+            raise ValueError(f"{text!r} is not a program identifier")
+        domain, index, epoch, nonce = match.groups()
+        return cls(ShardId(domain, int(index)), int(epoch), nonce)
+
+
+def shard_of_key(key: str, domains: tuple[str, ...], shards_per_domain: int) -> ShardId:
+    """Return the shard of any text key; the same on every host.
+
+    `domains` are the declared failure domains in declared order.
+    """
+    number = xxhash.xxh64_intdigest(key.encode())
+    domain = domains[number % len(domains)]
+    return ShardId(domain, (number // len(domains)) % shards_per_domain)
--- /dev/null
+++ b/celerypulley/settings.py
@@ -0,0 +1,175 @@
+"""Settings of one host, from flags and CELERYPULLEY_* variables."""
+
+import os
+import re
+from collections.abc import Callable, Mapping
+from pathlib import Path
+
+import attrs
+from returns.result import Failure, Result, Success
+
+__all__ = ["Address", "Settings", "SettingError", "load_settings", "setting_help"]
+
+_ENVIRONMENT_PREFIX = "CELERYPULLEY_"
+_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+_MIN_SECRET_CHARS = 16
+
+
+@attrs.frozen
+class Address:
+    """An IP number and a TCP port."""
+
+    ip: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Read `ip:port`; raise ValueError naming the bad value."""
+        ip, separator, port = str(text).rpartition(":")
+        if not separator or not port.isdigit() or not 0 < int(port) < 65536:
+            raise ValueError(f"{text!r} is not ip:port with a port of 1 to 65535")
+        return cls(ip, int(port))
+
+    def __str__(self) -> str:
+        """Return `ip:port`."""
+        return f"{self.ip}:{self.port}"
+
+
+def _name(text: str) -> str:
+    if not _NAME.fullmatch(str(text)):
+        raise ValueError(f"{text!r} is not a name of a-z, 0-9 and -, at most 63")
+    return str(text)
+
+
+def _secret(text: str) -> str:
+    if len(str(text)) < _MIN_SECRET_CHARS:
+        raise ValueError(f"a secret has at least {_MIN_SECRET_CHARS} characters")
+    return str(text)
+
+
+def _between(low: int, high: int) -> Callable[[object], int]:
+    def convert(value: object) -> int:
+        number = int(str(value))
+        if not low <= number <= high:
+            raise ValueError(f"{value!r} is not from {low} to {high}")
+        return number
+
+    return convert
+
+
+def _log_format(text: str) -> str:
+    if text not in ("text", "json"):
+        raise ValueError(f"{text!r} is neither text nor json")
+    return text
+
+
+def _flag(value: object) -> bool:
+    text = str(value).lower()
+    if text not in ("true", "false", "1", "0"):
+        raise ValueError(f"{value!r} is neither true nor false")
+    return text in ("true", "1")
+
+
+def _optional_path(value: object) -> Path | None:
+    return Path(str(value)) if value else None
+
+
+def _setting(
+    convert: Callable, default: object = attrs.NOTHING, help_text: str = ""
+) -> object:
+    return attrs.field(
+        default=default, metadata={"convert": convert, "help": help_text}
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """What one host is told at its start."""
+
+    host_id: str = _setting(_name, help_text="this host's name")
+    domain: str = _setting(_name, help_text="this host's failure domain")
+    caller_address: Address = _setting(Address.parse, help_text="callers, ip:port")
+    admin_address: Address = _setting(Address.parse, help_text="operators, ip:port")
+    peer_address: Address = _setting(Address.parse, help_text="peer hosts, ip:port")
+    platform_address: Address = _setting(
+        Address.parse, help_text="the platform's key-value service, ip:port"
+    )
+    peer_secret: str = _setting(_secret, help_text="secret that peers share")
+    data_dir: Path | None = _setting(
+        _optional_path, None, "folder for bulk data; empty: keep nothing"
+    )
+    log_format: str = _setting(_log_format, "text", "text or json")
+    shards_per_domain: int = _setting(
+        _between(1, 1024), 128, "shards of each failure domain, 1 to 1024"
+    )
+    lease_ttl_ms: int = _setting(
+        _between(1_000, 120_000), 15_000, "life of a host's lease, ms"
+    )
+    promise_ms: int = _setting(
+        _between(500, 60_000), 3_000, "how long a replica's promise lasts, ms"
+    )
+    commit_timeout_ms: int = _setting(
+        _between(100, 60_000), 8_000, "wait for a replica's acknowledgement, ms"
+    )
+    shutdown_ms: int = _setting(
+        _between(0, 600_000), 60_000, "time to finish calls on shutdown, ms"
+    )
+    body_limit_bytes: int = _setting(
+        _between(1_024, 64 * 1024 * 1024), 4 * 1024 * 1024, "largest body, bytes"
+    )
+    peer_delay_ms: float = _setting(float, 0.0, "delay added to peer links, ms (tests)")
+    faults_allowed: bool = _setting(
+        _flag, False, "let operators cut links (tests only)"
+    )
+
+
+@attrs.frozen
+class SettingError:
+    """One setting that is missing or wrong."""
+
+    name: str
+    problem: str
+
+    def __str__(self) -> str:
+        """Return the flag, its variable and what is wrong."""
+        flag = self.name.replace("_", "-")
+        variable = _ENVIRONMENT_PREFIX + self.name.upper()
+        return f"--{flag} ({variable}): {self.problem}"
+
+
+def load_settings(
+    flags: Mapping[str, object], environment: Mapping[str, str] = os.environ
+) -> Result[Settings, tuple[SettingError, ...]]:
+    """Return the settings, or every setting that is wrong at once."""
+    errors: list[SettingError] = []
+    values: dict[str, object] = {}
+    known = {field.name: field for field in attrs.fields(Settings)}
+    for name in flags:
+        if name not in known:
+            errors.append(SettingError(name, "no such setting"))
+    for name, field in known.items():
+        raw = flags.get(name, environment.get(_ENVIRONMENT_PREFIX + name.upper()))
+        if raw is None:
+            if field.default is attrs.NOTHING:
+                errors.append(SettingError(name, f"missing: {field.metadata['help']}"))
+            continue
+        try:
+            values[name] = field.metadata["convert"](raw)
+        except ValueError as error:
+            errors.append(SettingError(name, str(error)))
+    if errors:
+        return Failure(tuple(errors))
+    return Success(Settings(**values))
+
+
+def setting_help() -> str:
+    """Return a line per setting: flag, variable, meaning, unit and default."""
+    lines = []
+    for field in attrs.fields(Settings):
+        flag = "--" + field.name.replace("_", "-")
+        variable = _ENVIRONMENT_PREFIX + field.name.upper()
+        default = "required" if field.default is attrs.NOTHING else field.default
+        lines.append(
+            f"{flag:22} {variable:34} {field.metadata['help']} (default: {default})"
+        )
+    return "\n".join(lines)
--- /dev/null
+++ b/celerypulley/stand_ins/engine.py
@@ -0,0 +1,298 @@
+"""A stand-in for a model engine behind the chat-completions interface."""
+
+import asyncio
+import hashlib
+from collections import deque
+
+import attrs
+import orjson
+import xxhash
+from aiohttp import web
+
+from celerypulley.clock import Clock
+from celerypulley.stand_ins.engine_core import (
+    EngineCore,
+    EngineLimits,
+    EngineRequest,
+    chain,
+)
+
+__all__ = ["EngineOptions", "conversation_digest", "make_engine_app"]
+
+_DEFAULT_MAX_TOKENS = 32
+_EVENTS_KEPT = 4_096
+_POISON = b"poison-request"
+_DONE = b"data: [DONE]\n\n"
+
+
+@attrs.frozen
+class EngineOptions:
+    """How one engine behaves.
+
+    `speed` divides every step's duration, `load_lag_ms` delays load reports,
+    `event_gap` drops every n-th cache event (0: none), `overrun_tokens` is
+    generated beyond max_tokens.
+    """
+
+    models: tuple[str, ...] = ("agent-70b",)
+    speed: float = 1.0
+    load_lag_ms: float = 500.0
+    event_gap: int = 0
+    ignores_fencing: bool = False
+    overrun_tokens: int = 0
+    dies_on_poison: bool = True
+
+
+@attrs.define
+class Stream:
+    """One answer under way and the tokens that wait for its reader."""
+
+    request: EngineRequest
+    tokens: asyncio.Queue
+
+
+def conversation_digest(messages: list[dict]) -> str:
+    """Return a short digest of the roles and contents of a conversation."""
+    hasher = hashlib.sha256()
+    for message in messages:
+        hasher.update(str(message.get("role")).encode())
+        hasher.update(b"\0")
+        hasher.update(str(message.get("content")).encode())
+        hasher.update(b"\1")
+    return hasher.hexdigest()[:12]
+
+
+class EngineServer:
+    """Serve one core in real time."""
+
+    def __init__(
+        self, limits: EngineLimits, options: EngineOptions, clock: Clock
+    ) -> None:
+        """Start idle."""
+        self.core = EngineCore(limits)
+        self.options = options
+        self.clock = clock
+        self.streams: dict[EngineRequest, Stream] = {}
+        self.arrived = asyncio.Event()
+        self.fences: dict[str, int] = {}
+        self.reports: deque[tuple[float, dict]] = deque(maxlen=1_000)
+        self.events: deque[tuple[int, str, int, int]] = deque(maxlen=_EVENTS_KEPT)
+        self.event_number = 0
+        self.requests = 0
+        self.seen_headers: set[str] = set()
+
+    async def run(self, _app: web.Application) -> object:
+        """Step the core while the server runs."""
+        tasks = [asyncio.create_task(self._step()), asyncio.create_task(self._report())]
+        yield
+        for task in tasks:
+            task.cancel()
+
+    async def chat(self, request: web.Request) -> web.StreamResponse:
+        """Answer one chat completion, streamed or whole."""
+        raw = await request.read()
+        if _POISON in raw and self.options.dies_on_poison:
+            raise SystemExit("engine crashed on a poison request")
+        body = orjson.loads(raw)
+        if body.get("model") not in self.options.models:
+            return web.json_response({"error": "no such model"}, status=404)
+        self.seen_headers.update(name.lower() for name in request.headers)
+        stream = self._submit(body)
+        try:
+            if body.get("stream"):
+                return await self._answer_stream(request, body, stream)
+            return await self._answer_whole(body, stream)
+        finally:
+            self.core.cancel(stream.request)
+            self.streams.pop(stream.request, None)
+
+    def _submit(self, body: dict) -> Stream:
+        self.requests += 1
+        messages = [orjson.dumps(message) for message in body["messages"]]
+        max_tokens = int(body.get("max_tokens") or _DEFAULT_MAX_TOKENS)
+        program = str(body.get("session_id", ""))
+        segments = chain(messages)
+        request = EngineRequest(
+            name=f"r{self.requests}",
+            program=program,
+            segments=segments,
+            max_tokens=max_tokens + self.options.overrun_tokens,
+            priority=float(body.get("priority", 0)),
+        )
+        answer = {"role": "assistant", "content": _answer_text(body, request)}
+        hasher = xxhash.xxh64()
+        for message in [*messages, orjson.dumps(answer)]:
+            hasher.update(message)
+        request.answer_hash = hasher.intdigest()
+        stream = Stream(request, asyncio.Queue())
+        self.streams[request] = stream
+        self.core.submit(request, self.clock.now_ms())
+        self.arrived.set()
+        return stream
+
+    async def _answer_stream(
+        self, request: web.Request, body: dict, stream: Stream
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        name = stream.request.name
+        words = _answer_words(body, stream.request)
+        for word in words:
+            await stream.tokens.get()
+            await response.write(_chunk(name, body["model"], {"content": word}, None))
+        last = _chunk(name, body["model"], {}, "stop", _usage(stream.request))
+        await response.write(last + _DONE)
+        return response
+
+    async def _answer_whole(self, body: dict, stream: Stream) -> web.Response:
+        for _ in range(stream.request.max_tokens):
+            await stream.tokens.get()
+        message = {
+            "role": "assistant",
+            "content": _answer_text(body, stream.request),
+        }
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        answer = {
+            "id": stream.request.name,
+            "object": "chat.completion",
+            "created": 0,
+            "model": body["model"],
+            "choices": [choice],
+            "usage": _usage(stream.request),
+        }
+        return web.json_response(answer)
+
+    async def load(self, _request: web.Request) -> web.Response:
+        """Report the load as it was `load_lag_ms` ago."""
+        limit_ms = self.clock.now_ms() - self.options.load_lag_ms
+        report = self._measure()
+        for taken_ms, older in reversed(self.reports):
+            report = older
+            if taken_ms <= limit_ms:
+                break
+        return web.json_response(report)
+
+    async def cache_events(self, request: web.Request) -> web.Response:
+        """Return the cache events after a number; some are missing."""
+        since = int(request.query.get("since", "0"))
+        found = [event for event in self.events if event[0] > since]
+        return web.json_response({"events": found, "last": self.event_number})
+
+    async def sessions(self, _request: web.Request) -> web.Response:
+        """Return the cached tokens of each program."""
+        return web.json_response(self.core.held_programs())
+
+    async def release(self, request: web.Request) -> web.Response:
+        """Drop a program's cache unless the order's fencing number is old."""
+        body = orjson.loads(await request.read())
+        program, fence = str(body["session_id"]), int(body["fence"])
+        newest = self.fences.get(program, 0)
+        if fence < newest and not self.options.ignores_fencing:
+            return web.json_response({"error": "old fence"}, status=409)
+        self.fences[program] = max(fence, newest)
+        return web.json_response({"freed_tokens": self.core.release(program)})
+
+    async def counts(self, _request: web.Request) -> web.Response:
+        """Return what the engine did (for tests)."""
+        counts = {
+            "requests": self.requests,
+            "prefilled_tokens": self.core.prefilled_tokens,
+            "reused_tokens": self.core.reused_tokens,
+            "headers": sorted(self.seen_headers),
+        }
+        return web.json_response(counts)
+
+    async def _step(self) -> None:
+        while True:
+            report = self.core.step(self.clock.now_ms())
+            if not report.duration_ms:
+                self.arrived.clear()
+                await self.arrived.wait()
+                continue
+            await asyncio.sleep(report.duration_ms / 1000 / self.options.speed)
+            for request in report.emitted:
+                stream = self.streams.get(request)
+                if stream is not None:
+                    stream.tokens.put_nowait(1)
+            self._publish()
+
+    def _publish(self) -> None:
+        for kind, prefix_hash, tokens in self.core.events:
+            self.event_number += 1
+            gap = self.options.event_gap
+            if gap and self.event_number % gap == 0:
+                continue
+            self.events.append((self.event_number, kind, prefix_hash, tokens))
+        self.core.events.clear()
+
+    async def _report(self) -> None:
+        while True:
+            self.reports.append((self.clock.now_ms(), self._measure()))
+            await asyncio.sleep(0.05)
+
+    def _measure(self) -> dict:
+        core = self.core
+        waiting_tokens = sum(each.prompt_tokens for each in core.waiting)
+        prefill_left = sum(each.prefill_left for each in core.running)
+        return {
+            "running": len(core.running),
+            "waiting": len(core.waiting),
+            "prefill_tokens": waiting_tokens + prefill_left,
+            "cached_tokens": core.cached_tokens,
+            "memory_tokens": core.limits.memory_tokens,
+            "models": list(self.options.models),
+        }
+
+
+def _answer_words(body: dict, request: EngineRequest) -> list[str]:
+    count = len(body["messages"])
+    digest = conversation_digest(body["messages"])
+    words = [f"n={count} h={digest}"]
+    for number in range(1, request.max_tokens):
+        words.append(f" w{number}")
+    return words
+
+
+def _answer_text(body: dict, request: EngineRequest) -> str:
+    return "".join(_answer_words(body, request))
+
+
+def _usage(request: EngineRequest) -> dict:
+    return {
+        "prompt_tokens": request.prompt_tokens,
+        "completion_tokens": request.max_tokens,
+        "total_tokens": request.prompt_tokens + request.max_tokens,
+        "prompt_tokens_details": {"cached_tokens": request.cached_tokens},
+    }
+
+
+def _chunk(
+    name: str, model: str, delta: dict, finish: str | None, usage: dict | None = None
+) -> bytes:
+    choice = {"index": 0, "delta": delta, "finish_reason": finish}
+    chunk = {
+        "id": name,
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": model,
+        "choices": [choice],
+    }
+    if usage is not None:
+        chunk["usage"] = usage
+    return b"data: " + orjson.dumps(chunk) + b"\n\n"
+
+
+def make_engine_app(
+    limits: EngineLimits, options: EngineOptions, clock: Clock
+) -> web.Application:
+    """Return the engine as an application that a runner can serve."""
+    server = EngineServer(limits, options, clock)
+    app = web.Application(client_max_size=64 * 1024 * 1024)
+    app.router.add_post("/v1/chat/completions", server.chat)
+    app.router.add_get("/load", server.load)
+    app.router.add_get("/cache_events", server.cache_events)
+    app.router.add_get("/sessions", server.sessions)
+    app.router.add_post("/release", server.release)
+    app.router.add_get("/counts", server.counts)
+    app.cleanup_ctx.append(server.run)
+    return app
--- /dev/null
+++ b/celerypulley/stand_ins/engine_core.py
@@ -0,0 +1,253 @@
+"""The timing and memory of a model engine that batches continuously.
+
+The core knows nothing of HTTP: a server steps it in real time and the
+experiment tool steps it in virtual time.
+"""
+
+import itertools
+from collections import OrderedDict
+
+import attrs
+import xxhash
+
+__all__ = [
+    "EngineCore",
+    "EngineLimits",
+    "EngineRequest",
+    "Segment",
+    "StepReport",
+    "chain",
+]
+
+_BYTES_PER_TOKEN = 4
+
+
+@attrs.frozen
+class EngineLimits:
+    """Rates and sizes of one engine of eight accelerators."""
+
+    step_base_ms: float = 18.0
+    step_per_sequence_ms: float = 0.12
+    prefill_tokens_per_s: float = 14_000.0
+    prefill_chunk_tokens: int = 2_048
+    memory_tokens: int = 1_300_000
+    batch_limit: int = 256
+
+
+@attrs.frozen
+class Segment:
+    """One message of a prompt: the hash of all up to it, and its tokens."""
+
+    prefix_hash: int
+    tokens: int
+
+
+@attrs.define(eq=False)
+class EngineRequest:
+    """One generation: its prompt, how much to generate and how far it is."""
+
+    name: str
+    program: str
+    segments: tuple[Segment, ...]
+    max_tokens: int
+    priority: float = 0.0
+    arrived_ms: float = 0.0
+    answer_hash: int = 0
+    cached_tokens: int = 0
+    prefill_left: int = 0
+    generated: int = 0
+    first_token_ms: float | None = None
+    order: int = 0
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the tokens of the whole prompt."""
+        return sum(segment.tokens for segment in self.segments)
+
+
+@attrs.frozen
+class StepReport:
+    """What one step of the batch brought."""
+
+    duration_ms: float
+    emitted: tuple[EngineRequest, ...]
+    finished: tuple[EngineRequest, ...]
+
+
+@attrs.define
+class CacheNode:
+    """A cached message; `users` counts the running requests that hold it."""
+
+    tokens: int
+    program: str
+    users: int = 0
+    used_ms: float = 0.0
+
+
+def chain(messages: list[bytes]) -> tuple[Segment, ...]:
+    """Return the segments of a prompt, each hashed with all before it."""
+    hasher = xxhash.xxh64()
+    segments = []
+    for message in messages:
+        hasher.update(message)
+        tokens = max(1, len(message) // _BYTES_PER_TOKEN)
+        segments.append(Segment(hasher.intdigest(), tokens))
+    return tuple(segments)
+
+
+class EngineCore:
+    """A batch of running requests, a queue, and a prefix cache in limited memory."""
+
+    def __init__(self, limits: EngineLimits) -> None:
+        """Start idle with an empty cache."""
+        self.limits = limits
+        self.waiting: list[EngineRequest] = []
+        self.running: list[EngineRequest] = []
+        self.cache: OrderedDict[int, CacheNode] = OrderedDict()
+        self.cached_tokens = 0
+        self.active_tokens = 0
+        self.prefilled_tokens = 0
+        self.reused_tokens = 0
+        self.events: list[tuple[str, int, int]] = []
+        self._order = itertools.count()
+
+    def submit(self, request: EngineRequest, now_ms: float) -> None:
+        """Queue a request behind those of the same or a more urgent priority."""
+        request.arrived_ms = now_ms
+        request.order = next(self._order)
+        self.waiting.append(request)
+        self.waiting.sort(key=lambda each: (each.priority, each.order))
+
+    def cancel(self, request: EngineRequest) -> None:
+        """Drop a request; what it prefilled stays in the cache."""
+        if request in self.waiting:
+            self.waiting.remove(request)
+            return
+        if request in self.running:
+            self._leave(request, 0.0)
+
+    def step(self, now_ms: float) -> StepReport:
+        """Run one step of the batch; an idle engine reports zero ms."""
+        self._admit(now_ms)
+        if not self.running:
+            return StepReport(0.0, (), ())
+        budget = self.limits.prefill_chunk_tokens
+        prefilled = 0
+        emitted = []
+        for request in self.running:
+            if request.prefill_left > 0:
+                chunk = min(request.prefill_left, budget - prefilled)
+                request.prefill_left -= chunk
+                prefilled += chunk
+            if request.prefill_left == 0:
+                request.generated += 1
+                emitted.append(request)
+        self.prefilled_tokens += prefilled
+        duration_ms = (
+            self.limits.step_base_ms
+            + self.limits.step_per_sequence_ms * len(self.running)
+            + prefilled / self.limits.prefill_tokens_per_s * 1000
+        )
+        end_ms = now_ms + duration_ms
+        finished = []
+        for request in emitted:
+            self.active_tokens += 1
+            if request.first_token_ms is None:
+                request.first_token_ms = end_ms
+            if request.generated >= request.max_tokens:
+                finished.append(request)
+        for request in finished:
+            self._leave(request, end_ms)
+        return StepReport(duration_ms, tuple(emitted), tuple(finished))
+
+    def matched_tokens(self, segments: tuple[Segment, ...]) -> int:
+        """Return how many leading tokens of a prompt are cached."""
+        matched = 0
+        for segment in segments:
+            if segment.prefix_hash not in self.cache:
+                break
+            matched += segment.tokens
+        return matched
+
+    def release(self, program: str) -> int:
+        """Drop the cache of a program; return the tokens freed."""
+        freed = 0
+        for prefix_hash, node in list(self.cache.items()):
+            if node.program != program or node.users:
+                continue
+            freed += self._evict(prefix_hash)
+        return freed
+
+    def held_programs(self) -> dict[str, int]:
+        """Return the cached tokens of each program."""
+        held: dict[str, int] = {}
+        for node in self.cache.values():
+            held[node.program] = held.get(node.program, 0) + node.tokens
+        return held
+
+    def _admit(self, now_ms: float) -> None:
+        while self.waiting and len(self.running) < self.limits.batch_limit:
+            request = self.waiting[0]
+            request.cached_tokens = self.matched_tokens(request.segments)
+            fresh = request.prompt_tokens - request.cached_tokens
+            if not self._make_room(fresh + request.max_tokens, request):
+                break
+            self.waiting.pop(0)
+            request.prefill_left = max(1, fresh)
+            self.reused_tokens += request.cached_tokens
+            self._hold(request, now_ms)
+            self.running.append(request)
+
+    def _hold(self, request: EngineRequest, now_ms: float) -> None:
+        for segment in reversed(request.segments):
+            node = self.cache.get(segment.prefix_hash)
+            if node is None:
+                node = CacheNode(segment.tokens, request.program)
+                self.cache[segment.prefix_hash] = node
+                self.cached_tokens += segment.tokens
+                self.events.append(("stored", segment.prefix_hash, segment.tokens))
+            node.users += 1
+            node.used_ms = now_ms
+            self.cache.move_to_end(segment.prefix_hash)
+
+    def _leave(self, request: EngineRequest, now_ms: float) -> None:
+        self.running.remove(request)
+        self.active_tokens -= request.generated
+        for segment in reversed(request.segments):
+            node = self.cache.get(segment.prefix_hash)
+            if node is None:
+                continue
+            node.users -= 1
+            node.used_ms = now_ms
+        if request.answer_hash and request.generated:
+            self._store_answer(request, now_ms)
+
+    def _store_answer(self, request: EngineRequest, now_ms: float) -> None:
+        if request.answer_hash in self.cache:
+            return
+        node = CacheNode(request.generated, request.program, 0, now_ms)
+        self.cache[request.answer_hash] = node
+        self.cached_tokens += request.generated
+        self.events.append(("stored", request.answer_hash, request.generated))
+        for segment in reversed(request.segments):
+            if segment.prefix_hash in self.cache:
+                self.cache.move_to_end(segment.prefix_hash)
+
+    def _make_room(self, tokens: int, request: EngineRequest) -> bool:
+        keep = {segment.prefix_hash for segment in request.segments}
+        limit = self.limits.memory_tokens
+        if self.cached_tokens + self.active_tokens + tokens <= limit:
+            return True
+        for prefix_hash, node in list(self.cache.items()):
+            if node.users or prefix_hash in keep:
+                continue
+            self._evict(prefix_hash)
+            if self.cached_tokens + self.active_tokens + tokens <= limit:
+                return True
+        return not self.running
+
+    def _evict(self, prefix_hash: int) -> int:
+        node = self.cache.pop(prefix_hash)
+        self.cached_tokens -= node.tokens
+        self.events.append(("evicted", prefix_hash, node.tokens))
+        return node.tokens
--- /dev/null
+++ b/celerypulley/stand_ins/kv.py
@@ -0,0 +1,325 @@
+"""A stand-in for the platform's key-value service.
+
+It answers the part of etcd version 3's JSON gateway that the system uses and
+has switches for outages, slow answers and answers lost after a write.
+"""
+
+import asyncio
+import base64
+import random
+from collections import deque
+
+import attrs
+import orjson
+from aiohttp import web
+
+from celerypulley.clock import Clock
+
+__all__ = ["KeyValueStore", "Faults", "make_kv_app"]
+
+_HISTORY_EVENTS = 20_000
+_LEASE_TICK_S = 0.1
+_WATCH_PING_S = 5.0
+
+
+@attrs.define
+class Stored:
+    """A stored value and its revisions."""
+
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    lease_id: str | None
+
+
+@attrs.define
+class Lease:
+    """A lease with its life and the time it ends, in ms."""
+
+    ttl_ms: float
+    ends_ms: float
+    keys: set[str]
+
+
+@attrs.define
+class Faults:
+    """What the stand-in does wrong at the moment."""
+
+    down: bool = False
+    delay_ms: float = 0.0
+    lose_answer_share: float = 0.0
+
+
+class KeyValueStore:
+    """Keys with revisions, leases and a history for watchers."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start empty at revision 1."""
+        self.clock = clock
+        self.revision = 1
+        self.items: dict[str, Stored] = {}
+        self.leases: dict[str, Lease] = {}
+        self.history: deque[tuple[int, str, bytes | None]] = deque(
+            maxlen=_HISTORY_EVENTS
+        )
+        self.changed = asyncio.Event()
+        self._next_lease = 1000
+
+    def put(self, key: str, value: bytes, lease_id: str | None) -> None:
+        """Store a value under the next revision."""
+        self.revision += 1
+        old = self.items.get(key)
+        created = old.create_revision if old else self.revision
+        self.items[key] = Stored(value, created, self.revision, lease_id)
+        if lease_id is not None and lease_id in self.leases:
+            self.leases[lease_id].keys.add(key)
+        self._record(key, value)
+
+    def delete(self, key: str) -> None:
+        """Remove a key, if it is there, under the next revision."""
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self._record(key, None)
+
+    def grant(self, ttl_ms: float) -> str:
+        """Return the identifier of a new lease."""
+        self._next_lease += 1
+        lease_id = str(self._next_lease)
+        self.leases[lease_id] = Lease(ttl_ms, self.clock.now_ms() + ttl_ms, set())
+        return lease_id
+
+    def renew(self, lease_id: str) -> float:
+        """Renew a lease; return its life in ms, 0 where it has ended."""
+        lease = self.leases.get(lease_id)
+        if lease is None:
+            return 0.0
+        lease.ends_ms = self.clock.now_ms() + lease.ttl_ms
+        return lease.ttl_ms
+
+    def revoke(self, lease_id: str) -> None:
+        """End a lease and remove its keys."""
+        lease = self.leases.pop(lease_id, None)
+        if lease is None:
+            return
+        for key in sorted(lease.keys):
+            stored = self.items.get(key)
+            if stored is not None and stored.lease_id == lease_id:
+                self.delete(key)
+
+    def expire_leases(self) -> None:
+        """Revoke every lease whose time is over."""
+        now_ms = self.clock.now_ms()
+        ended = [name for name, lease in self.leases.items() if lease.ends_ms < now_ms]
+        for lease_id in ended:
+            self.revoke(lease_id)
+
+    def extend_leases(self) -> None:
+        """Give every lease its whole life again, as after a restart."""
+        for lease in self.leases.values():
+            lease.ends_ms = self.clock.now_ms() + lease.ttl_ms
+
+    def range(self, key: str, end: str | None) -> list[tuple[str, Stored]]:
+        """Return one key, or the keys from `key` up to `end`, in order."""
+        if end is None:
+            return [(key, self.items[key])] if key in self.items else []
+        found = [name for name in self.items if key <= name < end]
+        return [(name, self.items[name]) for name in sorted(found)]
+
+    def _record(self, key: str, value: bytes | None) -> None:
+        self.history.append((self.revision, key, value))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+def _text(encoded: str | None) -> str | None:
+    return None if encoded is None else base64.b64decode(encoded).decode()
+
+
+def _b64(raw: bytes) -> str:
+    return base64.b64encode(raw).decode()
+
+
+def _json(body: dict) -> web.Response:
+    return web.Response(body=orjson.dumps(body), content_type="application/json")
+
+
+class KvServer:
+    """The HTTP face of one store."""
+
+    def __init__(self, store: KeyValueStore, seed: int) -> None:
+        """Serve `store`; `seed` decides which answers get lost."""
+        self.store = store
+        self.faults = Faults()
+        self.random = random.Random(seed)
+        self.reads = 0
+        self.writes = 0
+        self.watch_events = 0
+
+    def _header(self) -> dict:
+        return {"revision": str(self.store.revision)}
+
+    async def range(self, request: web.Request) -> web.Response:
+        """Answer a range."""
+        await self._fault()
+        self.reads += 1
+        body = orjson.loads(await request.read())
+        found = self.store.range(_text(body["key"]), _text(body.get("range_end")))
+        items = [self._kv(key, stored) for key, stored in found]
+        return _json({"header": self._header(), "kvs": items, "count": len(items)})
+
+    async def txn(self, request: web.Request) -> web.Response:
+        """Answer a transaction of one comparison and puts."""
+        await self._fault()
+        self.writes += 1
+        body = orjson.loads(await request.read())
+        for compare in body["compare"]:
+            stored = self.store.items.get(_text(compare["key"]))
+            revision = stored.mod_revision if stored else 0
+            if revision != int(compare["mod_revision"]):
+                return _json({"header": self._header(), "succeeded": False})
+        for operation in body["success"]:
+            put = operation["request_put"]
+            lease_id = put.get("lease")
+            if lease_id is not None and lease_id not in self.store.leases:
+                return web.Response(status=400, text="lease not found")
+            self.store.put(_text(put["key"]), base64.b64decode(put["value"]), lease_id)
+        self._maybe_lose_answer(request)
+        return _json({"header": self._header(), "succeeded": True})
+
+    async def grant(self, request: web.Request) -> web.Response:
+        """Answer a lease grant."""
+        await self._fault()
+        self.writes += 1
+        ttl_s = int(orjson.loads(await request.read())["TTL"])
+        return _json({"ID": self.store.grant(ttl_s * 1000.0), "TTL": str(ttl_s)})
+
+    async def keepalive(self, request: web.Request) -> web.Response:
+        """Answer a lease renewal."""
+        await self._fault()
+        self.writes += 1
+        lease_id = orjson.loads(await request.read())["ID"]
+        ttl_ms = self.store.renew(lease_id)
+        return _json({"result": {"ID": lease_id, "TTL": str(int(ttl_ms // 1000))}})
+
+    async def revoke(self, request: web.Request) -> web.Response:
+        """Answer a lease revocation."""
+        await self._fault()
+        self.writes += 1
+        self.store.revoke(orjson.loads(await request.read())["ID"])
+        return _json({"header": self._header()})
+
+    async def watch(self, request: web.Request) -> web.StreamResponse:
+        """Stream the changes of a range until the watcher leaves."""
+        await self._fault()
+        self.reads += 1
+        create = orjson.loads(await request.read())["create_request"]
+        start, end = _text(create["key"]), _text(create["range_end"])
+        position = int(create["start_revision"])
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await self._send(response, {"created": True})
+        while True:
+            changed = self.store.changed
+            if self.faults.down:
+                raise web.HTTPServiceUnavailable
+            if self.store.history and self.store.history[0][0] > position + 1:
+                first = self.store.history[0][0]
+                if first > position and position > 1:
+                    await self._send(response, {"compact_revision": str(first)})
+                    return response
+            events = []
+            for revision, key, value in self.store.history:
+                if revision < position or not start <= key < end:
+                    continue
+                events.append(self._event(revision, key, value))
+            position = self.store.revision + 1
+            if events:
+                self.watch_events += len(events)
+                await self._send(response, {"events": events})
+            try:
+                await asyncio.wait_for(changed.wait(), _WATCH_PING_S)
+            except TimeoutError:
+                await self._send(response, {})
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Change the faults (a switch for tests)."""
+        was_down = self.faults.down
+        self.faults = Faults(**orjson.loads(await request.read()))
+        if was_down and not self.faults.down:
+            self.store.extend_leases()
+        self.store.changed.set()
+        self.store.changed = asyncio.Event()
+        return _json(attrs.asdict(self.faults))
+
+    async def counts(self, _request: web.Request) -> web.Response:
+        """Return how many calls were answered."""
+        counts = {
+            "reads": self.reads,
+            "writes": self.writes,
+            "watch_events": self.watch_events,
+            "keys": len(self.store.items),
+            "bytes": sum(len(item.value) for item in self.store.items.values()),
+        }
+        return _json(counts)
+
+    async def run_leases(self, _app: web.Application) -> object:
+        """Expire leases while the server runs; an outage stops their time."""
+
+        async def expire() -> None:
+            while True:
+                await asyncio.sleep(_LEASE_TICK_S)
+                if not self.faults.down:
+                    self.store.expire_leases()
+
+        task = asyncio.create_task(expire())
+        yield
+        task.cancel()
+
+    async def _fault(self) -> None:
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1000)
+        if self.faults.down:
+            raise web.HTTPServiceUnavailable
+
+    def _maybe_lose_answer(self, request: web.Request) -> None:
+        if self.random.random() >= self.faults.lose_answer_share:
+            return
+        if request.transport is not None:
+            request.transport.abort()
+
+    async def _send(self, response: web.StreamResponse, result: dict) -> None:
+        line = {"result": {"header": self._header(), **result}}
+        await response.write(orjson.dumps(line) + b"\n")
+
+    @staticmethod
+    def _kv(key: str, stored: Stored) -> dict:
+        return {
+            "key": _b64(key.encode()),
+            "value": _b64(stored.value),
+            "mod_revision": str(stored.mod_revision),
+            "create_revision": str(stored.create_revision),
+        }
+
+    @staticmethod
+    def _event(revision: int, key: str, value: bytes | None) -> dict:
+        kv = {"key": _b64(key.encode()), "mod_revision": str(revision)}
+        if value is None:
+            return {"type": "DELETE", "kv": kv}
+        return {"kv": {**kv, "value": _b64(value)}}
+
+
+def make_kv_app(clock: Clock, seed: int = 0) -> web.Application:
+    """Return the service as an application that a runner can serve."""
+    server = KvServer(KeyValueStore(clock), seed)
+    app = web.Application(client_max_size=2 * 1024 * 1024)
+    app.router.add_post("/v3/kv/range", server.range)
+    app.router.add_post("/v3/kv/txn", server.txn)
+    app.router.add_post("/v3/lease/grant", server.grant)
+    app.router.add_post("/v3/lease/keepalive", server.keepalive)
+    app.router.add_post("/v3/lease/revoke", server.revoke)
+    app.router.add_post("/v3/watch", server.watch)
+    app.router.add_post("/faults", server.set_faults)
+    app.router.add_get("/counts", server.counts)
+    app.cleanup_ctx.append(server.run_leases)
+    return app
