--- /dev/null
+++ b/celerypulley/backend_servers/routing.py
@@ -0,0 +1,148 @@
+"""Where a call runs: plain functions over beliefs about engines."""
+
+from collections.abc import Callable, Sequence
+
+import attrs
+import xxhash
+
+from celerypulley.backend_servers.engine_state import EngineState, ServerState
+from celerypulley.contracts.declaration import Policy
+
+__all__ = [
+    "POLICIES",
+    "Choice",
+    "EngineCall",
+    "choose_engine",
+    "expected_finish_ms",
+    "usable_engines",
+]
+
+_BOUNDED_LOAD_FACTOR = 1.25
+_FAR_DOMAIN_MS = 2.0
+
+
+@attrs.frozen
+class EngineCall:
+    """What the choice of an engine depends on."""
+
+    program: str
+    model: str
+    prompt_tokens: int
+    expected_tokens: int
+    domain: str
+    now_ms: float
+    number: int = 0
+
+
+@attrs.frozen
+class Choice:
+    """The chosen engine, the estimate in ms, and why."""
+
+    engine: EngineState
+    finish_ms: float
+    reason: str
+
+
+def usable_engines(
+    call: EngineCall, engines: Sequence[EngineState], avoid: frozenset[str]
+) -> list[EngineState]:
+    """Return the engines that may get the call."""
+    usable = []
+    for engine in engines:
+        if engine.state is ServerState.LEAVING or engine.name in avoid:
+            continue
+        if engine.failing_until_ms > call.now_ms:
+            continue
+        if call.model not in engine.models:
+            continue
+        usable.append(engine)
+    return usable
+
+
+def choose_engine(
+    policy: Policy,
+    call: EngineCall,
+    engines: Sequence[EngineState],
+    avoid: frozenset[str] = frozenset(),
+) -> Choice | None:
+    """Return the engine for a call under a policy, None where none may get it."""
+    usable = usable_engines(call, engines, avoid)
+    if not usable:
+        return None
+    return POLICIES[policy](call, usable)
+
+
+def expected_finish_ms(call: EngineCall, engine: EngineState) -> float:
+    """Return the estimated time until an engine has answered the call."""
+    traits = engine.traits
+    report = engine.report
+    unseen = len(engine.sends)
+    backlog_tokens = report.prefill_tokens
+    for send in engine.sends:
+        backlog_tokens += send.prefill_tokens
+    cached = min(engine.believed_cached(call.program, call.now_ms), call.prompt_tokens)
+    fresh = call.prompt_tokens - cached
+    prefill_ms = (backlog_tokens + fresh) / traits.prefill_tokens_per_s * 1000
+    sequences = report.running + report.waiting + unseen + 1
+    step_ms = traits.step_base_ms + traits.step_per_sequence_ms * sequences
+    rounds = max(1.0, sequences / traits.batch_limit)
+    far_ms = 0.0 if engine.domain == call.domain else _FAR_DOMAIN_MS
+    return prefill_ms + rounds * step_ms * call.expected_tokens + far_ms
+
+
+def _expected_finish(call: EngineCall, engines: list[EngineState]) -> Choice:
+    best = None
+    best_ms = float("inf")
+    for engine in engines:
+        finish_ms = expected_finish_ms(call, engine)
+        if finish_ms >= best_ms:
+            continue
+        best = engine
+        best_ms = finish_ms
+    assert best is not None
+    cached = best.believed_cached(call.program, call.now_ms)
+    reason = f"earliest expected finish, {cached:.0f} tokens cached"
+    return Choice(best, best_ms, reason)
+
+
+def _round_robin(call: EngineCall, engines: list[EngineState]) -> Choice:
+    engine = engines[call.number % len(engines)]
+    return Choice(engine, expected_finish_ms(call, engine), "next in turn")
+
+
+def _least_outstanding(call: EngineCall, engines: list[EngineState]) -> Choice:
+    def outstanding(engine: EngineState) -> tuple[int, str]:
+        report = engine.report
+        return report.running + report.waiting + len(engine.sends), engine.name
+
+    engine = min(engines, key=outstanding)
+    return Choice(engine, expected_finish_ms(call, engine), "fewest outstanding")
+
+
+def _prefix_hash(call: EngineCall, engines: list[EngineState]) -> Choice:
+    total = sum(_load_of(engine) for engine in engines)
+    bound = (total + 1) / len(engines) * _BOUNDED_LOAD_FACTOR
+    ranked = sorted(engines, key=lambda engine: _weight(call.program, engine.name))
+    for engine in ranked:
+        if _load_of(engine) + 1 <= max(1.0, bound):
+            break
+    else:
+        engine = ranked[0]
+    finish_ms = expected_finish_ms(call, engine)
+    return Choice(engine, finish_ms, "prefix hash with bounded load")
+
+
+def _load_of(engine: EngineState) -> int:
+    return engine.report.running + engine.report.waiting + len(engine.sends)
+
+
+def _weight(program: str, engine: str) -> int:
+    return xxhash.xxh64_intdigest(f"{program}\0{engine}".encode())
+
+
+POLICIES: dict[Policy, Callable[[EngineCall, list[EngineState]], Choice]] = {
+    Policy.EXPECTED_FINISH: _expected_finish,
+    Policy.ROUND_ROBIN: _round_robin,
+    Policy.LEAST_OUTSTANDING: _least_outstanding,
+    Policy.PREFIX_HASH: _prefix_hash,
+}
--- /dev/null
+++ b/celerypulley/cli.py
@@ -0,0 +1,164 @@
+"""The command line, built by fire."""
+
+import sys
+
+import fire
+from returns.result import Failure
+
+from celerypulley import __version__
+from celerypulley.clock import Clock
+from celerypulley.operators import commands
+from celerypulley.process import run_app, run_host
+from celerypulley.settings import Address, load_settings, setting_help
+from celerypulley.stand_ins.engine import EngineOptions, make_engine_app
+from celerypulley.stand_ins.engine_core import EngineLimits
+from celerypulley.stand_ins.kv import make_kv_app
+from celerypulley.stand_ins.plain_service import make_plain_app
+
+__all__ = ["main"]
+
+_BAD_USE = 2
+_DEFAULT_PLATFORM = "127.0.0.1:7000"
+
+
+class StandIns:
+    """Stand-ins for the platform, in the foreground."""
+
+    def kv(self, address: str = _DEFAULT_PLATFORM, seed: int = 0) -> None:
+        """Run the key-value service on `address` (ip:port)."""
+        run_app(lambda: make_kv_app(Clock(), seed), Address.parse(address))
+
+    def engine(
+        self,
+        address: str = "127.0.0.1:7100",
+        models: str = "agent-70b",
+        speed: float = 1.0,
+        load_lag_ms: float = 500.0,
+        event_gap: int = 0,
+        ignores_fencing: bool = False,
+        overrun_tokens: int = 0,
+        memory_tokens: int = 1_300_000,
+        batch_limit: int = 256,
+    ) -> None:
+        """Run a model engine on `address`; `models` is separated by commas."""
+        names = models if isinstance(models, tuple) else str(models).split(",")
+        options = EngineOptions(
+            tuple(names), speed, load_lag_ms, event_gap, ignores_fencing, overrun_tokens
+        )
+        limits = EngineLimits(memory_tokens=memory_tokens, batch_limit=batch_limit)
+        run_app(
+            lambda: make_engine_app(limits, options, Clock()), Address.parse(address)
+        )
+
+    def plain(self, address: str = "127.0.0.1:7200") -> None:
+        """Run a plain service whose calls may not be repeated, on `address`."""
+        run_app(make_plain_app, Address.parse(address))
+
+
+class Keys:
+    """Keys of organisations; `platform` is the key-value service, ip:port."""
+
+    def give(self, organisation: str, platform: str = _DEFAULT_PLATFORM) -> None:
+        """Give an organisation a new key; the last line is the key."""
+        _print(platform, lambda store: commands.give(store, organisation))
+
+    def withdraw(self, key_id: str, platform: str = _DEFAULT_PLATFORM) -> None:
+        """Withdraw a key by its identifier."""
+        _print(platform, lambda store: commands.withdraw(store, str(key_id)))
+
+    def list(self, platform: str = _DEFAULT_PLATFORM) -> None:
+        """List the keys in force by identifier."""
+        _print(platform, commands.list_keys)
+
+
+class CommandLine:
+    """A scheduler for agent programs in front of engines and plain services."""
+
+    def __init__(self) -> None:
+        """Offer every command."""
+        self.stand_in = StandIns()
+        self.keys = Keys()
+
+    def serve(self, **settings: object) -> None:
+        """Run one host; `celerypulley settings` lists flags, units and defaults."""
+        result = load_settings(settings)
+        if isinstance(result, Failure):
+            _fail("\n".join(str(error) for error in result.failure()))
+        run_host(result.unwrap())
+
+    def settings(self) -> None:
+        """List every setting of `serve` with its variable, unit and default."""
+        print(setting_help())
+
+    def check(self, file: str) -> None:
+        """Check a declaration; every error is shown with its line."""
+        _show(lambda: commands.check_file(file))
+
+    def plan(self, file: str, platform: str = _DEFAULT_PLATFORM) -> None:
+        """Show what applying a declaration would change."""
+        declaration = _load(file)
+        _print(platform, lambda store: commands.plan_file(store, declaration))
+
+    def apply(
+        self, file: str, reason: str = "apply", platform: str = _DEFAULT_PLATFORM
+    ) -> None:
+        """Apply a declaration as the next version."""
+        declaration = _load(file)
+        _print(platform, lambda store: commands.apply_file(store, declaration, reason))
+
+    def explain(self, subject: str, platform: str = _DEFAULT_PLATFORM) -> None:
+        """Show what decides each value of an organisation or route, and why."""
+        _print(platform, lambda store: commands.explain(store, subject))
+
+    def history(self, platform: str = _DEFAULT_PLATFORM) -> None:
+        """Show every kept version."""
+        _print(platform, commands.history)
+
+    def rollback(
+        self,
+        version: int,
+        reason: str = "no reason given",
+        platform: str = _DEFAULT_PLATFORM,
+    ) -> None:
+        """Apply the declaration of an older version as a new one."""
+        _print(platform, lambda store: commands.rollback(store, version, reason))
+
+    def status(self, platform: str = _DEFAULT_PLATFORM) -> None:
+        """Show hosts, owners, engines and the version in force on each host."""
+        _print(platform, commands.status)
+
+    def version(self) -> None:
+        """Show the version of this program."""
+        print(__version__)
+
+
+def _load(file: str) -> object:
+    try:
+        return commands.load_file(file)
+    except commands.CommandFailedError as error:
+        _fail(str(error))
+
+
+def _show(work: object) -> None:
+    try:
+        print("\n".join(work()))
+    except commands.CommandFailedError as error:
+        _fail(str(error))
+
+
+def _print(platform: str, work: object) -> None:
+    _show(lambda: commands.run_with_store(platform, work))
+
+
+def _fail(text: str) -> None:
+    print(text, file=sys.stderr)
+    sys.exit(_BAD_USE)
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(CommandLine(), name="celerypulley")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/celerypulley/contracts/declaration.py
@@ -0,0 +1,150 @@
+"""The declaration: one set of defaults and a short list of exceptions.
+
+Units are in the field names. A declaration is plain data; reading it from a
+file is the business of `declaration_file`.
+"""
+
+import enum
+import re
+from typing import Any
+
+import attrs
+
+__all__ = [
+    "BackendServer",
+    "Declaration",
+    "ExceptionRule",
+    "Limits",
+    "Organisation",
+    "Policy",
+    "Route",
+    "RouteKind",
+    "WhenStale",
+]
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+_MIN_REASON_CHARS = 8
+
+
+class RouteKind(enum.Enum):
+    """What stands behind a route."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+class WhenStale(enum.Enum):
+    """What a host does that can learn of no new configuration."""
+
+    SERVE = "serve"
+    REFUSE = "refuse"
+
+
+class Policy(enum.Enum):
+    """How an engine is chosen for a call."""
+
+    EXPECTED_FINISH = "expected-finish"
+    ROUND_ROBIN = "round-robin"
+    LEAST_OUTSTANDING = "least-outstanding"
+    PREFIX_HASH = "prefix-hash"
+
+
+def _positive(_instance: object, field: attrs.Attribute, value: float) -> None:
+    if value <= 0:
+        raise ValueError(f"{field.name} is {value}; it must be above zero")
+
+
+def _at_least_one(_instance: object, field: attrs.Attribute, value: float) -> None:
+    if value < 1:
+        raise ValueError(f"{field.name} is {value}; it must be at least 1")
+
+
+def _name(_instance: object, field: attrs.Attribute, value: str) -> None:
+    if not _NAME.fullmatch(value):
+        raise ValueError(
+            f"{field.name} {value!r} is not a name of a-z, 0-9 and -, at most 63"
+        )
+
+
+def _reason(_instance: object, field: attrs.Attribute, value: str) -> None:
+    if len(value.strip()) < _MIN_REASON_CHARS:
+        raise ValueError(
+            f"{field.name} {value!r} needs at least {_MIN_REASON_CHARS} characters"
+        )
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """What holds for an organisation, from the defaults or an exception."""
+
+    rate_per_s: float = attrs.field(default=5.0, validator=_positive)
+    burst: int = attrs.field(default=10, validator=_at_least_one)
+    weight: float = attrs.field(default=1.0, validator=_positive)
+    program_budget_tokens: int = attrs.field(default=100_000, validator=_positive)
+    max_tokens: int = attrs.field(default=512, validator=_positive)
+    program_idle_s: float = attrs.field(default=3_600.0, validator=_positive)
+    call_retention_s: float = attrs.field(default=86_400.0, validator=_positive)
+    turn_timeout_s: float = attrs.field(default=120.0, validator=_positive)
+    queue_wait_s: float = attrs.field(default=30.0, validator=_positive)
+    stale_after_s: float = attrs.field(default=20.0, validator=_positive)
+    when_stale: WhenStale = WhenStale.SERVE
+    policy: Policy = Policy.EXPECTED_FINISH
+    latency_weight: float = attrs.field(default=1.0, validator=_positive)
+    fairness_weight: float = attrs.field(default=1.0, validator=_positive)
+
+
+@attrs.frozen(kw_only=True)
+class Organisation:
+    """One organisation that may be given keys."""
+
+    name: str = attrs.field(validator=_name)
+
+
+@attrs.frozen(kw_only=True)
+class ExceptionRule:
+    """Where one organisation or route differs from the defaults, and why."""
+
+    reason: str = attrs.field(validator=_reason)
+    set: dict[str, Any]
+    organisation: str | None = None
+    route: str | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """A way to a kind of backend server.
+
+    `priority` orders routes that share engines: lower goes first. `open` routes
+    need no key.
+    """
+
+    name: str = attrs.field(validator=_name)
+    kind: RouteKind
+    models: list[str] = attrs.Factory(list)
+    prefix: str | None = None
+    repeatable: bool = True
+    priority: int = 10
+
+
+@attrs.frozen(kw_only=True)
+class BackendServer:
+    """An engine or a plain service, and the failure domain in which it stands."""
+
+    name: str = attrs.field(validator=_name)
+    route: str
+    domain: str
+    address: str
+    checks_fencing: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class Declaration:
+    """Everything that operators declare, except keys."""
+
+    version: int
+    failure_domains: list[str]
+    defaults: Limits
+    routes: list[Route]
+    backend_servers: list[BackendServer]
+    organisations: list[Organisation]
+    exceptions: list[ExceptionRule] = attrs.Factory(list)
--- /dev/null
+++ b/celerypulley/contracts/declaration_file.py
@@ -0,0 +1,247 @@
+"""Reading a declaration from YAML: every error with its line."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import attrs
+import cattrs
+import yaml
+from cattrs.gen import make_dict_structure_fn
+from cattrs.v import transform_error
+from returns.result import Failure, Result, Success
+
+from celerypulley.contracts.declaration import (
+    Declaration,
+    ExceptionRule,
+    Limits,
+    RouteKind,
+)
+
+__all__ = [
+    "DeclarationError",
+    "declaration_as_data",
+    "declaration_converter",
+    "read_declaration",
+    "structure_declaration",
+]
+
+_FORMAT_VERSION = 1
+_UNIT_SUFFIXES = ("_s", "_ms", "_per_s", "_tokens", "_bytes")
+
+
+@attrs.frozen(order=True)
+class DeclarationError:
+    """One error: where it stands and what is allowed there."""
+
+    file: str
+    line: int
+    problem: str
+
+    def __str__(self) -> str:
+        """Return `file:line: problem`."""
+        return f"{self.file}:{self.line}: {self.problem}"
+
+
+def declaration_converter() -> cattrs.Converter:
+    """Return the converter that refuses unknown fields."""
+    converter = cattrs.Converter(forbid_extra_keys=True)
+
+    def structure_number(value: object, _type: type) -> float:
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise ValueError(f"{value!r} is not a number")
+        return float(value)
+
+    def structure_whole(value: object, _type: type) -> int:
+        if isinstance(value, bool) or not isinstance(value, int):
+            raise ValueError(f"{value!r} is not a whole number")
+        return value
+
+    def structure_text(value: object, _type: type) -> str:
+        if not isinstance(value, str):
+            raise ValueError(f"{value!r} is not text")
+        return value
+
+    def structure_flag(value: object, _type: type) -> bool:
+        if not isinstance(value, bool):
+            raise ValueError(f"{value!r} is neither true nor false")
+        return value
+
+    converter.register_structure_hook(float, structure_number)
+    converter.register_structure_hook(int, structure_whole)
+    converter.register_structure_hook(str, structure_text)
+    converter.register_structure_hook(bool, structure_flag)
+    rule_hook = make_dict_structure_fn(ExceptionRule, converter)
+    converter.register_structure_hook(ExceptionRule, rule_hook)
+    return converter
+
+
+_CONVERTER = declaration_converter()
+
+
+def declaration_as_data(declaration: Declaration) -> dict:
+    """Return a declaration as plain data, ready for JSON."""
+    return _CONVERTER.unstructure(declaration)
+
+
+def structure_declaration(data: dict) -> Declaration:
+    """Return the declaration of plain data; raise where it is not one."""
+    return _CONVERTER.structure(data, Declaration)
+
+
+def read_declaration(
+    path: Path,
+) -> Result[Declaration, tuple[DeclarationError, ...]]:
+    """Return the file's declaration, or every error in it."""
+    file = path.name
+    try:
+        text = path.read_text(encoding="utf-8")
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        data = yaml.safe_load(text)
+    except OSError as error:
+        return Failure((DeclarationError(file, 0, str(error)),))
+    except (yaml.YAMLError, UnicodeDecodeError, ValueError, RecursionError) as error:
+        mark = getattr(error, "problem_mark", None)
+        line = mark.line + 1 if mark else 1
+        problem = str(getattr(error, "problem", None) or error)
+        return Failure((DeclarationError(file, line, f"not YAML: {problem}"),))
+    if not isinstance(data, dict):
+        return Failure((DeclarationError(file, 1, "a declaration is a mapping"),))
+    lines = dict(_lines(node, "$"))
+    errors = tuple(sorted(_errors(data, file, lines)))
+    if errors:
+        return Failure(errors)
+    return Success(_CONVERTER.structure(data, Declaration))
+
+
+def _lines(node: yaml.Node, path: str) -> Iterator[tuple[str, int]]:
+    yield path, node.start_mark.line + 1
+    if isinstance(node, yaml.MappingNode):
+        for key, value in node.value:
+            child = f"{path}.{key.value}"
+            yield from _lines(value, child)
+            yield child, key.start_mark.line + 1
+    if isinstance(node, yaml.SequenceNode):
+        for number, value in enumerate(node.value):
+            yield from _lines(value, f"{path}[{number}]")
+
+
+def _errors(data: dict, file: str, lines: dict) -> Iterator[DeclarationError]:
+    try:
+        declaration = _CONVERTER.structure(data, Declaration)
+    except Exception as error:
+        for text in transform_error(error, format_exception=_problem):
+            problem, _, path = text.rpartition(" @ ")
+            yield DeclarationError(file, _line(lines, path, problem), problem)
+        return
+    for path, problem in _cross_checks(declaration):
+        yield DeclarationError(file, _line(lines, path, problem), problem)
+
+
+def _problem(error: BaseException, _type: type | None) -> str:
+    if isinstance(error, KeyError):
+        return f"required field {error.args[0]} is missing"
+    if isinstance(error, cattrs.ForbiddenExtraKeysError):
+        names = sorted(str(name) for name in error.extra_fields)
+        allowed = ", ".join(field.name for field in attrs.fields(error.cl))
+        return f"unknown field {', '.join(names)}; allowed: {allowed}"
+    return str(error) or type(error).__name__
+
+
+def _line(lines: dict, path: str, problem: str) -> int:
+    if problem.startswith("unknown field "):
+        name = problem.removeprefix("unknown field ").partition(";")[0]
+        first = f"{path}.{name.partition(',')[0]}"
+        if first in lines:
+            return lines[first]
+    while path not in lines and path:
+        path = path.rpartition(".")[0] or path.rpartition("[")[0]
+    return lines.get(path, 1)
+
+
+def _cross_checks(declaration: Declaration) -> Iterator[tuple[str, str]]:
+    if declaration.version != _FORMAT_VERSION:
+        yield "$.version", f"version {declaration.version} is not {_FORMAT_VERSION}"
+    if not declaration.failure_domains:
+        yield "$.failure_domains", "at least one failure domain is declared"
+    yield from _duplicates(declaration.failure_domains, "failure_domains")
+    yield from _duplicates([each.name for each in declaration.routes], "routes")
+    names = [each.name for each in declaration.organisations]
+    yield from _duplicates(names, "organisations")
+    servers = [each.name for each in declaration.backend_servers]
+    yield from _duplicates(servers, "backend_servers")
+    yield from _route_checks(declaration)
+    yield from _server_checks(declaration)
+    yield from _exception_checks(declaration)
+
+
+def _duplicates(names: list[str], where: str) -> Iterator[tuple[str, str]]:
+    seen: dict[str, int] = {}
+    for number, name in enumerate(names):
+        if name in seen:
+            yield f"$.{where}[{number}]", f"{name!r} stands twice in {where}"
+        seen[name] = number
+
+
+def _route_checks(declaration: Declaration) -> Iterator[tuple[str, str]]:
+    models: dict[str, str] = {}
+    for number, route in enumerate(declaration.routes):
+        path = f"$.routes[{number}]"
+        if route.kind is RouteKind.ENGINE and not route.models:
+            yield path, f"route {route.name!r} names no models"
+        if route.kind is RouteKind.PLAIN and not (route.prefix or "").startswith("/"):
+            yield path, f"route {route.name!r} needs a prefix that starts with /"
+        for model in route.models:
+            if model in models:
+                yield path, f"model {model!r} is on route {models[model]!r} too"
+            models[model] = route.name
+
+
+def _server_checks(declaration: Declaration) -> Iterator[tuple[str, str]]:
+    routes = sorted(route.name for route in declaration.routes)
+    for number, server in enumerate(declaration.backend_servers):
+        path = f"$.backend_servers[{number}]"
+        if server.route not in routes:
+            allowed = ", ".join(routes)
+            yield f"{path}.route", f"unknown route {server.route!r}; known: {allowed}"
+        if server.domain not in declaration.failure_domains:
+            allowed = ", ".join(declaration.failure_domains)
+            yield (
+                f"{path}.domain",
+                f"unknown failure domain {server.domain!r}; known: {allowed}",
+            )
+
+
+def _exception_checks(declaration: Declaration) -> Iterator[tuple[str, str]]:
+    organisations = {each.name for each in declaration.organisations}
+    routes = {each.name for each in declaration.routes}
+    for number, rule in enumerate(declaration.exceptions):
+        path = f"$.exceptions[{number}]"
+        if (rule.organisation is None) == (rule.route is None):
+            yield path, "an exception names either an organisation or a route"
+        if rule.organisation is not None and rule.organisation not in organisations:
+            yield path, f"unknown organisation {rule.organisation!r}"
+        if rule.route is not None and rule.route not in routes:
+            allowed = ", ".join(sorted(routes))
+            yield path, f"unknown route {rule.route!r}; known: {allowed}"
+        yield from _value_checks(rule, path)
+
+
+def _value_checks(rule: ExceptionRule, path: str) -> Iterator[tuple[str, str]]:
+    known = {field.name for field in attrs.fields(Limits)}
+    for name, value in rule.set.items():
+        if name not in known:
+            allowed = _closest(name, known) or ", ".join(sorted(known))
+            yield f"{path}.set.{name}", f"unknown field {name}; allowed: {allowed}"
+            continue
+        try:
+            _CONVERTER.structure({name: value}, Limits)
+        except Exception as error:
+            for text in transform_error(error, format_exception=_problem):
+                yield f"{path}.set.{name}", text.rpartition(" @ ")[0]
+
+
+def _closest(name: str, known: set[str]) -> str:
+    stem = name
+    for suffix in _UNIT_SUFFIXES:
+        stem = stem.removesuffix(suffix)
+    return ", ".join(sorted(each for each in known if each.startswith(stem)))
--- /dev/null
+++ b/celerypulley/contracts/effective.py
@@ -0,0 +1,115 @@
+"""What holds for one organisation or route: defaults, then exceptions."""
+
+import attrs
+
+from celerypulley.contracts.declaration import (
+    Declaration,
+    ExceptionRule,
+    Limits,
+    Route,
+    RouteKind,
+)
+from celerypulley.contracts.declaration_file import declaration_converter
+from celerypulley.contracts.keys import KeyRing, StoredKey
+
+__all__ = ["Configuration", "Explanation"]
+
+_CONVERTER = declaration_converter()
+
+
+@attrs.frozen
+class Explanation:
+    """Which rule decides one value."""
+
+    subject: str
+    name: str
+    value: object
+    decided_by: str
+    reason: str
+    version: int
+
+
+class Configuration:
+    """One version of the configuration, indexed for use."""
+
+    def __init__(
+        self, version: int, declaration: Declaration, keys: tuple[StoredKey, ...]
+    ) -> None:
+        """Index a declaration and its keys."""
+        self.version = version
+        self.declaration = declaration
+        self.keys = KeyRing(keys)
+        self.stored_keys = keys
+        self.domains = tuple(declaration.failure_domains)
+        self.organisations = {each.name for each in declaration.organisations}
+        self.routes = {route.name: route for route in declaration.routes}
+        self._model_routes: dict[str, Route] = {}
+        for route in declaration.routes:
+            for model in route.models:
+                self._model_routes[model] = route
+        self._rules: dict[str, list[ExceptionRule]] = {}
+        for rule in declaration.exceptions:
+            subject = rule.organisation or f"route:{rule.route}"
+            self._rules.setdefault(subject, []).append(rule)
+        self._limits: dict[str, Limits] = {}
+
+    def limits(self, organisation: str) -> Limits:
+        """Return what holds for an organisation."""
+        return self._limits_of(organisation)
+
+    def route_limits(self, route: str) -> Limits:
+        """Return what holds for a route."""
+        return self._limits_of(f"route:{route}")
+
+    def _limits_of(self, subject: str) -> Limits:
+        found = self._limits.get(subject)
+        if found is not None:
+            return found
+        limits = self.declaration.defaults
+        for rule in self._rules.get(subject, ()):
+            changes = _CONVERTER.structure(rule.set, Limits)
+            named = {name: getattr(changes, name) for name in rule.set}
+            limits = attrs.evolve(limits, **named)
+        self._limits[subject] = limits
+        return limits
+
+    def route_of_model(self, model: str) -> Route | None:
+        """Return the engine route of a model."""
+        return self._model_routes.get(model)
+
+    def route_of_path(self, path: str) -> Route | None:
+        """Return the plain route with the longest prefix of `path`."""
+        best = None
+        for route in self.declaration.routes:
+            if route.kind is not RouteKind.PLAIN or route.prefix is None:
+                continue
+            prefix = route.prefix.rstrip("/") + "/"
+            if not (path + "/").startswith(prefix):
+                continue
+            if best is None or len(route.prefix) > len(best.prefix or ""):
+                best = route
+        return best
+
+    def explain(self, subject: str) -> list[Explanation]:
+        """Return for every value of a subject which rule decides it."""
+        key = subject
+        if subject in self.routes and subject not in self.organisations:
+            key = f"route:{subject}"
+        limits = self._limits_of(key)
+        deciding: dict[str, ExceptionRule] = {}
+        for rule in self._rules.get(key, ()):
+            for name in rule.set:
+                deciding[name] = rule
+        found = []
+        for field in attrs.fields(Limits):
+            rule = deciding.get(field.name)
+            decided_by = "exception" if rule else "default"
+            reason = rule.reason if rule else "no exception names it"
+            value = getattr(limits, field.name)
+            shown = getattr(value, "value", value)
+            found.append(
+                Explanation(
+                    subject, field.name, shown, decided_by, reason, self.version
+                )
+            )
+        return found
--- /dev/null
+++ b/celerypulley/contracts/rates.py
@@ -0,0 +1,86 @@
+"""Rate and burst of an organisation, split into shares of failure domains.
+
+The declared rate is the sum of one share per failure domain. A meter spends
+only shares that it holds, its own or borrowed ones, so that all meters together
+never exceed the declared rate and burst.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from celerypulley.contracts.declaration import Limits
+
+__all__ = ["Bucket", "Share", "domain_share", "meter_group", "sum_shares"]
+
+
+@attrs.frozen
+class Share:
+    """A part of a rate, in requests per second, and of a burst, in requests."""
+
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+def meter_group(organisation: str, groups: int) -> int:
+    """Return the meter group of an organisation; the same on every host."""
+    return xxhash.xxh64_intdigest(organisation.encode()) % groups
+
+
+def domain_share(
+    organisation: str, limits: Limits, domains: tuple[str, ...], domain: str
+) -> Share:
+    """Return one failure domain's share of an organisation's allowance.
+
+    The burst is split into whole requests; which domains get the remainder
+    depends on the organisation.
+    """
+    count = len(domains)
+    base, remainder = divmod(limits.burst, count)
+    offset = xxhash.xxh64_intdigest(organisation.encode())
+    position = (domains.index(domain) + offset) % count
+    extra = 1 if position < remainder else 0
+    return Share(limits.rate_per_s / count, float(base + extra))
+
+
+def sum_shares(shares: Iterable[Share]) -> Share:
+    """Return the sum of shares."""
+    rate_per_s = 0.0
+    burst = 0.0
+    for share in shares:
+        rate_per_s += share.rate_per_s
+        burst += share.burst
+    return Share(rate_per_s, burst)
+
+
+@attrs.define
+class Bucket:
+    """The tokens of one organisation at one meter; it starts empty."""
+
+    updated_ms: float
+    share: Share = Share()
+    tokens: float = 0.0
+
+    def settle(self, now_ms: float, share: Share) -> None:
+        """Add what has come in at the former share, then hold the new share."""
+        gained = (now_ms - self.updated_ms) / 1000 * self.share.rate_per_s
+        self.tokens = min(self.tokens + max(0.0, gained), self.share.burst)
+        self.tokens = min(self.tokens, share.burst)
+        self.share = share
+        self.updated_ms = now_ms
+
+    def take(self, now_ms: float) -> bool:
+        """Take one request; return False where none is left."""
+        self.settle(now_ms, self.share)
+        assert self.tokens <= self.share.burst, "a bucket holds more than its burst"
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def wait_ms(self) -> float:
+        """Return how long until one request is allowed again."""
+        if self.share.rate_per_s <= 0:
+            return float("inf")
+        return max(0.0, (1.0 - self.tokens) / self.share.rate_per_s * 1000)
--- a/celerypulley/errors.py
+++ b/celerypulley/errors.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["ANSWERS", "Answer", "CallRefused", "ErrorKind", "Refusal", "RunState"]
+__all__ = ["ANSWERS", "Answer", "CallRefusedError", "ErrorKind", "Refusal", "RunState"]
 
 
 class RunState(enum.Enum):
@@ -27,6 +27,7 @@
     PROGRAM_CLOSED = "program_closed"
     TURN_OUT_OF_ORDER = "turn_out_of_order"
     HISTORY_BEHIND = "history_behind"
+    HISTORY_LOST = "history_lost"
     BUDGET_EXHAUSTED = "budget_exhausted"
     RATE_EXCEEDED = "rate_exceeded"
     METER_UNREACHABLE = "meter_unreachable"
@@ -65,6 +66,7 @@
     ErrorKind.PROGRAM_CLOSED: Answer(409, _NOT),
     ErrorKind.TURN_OUT_OF_ORDER: Answer(409, _NOT),
     ErrorKind.HISTORY_BEHIND: Answer(503, _NOT, 5),
+    ErrorKind.HISTORY_LOST: Answer(410, _NOT),
     ErrorKind.BUDGET_EXHAUSTED: Answer(402, _NOT),
     ErrorKind.RATE_EXCEEDED: Answer(429, _NOT, 1),
     ErrorKind.METER_UNREACHABLE: Answer(503, _NOT, 2),
@@ -104,7 +106,7 @@
         return ANSWERS[self.kind].retry_after_s
 
 
-class CallRefused(Exception):
+class CallRefusedError(Exception):
     """Carries a refusal up to the task that answers the caller."""
 
     def __init__(self, refusal: Refusal) -> None:
@@ -115,7 +117,7 @@
     @classmethod
     def of(
         cls, kind: ErrorKind, detail: str, run: RunState | None = None
-    ) -> "CallRefused":
+    ) -> "CallRefusedError":
         """Build the exception from its parts; `run` overrides the table."""
         if run is None:
             return cls(Refusal(kind, detail))
--- /dev/null
+++ b/celerypulley/failure_domains/placement.py
@@ -0,0 +1,121 @@
+"""Placement of shards on hosts: pure choices over members and entries."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+import attrs
+import xxhash
+
+from celerypulley.failure_domains.member import Member
+from celerypulley.failure_domains.owner_table import ShardEntry
+from celerypulley.programs.identifier import ShardId
+
+__all__ = [
+    "Move",
+    "choose_move",
+    "choose_replica",
+    "is_local",
+    "local_shard_count",
+    "rendezvous",
+    "takeover_candidates",
+]
+
+_LOCAL_SHARE = 8
+_MIN_LOCAL_SHARDS = 4
+
+
+@attrs.frozen
+class Move:
+    """A shard that should change its owner."""
+
+    shard: ShardId
+    to: str
+
+
+def local_shard_count(shards_per_domain: int) -> int:
+    """Return how many local shards a failure domain has beside its others."""
+    return max(_MIN_LOCAL_SHARDS, shards_per_domain // _LOCAL_SHARE)
+
+
+def is_local(shard: ShardId, shards_per_domain: int) -> bool:
+    """Return whether both holders of a shard stand in its home domain."""
+    return shard.index >= shards_per_domain
+
+
+def rendezvous(key: str, names: Iterable[str]) -> str | None:
+    """Return the name with the highest hash for `key`, None without names."""
+    best = None
+    best_weight = -1
+    for name in names:
+        weight = xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
+        if weight <= best_weight:
+            continue
+        best = name
+        best_weight = weight
+    return best
+
+
+def choose_replica(
+    shard: ShardId,
+    owner: Member,
+    members: Mapping[str, Member],
+    suspects: set[str],
+    local: bool,
+) -> Member | None:
+    """Return the replica for a shard: another failure domain wherever possible.
+
+    A local shard prefers its own domain. Hosts that leave or are suspected do not
+    come into question. None where no other host is left.
+    """
+    near = []
+    far = []
+    for member in members.values():
+        if member.name == owner.name or member.leaving or member.name in suspects:
+            continue
+        (near if member.domain == owner.domain else far).append(member.name)
+    names = (near or far) if local else (far or near)
+    chosen = rendezvous(str(shard), names)
+    return members[chosen] if chosen else None
+
+
+def takeover_candidates(
+    shard: ShardId, members: Mapping[str, Member], local: bool
+) -> list[str]:
+    """Return who may take a shard that has lost both holders."""
+    home = []
+    rest = []
+    for member in members.values():
+        if member.leaving:
+            continue
+        (home if member.domain == shard.domain else rest).append(member.name)
+    if home or local:
+        return home
+    return rest
+
+
+def choose_move(
+    me: Member,
+    members: Mapping[str, Member],
+    entries: Mapping[ShardId, ShardEntry],
+) -> Move | None:
+    """Return one of my shards that another host should own, if any.
+
+    A shard away from home goes home; a host with more than its share gives to
+    the one with the fewest, while they differ by two or more.
+    """
+    owned = Counter(entry.owner for entry in entries.values())
+    mine = [shard for shard, entry in entries.items() if entry.owner == me.name]
+    for shard in sorted(mine):
+        home = [
+            member.name
+            for member in members.values()
+            if member.domain == shard.domain and not member.leaving
+        ]
+        if not home:
+            continue
+        fewest = min(home, key=lambda name: (owned[name], name))
+        if fewest == me.name:
+            continue
+        if me.domain != shard.domain or owned[me.name] - owned[fewest] >= 2:
+            return Move(shard, fewest)
+    return None
--- /dev/null
+++ b/celerypulley/hosts/backend_servers.py
@@ -0,0 +1,168 @@
+"""The backend servers that a host knows, with their state and load."""
+
+import asyncio
+import random
+
+from mode import Service
+
+from celerypulley.backend_servers.engine_state import (
+    EngineReport,
+    EngineState,
+    ServerState,
+)
+from celerypulley.clock import Clock
+from celerypulley.contracts.declaration import BackendServer, RouteKind
+from celerypulley.contracts.effective import Configuration
+from celerypulley.decision_log import DecisionLog
+from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.links.backend_link import BackendError, BackendLink
+
+__all__ = ["BackendServers"]
+
+_LIST_PERIOD_S = 2.0
+_LOAD_PERIOD_S = 0.5
+_READ_TIMEOUT_S = 1.0
+_MIN_ENGINES_IN_DOMAIN = 16
+_log = DecisionLog("backend-servers")
+
+
+class BackendServers(Service):
+    """Engines and plain services by the declaration and the platform's list."""
+
+    def __init__(
+        self,
+        domain: str,
+        link: BackendLink,
+        platform_address: str,
+        configuration: ConfigurationFollower,
+        clock: Clock,
+    ) -> None:
+        """Know nothing until a configuration is in force."""
+        super().__init__()
+        self.domain = domain
+        self.link = link
+        self.platform_address = platform_address
+        self.clock = clock
+        self.engines: dict[str, EngineState] = {}
+        self.plain: dict[str, list[BackendServer]] = {}
+        self.leaving: frozenset[str] = frozenset()
+        self.list_read_ms = float("-inf")
+        self._events_seen: dict[str, int] = {}
+        self._random = random.Random()
+        configuration.on_change.append(self.take_configuration)
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Bring the servers in line with the declaration."""
+        declared = configuration.declaration.backend_servers
+        plain: dict[str, list[BackendServer]] = {}
+        names = set()
+        for server in declared:
+            route = configuration.routes[server.route]
+            if route.kind is RouteKind.PLAIN:
+                plain.setdefault(route.name, []).append(server)
+                continue
+            names.add(server.name)
+            self._declare_engine(server, frozenset(route.models))
+        for name in set(self.engines) - names:
+            del self.engines[name]
+        self.plain = plain
+
+    def _declare_engine(self, server: BackendServer, models: frozenset[str]) -> None:
+        known = self.engines.get(server.name)
+        if known is not None and known.address == server.address:
+            known.models = models
+            known.checks_fencing = server.checks_fencing
+            return
+        engine = EngineState(
+            server.name, server.domain, server.address, models, server.checks_fencing
+        )
+        if server.name in self.leaving:
+            engine.state = ServerState.LEAVING
+        self.engines[server.name] = engine
+
+    def live_plain(self, route: str) -> list[BackendServer]:
+        """Return a route's plain servers that get new work, near ones first."""
+        servers = [
+            server
+            for server in self.plain.get(route, [])
+            if server.name not in self.leaving
+        ]
+        return sorted(servers, key=lambda each: each.domain != self.domain)
+
+    def nearby_engines(self, model: str) -> list[EngineState]:
+        """Return this domain's engines of a model, all where those are few."""
+        having = [each for each in self.engines.values() if model in each.models]
+        near = [
+            each
+            for each in having
+            if each.domain == self.domain and each.state is ServerState.LIVE
+        ]
+        return near if len(near) >= _MIN_ENGINES_IN_DOMAIN else having
+
+    def _watched(self) -> list[EngineState]:
+        near = [e for e in self.engines.values() if e.domain == self.domain]
+        if len(near) >= _MIN_ENGINES_IN_DOMAIN:
+            return near
+        return list(self.engines.values())
+
+    @Service.task
+    async def _read_list(self) -> None:
+        while not self.should_stop:
+            await self._read_list_once()
+            await self.sleep(self._random.uniform(0.8, 1.2) * _LIST_PERIOD_S)
+
+    async def _read_list_once(self) -> None:
+        try:
+            listed = await self.link.read_json(
+                self.platform_address, "/backend-servers", _READ_TIMEOUT_S
+            )
+        except BackendError:
+            return
+        leaving = frozenset(
+            each["name"] for each in listed if each.get("state") == "leaving"
+        )
+        for name in leaving - self.leaving:
+            _log.write("no new work", "the platform lists it as leaving", server=name)
+        self.leaving = leaving
+        self.list_read_ms = self.clock.now_ms()
+        for engine in self.engines.values():
+            engine.state = (
+                ServerState.LEAVING if engine.name in leaving else ServerState.LIVE
+            )
+
+    @Service.task
+    async def _read_loads(self) -> None:
+        while not self.should_stop:
+            watched = self._watched()
+            await asyncio.gather(*(self._read_load(engine) for engine in watched))
+            await self.sleep(self._random.uniform(0.8, 1.2) * _LOAD_PERIOD_S)
+
+    async def _read_load(self, engine: EngineState) -> None:
+        asked_ms = self.clock.now_ms()
+        try:
+            load = await self.link.read_json(engine.address, "/load", _READ_TIMEOUT_S)
+            since = self._events_seen.get(engine.name, 0)
+            events = await self.link.read_json(
+                engine.address, f"/cache_events?since={since}", _READ_TIMEOUT_S
+            )
+        except BackendError:
+            engine.note_failure(self.clock.now_ms())
+            return
+        if engine.failures:
+            engine.note_success()
+        report = EngineReport(
+            asked_ms - float(load.get("age_ms", 0)),
+            int(load["running"]),
+            int(load["waiting"]),
+            int(load["prefill_tokens"]),
+            int(load["cached_tokens"]),
+            int(load["memory_tokens"]),
+        )
+        engine.note_report(report)
+        self._take_events(engine, events)
+
+    def _take_events(self, engine: EngineState, events: dict) -> None:
+        self._events_seen[engine.name] = int(events["last"])
+        for _, kind, program, tokens in events["events"]:
+            if kind == "evicted":
+                engine.note_evicted(program, tokens)
--- /dev/null
+++ b/celerypulley/hosts/call_runner.py
@@ -0,0 +1,206 @@
+"""Calls that may not be repeated: intent first, one dispatch, outcome kept."""
+
+import asyncio
+import hashlib
+
+import attrs
+
+from celerypulley.clock import Clock
+from celerypulley.contracts.effective import Configuration
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import CallRefusedError, ErrorKind
+from celerypulley.hosts.backend_servers import BackendServers
+from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.hosts.program_locks import ProgramLocks
+from celerypulley.hosts.record_committer import RecordCommitter
+from celerypulley.hosts.shard_owner import ShardOwner
+from celerypulley.hosts.shards import Shards
+from celerypulley.hosts.turn_runner import find_program, require_configuration
+from celerypulley.links.answer_sink import AnswerSink
+from celerypulley.links.backend_link import BackendError, BackendLink, PlainAnswer
+from celerypulley.links.peer_messages import RunCall
+from celerypulley.programs.identifier import ProgramId, ShardId
+from celerypulley.programs.program import CallRecord, CallState
+from celerypulley.programs.records import CallBegun, CallEnded
+
+__all__ = ["CallRunner", "call_name"]
+
+_MAX_KEPT_BODY_BYTES = 256 * 1024
+_log = DecisionLog("at-most-once")
+
+
+def call_name(organisation: str, route: str, program: str, key: str) -> str:
+    """Return the name of a call's record: its idempotency key in its scope."""
+    text = "\0".join((organisation, route, program, key))
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+@attrs.frozen
+class _Dispatch:
+    answer: PlainAnswer | None
+    state: str
+    detail: str
+
+
+class CallRunner:
+    """Run non-repeatable calls whose records this host owns."""
+
+    def __init__(
+        self,
+        shards: Shards,
+        configuration: ConfigurationFollower,
+        servers: BackendServers,
+        link: BackendLink,
+        committer: RecordCommitter,
+        locks: ProgramLocks,
+        clock: Clock,
+    ) -> None:
+        """Record in `shards` and dispatch over `link`."""
+        self.shards = shards
+        self.configuration = configuration
+        self.servers = servers
+        self.link = link
+        self.committer = committer
+        self.locks = locks
+        self.clock = clock
+        self.active = 0
+
+    async def run(self, message: RunCall, sink: AnswerSink) -> None:
+        """Run the call once, or replay what is known of it.
+
+        The dispatch goes on when the caller leaves, so that its outcome is
+        known to the caller's next try. Raise CallRefusedError.
+        """
+        task = self.committer.spawn(self._run_locked(message))
+        record, replayed = await asyncio.shield(task)
+        headers = {
+            "Content-Type": record.content_type or "application/octet-stream",
+            "X-Celerypulley-Run": CallState.RAN,
+        }
+        if replayed:
+            headers["X-Celerypulley-Replayed"] = "true"
+        await sink.head(record.status, headers)
+        await sink.chunk(record.body)
+
+    async def _run_locked(self, message: RunCall) -> tuple[CallRecord, bool]:
+        self.active += 1
+        try:
+            async with self.locks.lock(message.program or message.call):
+                return await self._run_once(message)
+        finally:
+            self.active -= 1
+
+    async def _run_once(self, message: RunCall) -> tuple[CallRecord, bool]:
+        shard = ShardId.parse(message.shard)
+        owner = self.shards.require_owned(shard)
+        owner.require_promise()
+        fingerprint = _fingerprint(message)
+        known = owner.state.calls.get(message.call)
+        if known is not None:
+            return self._replay(known, fingerprint), True
+        configuration = require_configuration(self.configuration)
+        self._check_program(owner, message)
+        self._check_nothing_lost(owner, message, configuration)
+        begun = CallBegun(message.call, fingerprint, self.clock.wall_ms())
+        await owner.commit(begun)
+        dispatch = await self._dispatch(message, configuration)
+        await self._keep_outcome(owner, message, dispatch)
+        if dispatch.answer is not None:
+            answer = dispatch.answer
+            record = CallRecord(message.call, fingerprint, begun.begun_ms)
+            record.status = answer.status
+            record.content_type = answer.content_type
+            record.body = answer.body
+            return record, False
+        if dispatch.state == CallState.NOT_RUN:
+            raise CallRefusedError.of(ErrorKind.NO_BACKEND_SERVER, dispatch.detail)
+        raise CallRefusedError.of(ErrorKind.OUTCOME_UNKNOWN, dispatch.detail)
+
+    def _replay(self, known: CallRecord, fingerprint: bytes) -> CallRecord:
+        if known.fingerprint != fingerprint:
+            raise CallRefusedError.of(
+                ErrorKind.IDEMPOTENCY_KEY_REUSED,
+                "this idempotency key came with another request",
+            )
+        if known.state == CallState.RAN:
+            _log.write("replay", "the call has run", call=known.call)
+            return known
+        raise CallRefusedError.of(
+            ErrorKind.OUTCOME_UNKNOWN,
+            "the call was sent once and its outcome is unknown; it is not sent again",
+        )
+
+    def _check_program(self, owner: ShardOwner, message: RunCall) -> None:
+        if not message.program:
+            return
+        name = ProgramId.parse(message.program)
+        program = find_program(owner, name, message.organisation)
+        if program.closed_ms is not None:
+            raise CallRefusedError.of(ErrorKind.PROGRAM_CLOSED, f"{name} is closed")
+
+    def _check_nothing_lost(
+        self, owner: ShardOwner, message: RunCall, configuration: Configuration
+    ) -> None:
+        if not owner.entry.lost_epoch or message.program:
+            return
+        limits = configuration.limits(message.organisation)
+        lost_ago_ms = self.clock.wall_ms() - owner.entry.lost_ms
+        if lost_ago_ms > limits.call_retention_s * 1000:
+            return
+        raise CallRefusedError.of(
+            ErrorKind.OUTCOME_UNKNOWN,
+            "records of this shard were lost; the call may have run before",
+        )
+
+    async def _dispatch(
+        self, message: RunCall, configuration: Configuration
+    ) -> _Dispatch:
+        limits = configuration.limits(message.organisation)
+        detail = f"no live server for route {message.route!r}"
+        for server in self.servers.live_plain(message.route):
+            _log.write(
+                f"server {server.name}",
+                "nearest live one",
+                call=message.call,
+                organisation=message.organisation,
+            )
+            try:
+                answer = await self.link.call_plain(
+                    server.address,
+                    message.path,
+                    message.body,
+                    message.content_type,
+                    message.request_id,
+                    limits.turn_timeout_s,
+                )
+            except BackendError as error:
+                detail = f"{server.name}: {error}"
+                if error.sent:
+                    return _Dispatch(None, CallState.UNKNOWN, detail[:300])
+                continue
+            return _Dispatch(answer, CallState.RAN, "")
+        return _Dispatch(None, CallState.NOT_RUN, detail[:300])
+
+    async def _keep_outcome(
+        self, owner: ShardOwner, message: RunCall, dispatch: _Dispatch
+    ) -> None:
+        answer = dispatch.answer or PlainAnswer(0, "", b"")
+        state = dispatch.state
+        body = answer.body
+        if len(body) > _MAX_KEPT_BODY_BYTES:
+            state = CallState.UNKNOWN
+            body = b""
+        ended = CallEnded(message.call, state, answer.status, answer.content_type, body)
+        try:
+            await self.committer.commit(owner, ended)
+        except CallRefusedError as error:
+            _log.write("outcome not kept", str(error), call=message.call)
+
+
+def _fingerprint(message: RunCall) -> bytes:
+    hasher = hashlib.sha256()
+    for part in (message.path, message.content_type):
+        hasher.update(part.encode())
+        hasher.update(b"\0")
+    hasher.update(message.body)
+    return hasher.digest()[:16]
--- /dev/null
+++ b/celerypulley/hosts/configuration_follower.py
@@ -0,0 +1,191 @@
+"""The configuration in force on a host: only ever a newer one."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import orjson
+from mode import Service
+
+from celerypulley.clock import Clock
+from celerypulley.contracts.effective import Configuration
+from celerypulley.contracts.stored_configuration import (
+    ConfigurationHead,
+    chunk_key,
+    join_chunks,
+)
+from celerypulley.decision_log import DecisionLog
+from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.platform_view import PlatformView
+from celerypulley.links.peer_link import LinkError
+from celerypulley.links.peer_messages import ConfigurationContent, FetchConfiguration
+from celerypulley.links.platform import PlatformLink, PlatformUnavailableError
+
+__all__ = ["ConfigurationFollower"]
+
+_FETCH_JITTER_S = 0.5
+_RETRY_S = 0.5
+_PEER_TIMEOUT_MS = 2_000.0
+_FILE_NAME = "configuration.json"
+_log = DecisionLog("configuration")
+
+
+class ConfigurationFollower(Service):
+    """Follow the head, fetch missing chunks, and put versions into force in order.
+
+    Where the platform is away, a newer version is taken from the peer that
+    told of it. `data_dir` keeps the newest version over a restart.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformLink,
+        view: PlatformView,
+        peers: Peers,
+        clock: Clock,
+        data_dir: Path | None,
+    ) -> None:
+        """Start with what the disk holds, if anything."""
+        super().__init__()
+        self.platform = platform
+        self.view = view
+        self.peers = peers
+        self.clock = clock
+        self.current: Configuration | None = None
+        self.head: ConfigurationHead | None = None
+        self.chunks: dict[str, bytes] = {}
+        self.on_change: list[Callable[[Configuration], None]] = []
+        self.applied_ms = 0.0
+        self._path = data_dir / _FILE_NAME if data_dir else None
+        self._heard: tuple[int, str] = (0, "")
+        self._peer_confirmed_ms = float("-inf")
+        self._wake = asyncio.Event()
+        self._random = random.Random()
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 where there is none."""
+        return self.head.version if self.head else 0
+
+    def confirmed_ago_ms(self) -> float:
+        """Return how long ago the version in force was known to be the newest."""
+        now_ms = self.clock.now_ms()
+        platform_ms = self.view.confirmed_ms
+        head = self.view.head
+        if head is not None and self.head is not None:
+            known = ConfigurationHead.decode(head.value or b"{}").version
+            if known > self.head.version:
+                platform_ms = float("-inf")
+        return now_ms - max(platform_ms, self._peer_confirmed_ms)
+
+    def hear(self, member: str, version: int, confirmed_ago_ms: float) -> None:
+        """Take in which version a peer has and when it was confirmed to it."""
+        if version > max(self.version, self._heard[0]):
+            self._heard = (version, member)
+            self._wake.set()
+        if version == self.version and confirmed_ago_ms >= 0:
+            heard_ms = self.clock.now_ms() - confirmed_ago_ms
+            self._peer_confirmed_ms = max(self._peer_confirmed_ms, heard_ms)
+
+    def answer_fetch(self, message: FetchConfiguration) -> ConfigurationContent:
+        """Return head and chunks to a peer that has an older version."""
+        if self.head is None or self.head.version <= message.version:
+            return ConfigurationContent(b"", {})
+        needed = {digest: self.chunks[digest] for digest in self.head.chunks.values()}
+        return ConfigurationContent(self.head.encode(), needed)
+
+    async def on_start(self) -> None:
+        """Load the newest version that the disk holds."""
+        if self._path is None or not self._path.exists():
+            return
+        try:
+            kept = orjson.loads(self._path.read_bytes())
+            head = ConfigurationHead.decode(kept["head"].encode())
+            chunks = {name: text.encode() for name, text in kept["chunks"].items()}
+            self._put_into_force(head, chunks, "read from disk")
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            _log.write("disk copy ignored", repr(error))
+
+    @Service.task
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._fetch_newer()
+            except (PlatformUnavailableError, LinkError, KeyError) as error:
+                _log.write("fetch failed", repr(error))
+                await self.sleep(_RETRY_S)
+            await self._wait()
+
+    async def _wait(self) -> None:
+        changed = asyncio.create_task(self.view.wait_for_change(1_000))
+        woken = asyncio.create_task(self._wake.wait())
+        await asyncio.wait({changed, woken}, return_when=asyncio.FIRST_COMPLETED)
+        changed.cancel()
+        woken.cancel()
+        self._wake.clear()
+
+    async def _fetch_newer(self) -> None:
+        item = self.view.head
+        if item is not None and item.value is not None:
+            head = ConfigurationHead.decode(item.value)
+            if head.version > self.version:
+                await self._fetch_from_platform(head)
+        version, member = self._heard
+        if version > self.version:
+            await self._fetch_from_peer(member)
+
+    async def _fetch_from_platform(self, head: ConfigurationHead) -> None:
+        missing = [each for each in head.chunks.values() if each not in self.chunks]
+        chunks = {}
+        if len(self.view.members) > 1 and self.head is not None:
+            await self.sleep(self._random.uniform(0, _FETCH_JITTER_S))
+        for digest in dict.fromkeys(missing):
+            stored = await self.platform.read(chunk_key(digest))
+            if stored is None or stored.value is None:
+                raise KeyError(digest)
+            chunks[digest] = stored.value
+        self._put_into_force(head, chunks, "the platform has it")
+
+    async def _fetch_from_peer(self, member: str) -> None:
+        message = FetchConfiguration(self.version)
+        reply = await self.peers.request(member, message, _PEER_TIMEOUT_MS)
+        self._heard = (0, "")
+        if not isinstance(reply, ConfigurationContent) or not reply.head:
+            return
+        head = ConfigurationHead.decode(reply.head)
+        self._put_into_force(head, dict(reply.chunks), f"{member} has it")
+
+    def _put_into_force(
+        self, head: ConfigurationHead, chunks: dict[str, bytes], why: str
+    ) -> None:
+        if head.version <= self.version:
+            return
+        known = {**self.chunks, **chunks}
+        needed = {digest: known[digest] for digest in head.chunks.values()}
+        declaration, keys = join_chunks(head, needed)
+        before = self.version
+        self.chunks = needed
+        self.head = head
+        self.current = Configuration(head.version, declaration, keys)
+        assert self.version > before, "a configuration went back"
+        self.applied_ms = self.clock.now_ms()
+        _log.write("version in force", why, version=head.version, before=before)
+        self._keep_on_disk()
+        for callback in self.on_change:
+            callback(self.current)
+
+    def _keep_on_disk(self) -> None:
+        if self._path is None or self.head is None:
+            return
+        kept = {
+            "head": self.head.encode().decode(),
+            "chunks": {name: raw.decode() for name, raw in self.chunks.items()},
+        }
+        temporary = self._path.with_suffix(".new")
+        try:
+            self._path.parent.mkdir(parents=True, exist_ok=True)
+            temporary.write_bytes(orjson.dumps(kept))
+            temporary.replace(self._path)
+        except OSError as error:
+            _log.write("not kept on disk", str(error))
--- /dev/null
+++ b/celerypulley/hosts/domain_meter.py
@@ -0,0 +1,139 @@
+"""The meter of one organisation group in one failure domain.
+
+Meters of the same group in different domains pool their shares by loans: the
+first domain in the group's order borrows from the others, so that one bucket
+serves the whole fleet. A loan lapses by itself, after which each domain goes on
+with its own share. No loan is made while another one may still be in use.
+"""
+
+import attrs
+
+from celerypulley.clock import Clock
+from celerypulley.contracts.effective import Configuration
+from celerypulley.contracts.rates import Bucket, Share, domain_share, sum_shares
+
+__all__ = ["DomainMeter", "Loan", "TakeResult", "group_order"]
+
+
+@attrs.frozen
+class Loan:
+    """To whom the domain's share is lent, and until when."""
+
+    borrower: str
+    domain: str
+    until_ms: float
+
+
+@attrs.frozen
+class TakeResult:
+    """Whether a request may go on, or where to ask instead, or when to retry."""
+
+    granted: bool
+    instead: str = ""
+    retry_after_ms: float = 0.0
+
+
+def group_order(group: int, domains: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the domains in the order in which they pool a group's shares."""
+    start = group % len(domains)
+    return domains[start:] + domains[:start]
+
+
+class DomainMeter:
+    """Buckets of one group in one domain, and the loans in and out.
+
+    A new meter cannot know what its predecessor lent, so it begins as if its
+    share were lent for a whole loan.
+    """
+
+    def __init__(self, domain: str, group: int, clock: Clock, loan_ms: float) -> None:
+        """Begin with empty buckets."""
+        self.domain = domain
+        self.group = group
+        self.clock = clock
+        self.loan_ms = loan_ms
+        self.lent = Loan("", "", clock.now_ms() + loan_ms)
+        self.borrowed: dict[str, float] = {}
+        self.buckets: dict[str, Bucket] = {}
+        self._holding: tuple[str, ...] = ()
+        self._holding_since_ms = clock.now_ms()
+        self._version = -1
+
+    def lend(self, borrower: str, domain: str, domains: tuple[str, ...]) -> bool:
+        """Lend the share to a meter of an earlier domain; return success."""
+        now_ms = self.clock.now_ms()
+        order = group_order(self.group, domains)
+        if domain not in order or order.index(domain) >= order.index(self.domain):
+            return False
+        taken = now_ms < self.lent.until_ms and self.lent.borrower != borrower
+        if taken:
+            return False
+        self.borrowed.clear()
+        self.lent = Loan(borrower, domain, now_ms + self.loan_ms)
+        return True
+
+    def borrow(self, domain: str, asked_ms: float) -> None:
+        """Hold another domain's share, counted from when it was asked for."""
+        self.borrowed[domain] = asked_ms + self.loan_ms
+
+    def is_lent(self) -> bool:
+        """Return whether the domain's own share may be in use elsewhere."""
+        return self.clock.now_ms() < self.lent.until_ms
+
+    def lenders_to_ask(self, domains: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the later domains to borrow from; none while lent."""
+        if self.is_lent():
+            return ()
+        order = group_order(self.group, domains)
+        return order[order.index(self.domain) + 1 :]
+
+    def settle(self, configuration: Configuration) -> None:
+        """Bring the buckets in line with the shares that are held now."""
+        self._settle_holding(self.clock.now_ms(), configuration)
+
+    def take(self, organisation: str, configuration: Configuration) -> TakeResult:
+        """Take one request out of an organisation's allowance."""
+        now_ms = self.clock.now_ms()
+        self._settle_holding(now_ms, configuration)
+        if self.is_lent():
+            wait_ms = self.lent.until_ms - now_ms
+            return TakeResult(False, self.lent.domain, wait_ms)
+        bucket = self.buckets.get(organisation)
+        if bucket is None:
+            share = self._share(organisation, configuration)
+            bucket = Bucket(self._holding_since_ms, share)
+            self.buckets[organisation] = bucket
+        if bucket.take(now_ms):
+            return TakeResult(True)
+        return TakeResult(False, retry_after_ms=bucket.wait_ms())
+
+    def _settle_holding(self, now_ms: float, configuration: Configuration) -> None:
+        changes = sorted(
+            until_ms for until_ms in self.borrowed.values() if until_ms <= now_ms
+        )
+        for at_ms in [*changes, now_ms]:
+            self._hold(at_ms, configuration)
+
+    def _hold(self, at_ms: float, configuration: Configuration) -> None:
+        for domain, until_ms in list(self.borrowed.items()):
+            if until_ms <= at_ms:
+                del self.borrowed[domain]
+        holding = tuple(sorted(self.borrowed))
+        if not self.is_lent():
+            holding = (self.domain, *holding)
+        if holding == self._holding and configuration.version == self._version:
+            return
+        if holding != self._holding:
+            self._holding_since_ms = at_ms
+        self._holding = holding
+        self._version = configuration.version
+        for organisation, bucket in self.buckets.items():
+            bucket.settle(at_ms, self._share(organisation, configuration))
+
+    def _share(self, organisation: str, configuration: Configuration) -> Share:
+        limits = configuration.limits(organisation)
+        held = [name for name in self._holding if name in configuration.domains]
+        return sum_shares(
+            domain_share(organisation, limits, configuration.domains, name)
+            for name in held
+        )
--- /dev/null
+++ b/celerypulley/hosts/entry.py
@@ -0,0 +1,400 @@
+"""The host that answers a caller: keys, rates, and the way to the owner."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+
+from celerypulley.clock import Clock
+from celerypulley.contracts.declaration import Limits, Route, WhenStale
+from celerypulley.contracts.effective import Configuration
+from celerypulley.contracts.keys import StoredKey
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import CallRefusedError, ErrorKind, RunState
+from celerypulley.hosts.backend_servers import BackendServers
+from celerypulley.hosts.call_runner import CallRunner, call_name
+from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.hosts.engine_runner import EngineJob, EngineRunner
+from celerypulley.hosts.meters import Meters
+from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.program_desk import ProgramDesk, refusal_of
+from celerypulley.hosts.shards import Shards
+from celerypulley.hosts.turn_runner import TurnRunner, require_configuration
+from celerypulley.links.answer_sink import AnswerSink
+from celerypulley.links.backend_link import BackendError, BackendLink, PlainAnswer
+from celerypulley.links.peer_link import LinkError
+from celerypulley.links.peer_messages import (
+    Chunk,
+    CloseProgram,
+    End,
+    Head,
+    OpenProgram,
+    ProgramReport,
+    ReadProgram,
+    Refused,
+    RunCall,
+    RunTurn,
+)
+from celerypulley.programs.chat import completion_json, read_chat_request
+from celerypulley.programs.identifier import ProgramId, ShardId, shard_of_key
+
+__all__ = ["Caller", "Entry"]
+
+_OWNER_WAIT_MS = 15_000.0
+_OWNER_POLL_S = 0.15
+_STREAM_IDLE_MS = 150_000.0
+_OPEN_TRIES = 4
+_PLAIN_TRIES = 3
+_DONE = b"data: [DONE]\n\n"
+_log = DecisionLog("entry")
+
+
+@attrs.frozen
+class Caller:
+    """Who is calling, as its key tells."""
+
+    organisation: str
+    key_id: str
+
+
+class Entry:
+    """Check each request once, then run it here or at its owner."""
+
+    def __init__(
+        self,
+        shards: Shards,
+        peers: Peers,
+        configuration: ConfigurationFollower,
+        meters: Meters,
+        turns: TurnRunner,
+        calls: CallRunner,
+        desk: ProgramDesk,
+        engines: EngineRunner,
+        servers: BackendServers,
+        link: BackendLink,
+        clock: Clock,
+    ) -> None:
+        """Use the parts of this host."""
+        self.shards = shards
+        self.peers = peers
+        self.configuration = configuration
+        self.meters = meters
+        self.turns = turns
+        self.calls = calls
+        self.desk = desk
+        self.engines = engines
+        self.servers = servers
+        self.link = link
+        self.clock = clock
+        self._random = random.Random()
+
+    def authenticate(self, key: str) -> Caller:
+        """Return the caller that a key belongs to; raise CallRefusedError."""
+        configuration = require_configuration(self.configuration)
+        stored: StoredKey | None = configuration.keys.find(key)
+        if stored is None or stored.organisation not in configuration.organisations:
+            raise CallRefusedError.of(ErrorKind.KEY_REFUSED, "the key is not in force")
+        return Caller(stored.organisation, stored.key_id)
+
+    def check_fresh(self, limits: Limits, irreversible: bool) -> None:
+        """Raise CallRefusedError where too old a configuration forbids the call."""
+        ago_ms = self.configuration.confirmed_ago_ms()
+        if ago_ms <= limits.stale_after_s * 1000:
+            return
+        if not irreversible and limits.when_stale is WhenStale.SERVE:
+            return
+        raise CallRefusedError.of(
+            ErrorKind.CONFIGURATION_STALE,
+            f"the configuration was last confirmed {ago_ms / 1000:.0f} s ago",
+        )
+
+    async def chat(self, caller: Caller, message: RunTurn, sink: AnswerSink) -> None:
+        """Run one chat completion, in a program or alone."""
+        configuration = require_configuration(self.configuration)
+        request = read_chat_request(message.body)
+        route = configuration.route_of_model(request.model)
+        if route is None:
+            raise CallRefusedError.of(
+                ErrorKind.UNKNOWN_MODEL, f"no route serves model {request.model!r}"
+            )
+        self.check_fresh(configuration.limits(caller.organisation), False)
+        shard = _shard_of_program(message.program) if message.program else None
+        await self.meters.take(caller.organisation)
+        if shard is None:
+            await self._chat_alone(caller, message, route, sink)
+            return
+        resend = message.turn is not None
+        await self._at_owner(shard, message, sink, resend, self.turns.run)
+
+    async def call_plain(
+        self, caller: Caller, route: Route, key: str, message: RunCall, sink: AnswerSink
+    ) -> None:
+        """Run one call of a plain service."""
+        configuration = require_configuration(self.configuration)
+        limits = configuration.limits(caller.organisation)
+        self.check_fresh(limits, irreversible=not route.repeatable)
+        if not route.repeatable and not key:
+            raise CallRefusedError.of(
+                ErrorKind.IDEMPOTENCY_KEY_MISSING,
+                f"calls of route {route.name!r} are not repeatable",
+            )
+        shard = self._shard_of_call(configuration, caller, message, route, key)
+        await self.meters.take(caller.organisation)
+        if route.repeatable:
+            await self._call_repeatable(message, limits, sink)
+            return
+        named = attrs.evolve(
+            message,
+            shard=str(shard),
+            call=call_name(caller.organisation, route.name, message.program, key),
+        )
+        await self._at_owner(shard, named, sink, True, self.calls.run)
+
+    def _shard_of_call(
+        self,
+        configuration: Configuration,
+        caller: Caller,
+        message: RunCall,
+        route: Route,
+        key: str,
+    ) -> ShardId:
+        if message.program:
+            return _shard_of_program(message.program)
+        return shard_of_key(
+            call_name(caller.organisation, route.name, "", key),
+            configuration.domains,
+            self.shards.settings.shards_per_domain,
+        )
+
+    async def open_program(self, caller: Caller, message: OpenProgram) -> bytes:
+        """Open a program here, or at another host where no shard here can commit."""
+        configuration = require_configuration(self.configuration)
+        self.check_fresh(configuration.limits(caller.organisation), False)
+        if message.parent:
+            _shard_of_program(message.parent)
+        await self.meters.take(caller.organisation)
+        try:
+            return (await self.desk.open(message)).report
+        except CallRefusedError as error:
+            if error.refusal.kind is not ErrorKind.OWNER_UNREACHABLE:
+                raise
+            first_error = error
+        members = [
+            member.name
+            for member in self.shards.view.members.values()
+            if member.name != self.shards.me.name and not member.leaving
+        ]
+        self._random.shuffle(members)
+        for name in members[:_OPEN_TRIES]:
+            try:
+                reply = await self.peers.request(name, message, 5_000.0)
+            except LinkError:
+                continue
+            if isinstance(reply, ProgramReport):
+                return reply.report
+        raise first_error
+
+    async def read_program(self, caller: Caller, program: str) -> bytes:
+        """Return a program with its history as JSON."""
+        message = ReadProgram(program, caller.organisation)
+        return await self._report_at_owner(program, message, self.desk.read)
+
+    async def close_program(self, caller: Caller, program: str) -> bytes:
+        """Close a program and return it as JSON."""
+        message = CloseProgram(program, caller.organisation)
+        return await self._report_at_owner(program, message, self.desk.close)
+
+    async def _report_at_owner(
+        self, program: str, message: object, run_here: Callable
+    ) -> bytes:
+        shard = _shard_of_program(program)
+        sink = _ReportSink()
+
+        async def run(_message: object, _sink: AnswerSink) -> None:
+            report = await run_here(message)
+            await sink.chunk(report.report)
+
+        await self._at_owner(shard, message, sink, True, run)
+        return b"".join(sink.parts)
+
+    async def _at_owner(
+        self,
+        shard: ShardId,
+        message: object,
+        sink: AnswerSink,
+        may_resend: bool,
+        run_here: Callable,
+    ) -> None:
+        """Run a message at the owner of its shard, wherever that is.
+
+        While the shard has no owner that answers, wait for one. A message that
+        may have reached an owner is sent again only if `may_resend`.
+        """
+        deadline_ms = self.clock.now_ms() + _OWNER_WAIT_MS
+        while True:
+            try:
+                await self._once_at_owner(shard, message, sink, run_here)
+                return
+            except CallRefusedError as error:
+                refusal = error.refusal
+                waits = refusal.kind is ErrorKind.OWNER_UNREACHABLE
+                if not waits or refusal.run is not RunState.NOT_RUN:
+                    raise
+                failure: CallRefusedError = error
+            except LinkError as error:
+                run = RunState.UNKNOWN if error.sent else RunState.NOT_RUN
+                failure = CallRefusedError.of(
+                    ErrorKind.OWNER_UNREACHABLE, f"owner of {shard}: {error}", run
+                )
+                if error.sent and not may_resend:
+                    raise failure from None
+            if self.clock.now_ms() > deadline_ms:
+                raise failure
+            await asyncio.sleep(_OWNER_POLL_S * self._random.uniform(0.7, 1.3))
+
+    async def _once_at_owner(
+        self, shard: ShardId, message: object, sink: AnswerSink, run_here: Callable
+    ) -> None:
+        owner = self.shards.owner_of(shard)
+        if owner is None:
+            if not self._shard_may_exist(shard):
+                raise CallRefusedError.of(
+                    ErrorKind.UNKNOWN_PROGRAM, f"there is no shard {shard}"
+                )
+            raise CallRefusedError.of(
+                ErrorKind.OWNER_UNREACHABLE, f"nobody owns shard {shard}"
+            )
+        if owner == self.shards.me.name:
+            await run_here(message, sink)
+            return
+        passed = False
+        try:
+            async for reply in self.peers.stream(owner, message, _STREAM_IDLE_MS):
+                if isinstance(reply, Refused):
+                    raise CallRefusedError(refusal_of(reply))
+                if isinstance(reply, End):
+                    return
+                await _pass_on(reply, sink)
+                passed = True
+        except LinkError as error:
+            if not passed:
+                raise
+            raise CallRefusedError.of(
+                ErrorKind.OUTCOME_UNKNOWN, f"the owner's answer broke off: {error}"
+            ) from None
+
+    def _shard_may_exist(self, shard: ShardId) -> bool:
+        configuration = self.configuration.current
+        return configuration is None or shard.domain in configuration.domains
+
+    async def _chat_alone(
+        self, caller: Caller, message: RunTurn, route: Route, sink: AnswerSink
+    ) -> None:
+        configuration = require_configuration(self.configuration)
+        limits = configuration.limits(caller.organisation)
+        request = read_chat_request(message.body)
+        max_tokens = request.max_tokens or limits.max_tokens
+        headers = {"X-Celerypulley-Run": RunState.RAN.value}
+        head_sent = False
+
+        async def pass_on(events: bytes) -> None:
+            nonlocal head_sent
+            if not head_sent:
+                head_sent = True
+                await sink.head(200, {**headers, "Content-Type": "text/event-stream"})
+            await sink.chunk(events)
+
+        job = EngineJob(
+            program="",
+            organisation=caller.organisation,
+            request=request,
+            body=request.engine_body(b"", max_tokens, route.priority * 1_000, ""),
+            prompt_tokens=request.prompt_tokens(0),
+            max_tokens=max_tokens,
+            request_id=message.request_id,
+            limits=limits,
+            pass_on=pass_on if request.stream else None,
+        )
+        reader = await self.engines.run(job)
+        if request.stream:
+            await pass_on(reader.held + _DONE)
+            return
+        await sink.head(200, {**headers, "Content-Type": "application/json"})
+        finish_reason = reader.finish_reason or "stop"
+        await sink.chunk(
+            completion_json(
+                request.model,
+                reader.answer_id,
+                reader.message(),
+                finish_reason,
+                reader.usage,
+            )
+        )
+
+    async def _call_repeatable(
+        self, message: RunCall, limits: Limits, sink: AnswerSink
+    ) -> None:
+        answer = await self._first_answer(message, limits)
+        content_type = answer.content_type or "application/octet-stream"
+        headers = {
+            "Content-Type": content_type,
+            "X-Celerypulley-Run": RunState.RAN.value,
+        }
+        await sink.head(answer.status, headers)
+        await sink.chunk(answer.body)
+
+    async def _first_answer(self, message: RunCall, limits: Limits) -> PlainAnswer:
+        detail = f"no live server for route {message.route!r}"
+        for server in self.servers.live_plain(message.route)[:_PLAIN_TRIES]:
+            _log.write(
+                f"server {server.name}",
+                "nearest live one",
+                organisation=message.organisation,
+            )
+            try:
+                return await self.link.call_plain(
+                    server.address,
+                    message.path,
+                    message.body,
+                    message.content_type,
+                    message.request_id,
+                    limits.turn_timeout_s,
+                )
+            except BackendError as error:
+                detail = f"{server.name}: {error}"
+        raise CallRefusedError.of(ErrorKind.NO_BACKEND_SERVER, detail[:300])
+
+
+class _ReportSink:
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+
+    async def head(self, status: int, headers: dict[str, str]) -> None:
+        """Ignore the head: a report has none."""
+
+    async def chunk(self, data: bytes) -> None:
+        """Keep a part."""
+        self.parts.append(data)
+
+
+async def _pass_on(reply: object, sink: AnswerSink) -> None:
+    if isinstance(reply, Chunk):
+        await sink.chunk(reply.data)
+        return
+    if isinstance(reply, Head):
+        await sink.head(reply.status, reply.headers)
+        return
+    if isinstance(reply, ProgramReport):
+        await sink.chunk(reply.report)
+        return
+    raise CallRefusedError.of(
+        ErrorKind.OUTCOME_UNKNOWN, f"unexpected reply {type(reply).__name__}"
+    )
+
+
+def _shard_of_program(text: str) -> ShardId:
+    try:
+        return ProgramId.parse(text).shard
+    except ValueError as error:
+        raise CallRefusedError.of(ErrorKind.UNKNOWN_PROGRAM, str(error)) from None
--- /dev/null
+++ b/celerypulley/hosts/host.py
@@ -0,0 +1,329 @@
+"""One entry host: its parts, and the order in which they start and stop."""
+
+import asyncio
+import secrets
+
+import aiohttp
+from mode import Service
+
+from celerypulley import __version__
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
+from celerypulley.failure_domains.member import Member
+from celerypulley.hosts.backend_servers import BackendServers
+from celerypulley.hosts.call_runner import CallRunner
+from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.hosts.engine_runner import EngineRunner
+from celerypulley.hosts.entry import Entry
+from celerypulley.hosts.host_lease import HostLease
+from celerypulley.hosts.meters import Meters
+from celerypulley.hosts.metrics import HostMetrics
+from celerypulley.hosts.owner_table_writer import OwnerTableWriter
+from celerypulley.hosts.peer_desk import PeerDesk
+from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.platform_view import PlatformView
+from celerypulley.hosts.program_desk import ProgramDesk
+from celerypulley.hosts.program_locks import ProgramLocks
+from celerypulley.hosts.promise_keeper import PromiseKeeper
+from celerypulley.hosts.record_committer import RecordCommitter
+from celerypulley.hosts.returned_shards import ReturnedShards
+from celerypulley.hosts.shard_keeper import ShardKeeper
+from celerypulley.hosts.shards import Shards
+from celerypulley.hosts.sweeper import Sweeper
+from celerypulley.hosts.turn_runner import TurnRunner
+from celerypulley.links.admin_server import AdminServer
+from celerypulley.links.backend_link import BackendLink
+from celerypulley.links.caller_server import CallerServer
+from celerypulley.links.cuts import CutTable
+from celerypulley.links.frame_stream import LinkConditions
+from celerypulley.links.peer_link import PeerIdentity
+from celerypulley.links.peer_server import PeerServer
+from celerypulley.links.platform import PlatformLink, PlatformUnavailableError
+from celerypulley.settings import Settings
+
+__all__ = ["Host"]
+
+_INCARNATION_BYTES = 4
+_HAND_OVER_ROUNDS = 50
+_HAND_OVER_PAUSE_S = 0.2
+_log = DecisionLog("host")
+
+
+class Host(Service):
+    """Everything that one process of the system runs."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        """Prepare a host; nothing opens before it starts."""
+        super().__init__()
+        self.settings = settings
+        self.clock = clock
+        incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self.me = Member(
+            f"{settings.host_id}+{incarnation}",
+            settings.domain,
+            settings.peer_address,
+            settings.admin_address,
+        )
+        self.metrics = HostMetrics()
+        self.cuts = CutTable()
+        self._sessions: list[aiohttp.ClientSession] = []
+
+    async def on_start(self) -> None:
+        """Start every part, the platform's view first and callers last."""
+        self._open_links()
+        self._make_shards()
+        self._make_runners()
+        self._make_servers()
+        self._add_gauges()
+        for part in self._parts():
+            await self.add_runtime_dependency(part)
+        _log.write("started", f"version {__version__}", member=self.me.name)
+
+    def _open_links(self) -> None:
+        settings = self.settings
+        session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        fresh = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+        self._sessions = [session, fresh]
+        platform_url = f"http://{settings.platform_address}"
+        self.platform = PlatformLink(platform_url, session, self.cuts)
+        self.backend_link = BackendLink(session, fresh)
+        identity = PeerIdentity(self.me.name, settings.domain, settings.peer_secret)
+        self.identity = identity
+        self.conditions = LinkConditions(self.cuts, settings.peer_delay_ms)
+        self.view = PlatformView(self.platform, self.clock)
+        self.lease = HostLease(self.platform, self.me, settings.lease_ttl_ms)
+        self.peers = Peers(identity, self.view, self.conditions)
+
+    def _make_shards(self) -> None:
+        settings = self.settings
+        self.configuration = ConfigurationFollower(
+            self.platform, self.view, self.peers, self.clock, settings.data_dir
+        )
+        self.shards = Shards(settings, self.me, self.view, self.peers, self.clock)
+        writer = OwnerTableWriter(self.platform, self.view)
+        self.keeper = ShardKeeper(settings, self.shards, self.view, writer, self.clock)
+        self.promises = PromiseKeeper(
+            self.shards, self.peers, self.configuration, self.clock
+        )
+        self.returned = ReturnedShards(self.shards, self.peers)
+        self.meters = Meters(self.shards, self.peers, self.configuration, self.clock)
+        self.committer = RecordCommitter(self.shards, self.peers, self.clock)
+
+    def _make_runners(self) -> None:
+        locks = ProgramLocks()
+        self.servers = BackendServers(
+            self.settings.domain,
+            self.backend_link,
+            str(self.settings.platform_address),
+            self.configuration,
+            self.clock,
+        )
+        self.engines = EngineRunner(self.servers, self.backend_link, self.clock)
+        self.turns = TurnRunner(
+            self.shards,
+            self.configuration,
+            self.engines,
+            self.committer,
+            locks,
+            self.clock,
+        )
+        self.calls = CallRunner(
+            self.shards,
+            self.configuration,
+            self.servers,
+            self.backend_link,
+            self.committer,
+            locks,
+            self.clock,
+        )
+        self.desk = ProgramDesk(
+            self.shards, self.peers, self.configuration, locks, self.clock
+        )
+        self.sweeper = Sweeper(
+            self.shards,
+            self.peers,
+            self.servers,
+            self.backend_link,
+            self.configuration,
+            locks,
+            self.clock,
+        )
+
+    def _make_servers(self) -> None:
+        settings = self.settings
+        entry = Entry(
+            self.shards,
+            self.peers,
+            self.configuration,
+            self.meters,
+            self.turns,
+            self.calls,
+            self.desk,
+            self.engines,
+            self.servers,
+            self.backend_link,
+            self.clock,
+        )
+        self.callers = CallerServer(
+            settings.caller_address,
+            entry,
+            self.metrics,
+            self.clock,
+            settings.body_limit_bytes,
+            settings.shutdown_ms,
+        )
+        self.configuration.on_change.append(self.callers.drop_withdrawn)
+        peer_desk = PeerDesk(
+            self.shards,
+            self.turns,
+            self.calls,
+            self.desk,
+            self.meters,
+            self.configuration,
+            self.committer,
+            self.sweeper,
+            self.returned,
+        )
+        self.peer_server = PeerServer(
+            self.identity, settings.peer_address, self.conditions, peer_desk.answer
+        )
+        self.admin = AdminServer(
+            settings.admin_address,
+            self.metrics,
+            self.status,
+            self.is_ready,
+            self.cuts if settings.faults_allowed else None,
+        )
+
+    def _parts(self) -> list[Service]:
+        return [
+            self.admin,
+            self.peer_server,
+            self.peers,
+            self.view,
+            self.lease,
+            self.configuration,
+            self.shards,
+            self.promises,
+            self.keeper,
+            self.returned,
+            self.meters,
+            self.servers,
+            self.sweeper,
+            self.callers,
+        ]
+
+    def _add_gauges(self) -> None:
+        gauges = self.metrics.gauges
+        gauges["configuration_version"] = lambda: self.configuration.version
+        gauges["shards_owned"] = lambda: len(self.shards.owned)
+        gauges["shards_replicated"] = lambda: len(self.shards.replicas)
+        gauges["programs"] = lambda: self.shards.report()["programs"]
+        gauges["history_bytes"] = lambda: self.shards.report()["history_bytes"]
+        gauges["platform_calls"] = lambda: self.platform.calls
+        gauges["peer_bytes_sent"] = lambda: self.peers.byte_counts()[0]
+        gauges["peer_bytes_received"] = lambda: self.peers.byte_counts()[1]
+
+    def is_ready(self) -> bool:
+        """Return whether callers can be served."""
+        if self.callers.draining or self.configuration.current is None:
+            return False
+        return self.shards.shard_for_new_program() is not None
+
+    def status(self) -> dict:
+        """Return what `celerypulley status` shows of this host."""
+        return {
+            "member": self.me.name,
+            "domain": self.me.domain,
+            "version": __version__,
+            "ready": self.is_ready(),
+            "draining": self.callers.draining,
+            "configuration_version": self.configuration.version,
+            "configuration_confirmed_ago_ms": _finite(
+                self.configuration.confirmed_ago_ms()
+            ),
+            "platform_heard_ago_ms": _finite(self.view.confirmed_ago_ms()),
+            "members": len(self.view.members),
+            "shards": self.shards.report(),
+            "active_turns": self.turns.active,
+            "active_calls": self.calls.active,
+            "active_requests": len(self.callers.active),
+            "meters": {
+                "count": len(self.meters.meters),
+                "granted": self.meters.granted,
+                "refused": self.meters.refused,
+            },
+            "engines": [
+                {
+                    "name": engine.name,
+                    "state": engine.state.value,
+                    "in_flight": engine.in_flight,
+                    "running": engine.report.running,
+                    "waiting": engine.report.waiting,
+                    "failing": engine.failing_until_ms > self.clock.now_ms(),
+                }
+                for engine in self.servers.engines.values()
+            ],
+            "platform_calls": self.platform.calls,
+            "peer_bytes": list(self.peers.byte_counts()),
+        }
+
+    async def leave(self) -> None:
+        """Drain: refuse new requests, hand every shard over, end what runs."""
+        _log.write("leaving", "asked to stop", active=len(self.callers.active))
+        self.keeper.leaving = True
+        try:
+            await self.lease.mark_leaving()
+        except PlatformUnavailableError as error:
+            _log.write("not marked as leaving", str(error))
+        drained = asyncio.create_task(self.callers.drain())
+        await self._hand_over_all()
+        await drained
+        await self._wait_for_runners()
+        _log.write("left", "every request has ended")
+
+    async def _hand_over_all(self) -> None:
+        for _ in range(_HAND_OVER_ROUNDS):
+            owned = [
+                owner for owner in self.shards.owned.values() if not owner.superseded
+            ]
+            named = [
+                shard
+                for shard, entry in self.view.entries.items()
+                if entry.replica == self.me.name
+            ]
+            if not owned and not named:
+                return
+            for owner in owned:
+                await self._hand_over(owner.state.shard)
+            await asyncio.sleep(_HAND_OVER_PAUSE_S)
+
+    async def _hand_over(self, shard: object) -> None:
+        entry = self.view.entries.get(shard)
+        if entry is None or entry.owner != self.me.name:
+            return
+        target = self.keeper.successor(shard)
+        if target is None:
+            return
+        try:
+            await self.keeper.hand_over(shard, target, "the owner leaves")
+        except PlatformUnavailableError as error:
+            _log.write("not handed over", str(error), shard=shard)
+
+    async def _wait_for_runners(self) -> None:
+        deadline_ms = self.clock.now_ms() + self.settings.shutdown_ms
+        while self.turns.active or self.calls.active:
+            if self.clock.now_ms() > deadline_ms:
+                return
+            await asyncio.sleep(_HAND_OVER_PAUSE_S)
+
+    async def on_shutdown(self) -> None:
+        """Close the connections that the parts shared."""
+        for session in self._sessions:
+            await session.close()
+
+
+def _finite(value_ms: float) -> int | None:
+    return None if value_ms == float("inf") else round(value_ms)
--- /dev/null
+++ b/celerypulley/hosts/host_lease.py
@@ -0,0 +1,79 @@
+"""The lease under which a host is listed as a member."""
+
+import random
+
+import attrs
+from mode import Service
+
+from celerypulley.decision_log import DecisionLog
+from celerypulley.failure_domains.member import Member
+from celerypulley.links.platform import PlatformLink, PlatformUnavailableError
+
+__all__ = ["HostLease"]
+
+_RENEWALS_PER_TTL = 3
+_JITTER = 0.1
+_RETRY_S = 1.0
+_log = DecisionLog("lease")
+
+
+class HostLease(Service):
+    """Keep this host's member key alive in the platform's service."""
+
+    def __init__(self, platform: PlatformLink, member: Member, ttl_ms: int) -> None:
+        """List `member` under a lease of `ttl_ms`."""
+        super().__init__()
+        self.platform = platform
+        self.member = member
+        self.ttl_ms = ttl_ms
+        self._lease_id: str | None = None
+        self._written: Member | None = None
+        self._random = random.Random()
+
+    async def mark_leaving(self) -> None:
+        """List this host as leaving; raise PlatformUnavailableError."""
+        self.member = attrs.evolve(self.member, leaving=True)
+        await self._keep()
+
+    @Service.task
+    async def _renew(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._keep()
+            except PlatformUnavailableError as error:
+                _log.write("lease not renewed", str(error))
+                await self.sleep(self._random.uniform(_RETRY_S / 2, _RETRY_S))
+                continue
+            wait_s = self.ttl_ms / 1000 / _RENEWALS_PER_TTL
+            jitter = self._random.uniform(1 - _JITTER, 1 + _JITTER)
+            await self.sleep(wait_s * jitter)
+
+    async def _keep(self) -> None:
+        if self._lease_id is not None:
+            alive = await self.platform.renew_lease(self._lease_id)
+            if not alive:
+                self._lease_id = None
+        if self._lease_id is None:
+            self._lease_id = await self.platform.grant_lease(self.ttl_ms)
+            self._written = None
+            _log.write("lease granted", "none was held", lease=self._lease_id)
+        if self._written != self.member:
+            await self._write()
+
+    async def _write(self) -> None:
+        known = await self.platform.read(self.member.key)
+        revision = known.revision if known else 0
+        written = await self.platform.write_if(
+            self.member.key, self.member.encode(), revision, self._lease_id
+        )
+        if written:
+            self._written = self.member
+
+    async def on_stop(self) -> None:
+        """Give the lease back, so that others need not wait for its end."""
+        if self._lease_id is None:
+            return
+        try:
+            await self.platform.revoke_lease(self._lease_id)
+        except PlatformUnavailableError as error:
+            _log.write("lease left to lapse", str(error))
--- /dev/null
+++ b/celerypulley/hosts/meters.py
@@ -0,0 +1,209 @@
+"""The meters of a host: those that it runs, and asking those of others."""
+
+from mode import Service
+
+from celerypulley.clock import Clock
+from celerypulley.contracts.rates import meter_group
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
+from celerypulley.failure_domains.placement import local_shard_count
+from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.hosts.domain_meter import DomainMeter, TakeResult
+from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.shards import Shards
+from celerypulley.links.peer_link import LinkError
+from celerypulley.links.peer_messages import (
+    AllowanceGranted,
+    Lend,
+    Lent,
+    Refused,
+    TakeAllowance,
+)
+from celerypulley.programs.identifier import ShardId
+
+__all__ = ["Meters"]
+
+_LOAN_MS = 2_000.0
+_LOAN_RENEWALS = 3
+_ASK_TIMEOUT_MS = 500.0
+_ASK_PAUSE_S = 0.1
+_ASK_DEADLINE_MS = 6_000.0
+_log = DecisionLog("meter")
+
+
+class Meters(Service):
+    """Run the meters of owned local shards and take allowance from any meter."""
+
+    def __init__(
+        self,
+        shards: Shards,
+        peers: Peers,
+        configuration: ConfigurationFollower,
+        clock: Clock,
+    ) -> None:
+        """Run a meter for each local shard of `shards`."""
+        super().__init__()
+        self.shards = shards
+        self.peers = peers
+        self.configuration = configuration
+        self.clock = clock
+        self.meters: dict[ShardId, DomainMeter] = {}
+        self._pooled_in: dict[int, str] = {}
+        self.granted = 0
+        self.refused = 0
+
+    def _group_count(self) -> int:
+        return local_shard_count(self.shards.settings.shards_per_domain)
+
+    def _shard_of(self, domain: str, group: int) -> ShardId:
+        return ShardId(domain, self.shards.settings.shards_per_domain + group)
+
+    async def take(self, organisation: str) -> None:
+        """Take one request from an organisation's allowance.
+
+        Raise CallRefusedError where the rate is exceeded or no meter answers.
+        """
+        group = meter_group(organisation, self._group_count())
+        deadline_ms = self.clock.now_ms() + _ASK_DEADLINE_MS
+        domain = self._pooled_in.get(group, self.shards.me.domain)
+        while True:
+            answer = await self._ask(organisation, domain, group)
+            if answer is not None and answer.granted:
+                self._pooled_in[group] = domain
+                self.granted += 1
+                return
+            if answer is not None and not answer.instead and answer.retry_after_ms:
+                self.refused += 1
+                raise _rate_exceeded(organisation, answer.retry_after_ms)
+            if self.clock.now_ms() > deadline_ms:
+                raise CallRefusedError.of(
+                    ErrorKind.METER_UNREACHABLE, f"no meter for {organisation} answers"
+                )
+            domain = self._next_domain(answer, domain, group)
+            if domain == self.shards.me.domain:
+                await self.sleep(_ASK_PAUSE_S)
+
+    def _next_domain(self, answer: TakeResult | None, asked: str, group: int) -> str:
+        home = self.shards.me.domain
+        self._pooled_in.pop(group, None)
+        if answer is not None and answer.instead and asked == home:
+            return answer.instead
+        return home
+
+    async def _ask(
+        self, organisation: str, domain: str, group: int
+    ) -> TakeResult | None:
+        shard = self._shard_of(domain, group)
+        owner = self.shards.owner_of(shard)
+        if owner == self.shards.me.name:
+            return self._take_here(organisation, shard)
+        if owner is None:
+            return None
+        message = TakeAllowance(organisation, domain, group)
+        try:
+            reply = await self.peers.request(owner, message, _ASK_TIMEOUT_MS)
+        except LinkError:
+            return None
+        if isinstance(reply, AllowanceGranted):
+            return TakeResult(not reply.instead, reply.instead)
+        if isinstance(reply, Refused) and reply.kind == ErrorKind.RATE_EXCEEDED.value:
+            return TakeResult(False, retry_after_ms=(reply.retry_after_s or 1) * 1000)
+        return None
+
+    def _take_here(self, organisation: str, shard: ShardId) -> TakeResult | None:
+        owner = self.shards.owned.get(shard)
+        meter = self.meters.get(shard)
+        configuration = self.configuration.current
+        if owner is None or meter is None or configuration is None:
+            return None
+        if not owner.holds_promise() or organisation not in configuration.organisations:
+            return None
+        result = meter.take(organisation, configuration)
+        if not result.granted and not result.instead and meter.is_lent():
+            return None
+        return result
+
+    def answer_take(self, message: TakeAllowance) -> AllowanceGranted:
+        """Answer a peer; raise CallRefusedError where the rate is exceeded."""
+        shard = self._shard_of(message.domain, message.group)
+        result = self._take_here(message.organisation, shard)
+        if result is None:
+            raise CallRefusedError.of(
+                ErrorKind.METER_UNREACHABLE, f"meter {shard} is not ready"
+            )
+        if result.granted or result.instead:
+            return AllowanceGranted(result.instead)
+        raise _rate_exceeded(message.organisation, result.retry_after_ms)
+
+    def answer_lend(self, message: Lend, borrower: str) -> Lent:
+        """Lend a share to a peer's meter where it is free."""
+        shard = self._shard_of(message.lender, message.group)
+        owner = self.shards.owned.get(shard)
+        meter = self.meters.get(shard)
+        configuration = self.configuration.current
+        if owner is None or meter is None or configuration is None:
+            return Lent(False)
+        if not owner.holds_promise():
+            return Lent(False)
+        return Lent(meter.lend(borrower, message.home, configuration.domains))
+
+    @Service.task
+    async def _follow_shards(self) -> None:
+        while not self.should_stop:
+            self._run_meters_of_owned_shards()
+            for shard, meter in list(self.meters.items()):
+                if self.configuration.current is not None:
+                    meter.settle(self.configuration.current)
+                self.add_future(self._borrow_for(shard))
+            await self.sleep(_LOAN_MS / 1000 / _LOAN_RENEWALS)
+
+    def _run_meters_of_owned_shards(self) -> None:
+        count = self.shards.settings.shards_per_domain
+        for shard, owner in self.shards.owned.items():
+            group = shard.index - count
+            if group < 0 or owner.superseded or shard in self.meters:
+                continue
+            self.meters[shard] = DomainMeter(shard.domain, group, self.clock, _LOAN_MS)
+        for shard in list(self.meters):
+            if shard not in self.shards.owned:
+                del self.meters[shard]
+
+    async def _borrow_for(self, shard: ShardId) -> None:
+        meter = self.meters.get(shard)
+        owner = self.shards.owned.get(shard)
+        configuration = self.configuration.current
+        if meter is None or owner is None or configuration is None:
+            return
+        if not owner.holds_promise() or shard.domain not in configuration.domains:
+            return
+        for lender in meter.lenders_to_ask(configuration.domains):
+            self.add_future(self._borrow_from(meter, lender))
+
+    async def _borrow_from(self, meter: DomainMeter, lender: str) -> None:
+        shard = self._shard_of(lender, meter.group)
+        owner = self.shards.owner_of(shard)
+        if owner is None:
+            return
+        message = Lend(meter.group, meter.domain, lender, int(_LOAN_MS))
+        asked_ms = self.clock.now_ms()
+        if owner == self.shards.me.name:
+            reply: object = self.answer_lend(message, self.shards.me.name)
+        else:
+            try:
+                reply = await self.peers.request(owner, message, _ASK_TIMEOUT_MS)
+            except LinkError as error:
+                _log.write("no loan", str(error), group=meter.group, lender=lender)
+                return
+        if isinstance(reply, Lent) and reply.accepted and not meter.is_lent():
+            meter.borrow(lender, asked_ms)
+
+
+def _rate_exceeded(organisation: str, retry_after_ms: float) -> CallRefusedError:
+    retry_after_s = max(1, min(3_600, int(retry_after_ms / 1000 + 0.999)))
+    return CallRefusedError(
+        Refusal(
+            ErrorKind.RATE_EXCEEDED,
+            f"{organisation} is above its rate",
+            retry_after_s=retry_after_s,
+        )
+    )
--- /dev/null
+++ b/celerypulley/hosts/metrics.py
@@ -0,0 +1,53 @@
+"""Metrics of a host: counters and latency quantiles, in the usual text format."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from hdrh.histogram import HdrHistogram
+
+from celerypulley.errors import ErrorKind, Refusal
+
+__all__ = ["HostMetrics"]
+
+_LOWEST_US = 1
+_HIGHEST_US = 3_600_000_000
+_DIGITS = 2
+_QUANTILES = (50.0, 95.0, 99.0)
+_US_PER_MS = 1_000
+_US_PER_S = 1_000_000
+
+
+class HostMetrics:
+    """Count requests by outcome and record how long they took."""
+
+    def __init__(self) -> None:
+        """Start with nothing counted."""
+        self.requests: Counter[str] = Counter()
+        self.latency = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+        self.gauges: dict[str, Callable[[], float]] = {}
+
+    def note_request(self, took_ms: float, refusal: Refusal | None) -> None:
+        """Count one request."""
+        outcome = refusal.kind.value if refusal else "ok"
+        self.requests[outcome] += 1
+        took_us = max(_LOWEST_US, min(_HIGHEST_US, int(took_ms * _US_PER_MS)))
+        self.latency.record_value(took_us)
+
+    def text(self) -> str:
+        """Return the metrics in the Prometheus text format."""
+        lines = ["# TYPE celerypulley_requests_total counter"]
+        for outcome in ("ok", *(kind.value for kind in ErrorKind)):
+            count = self.requests[outcome]
+            name = f'celerypulley_requests_total{{outcome="{outcome}"}}'
+            lines.append(f"{name} {count}")
+        lines.append("# TYPE celerypulley_request_seconds summary")
+        for quantile in _QUANTILES:
+            value_us = self.latency.get_value_at_percentile(quantile)
+            name = f'celerypulley_request_seconds{{quantile="{quantile / 100}"}}'
+            lines.append(f"{name} {value_us / _US_PER_S}")
+        total = self.latency.get_total_count()
+        lines.append(f"celerypulley_request_seconds_count {total}")
+        for name, read in self.gauges.items():
+            lines.append(f"# TYPE celerypulley_{name} gauge")
+            lines.append(f"celerypulley_{name} {read()}")
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/celerypulley/hosts/owner_table_writer.py
@@ -0,0 +1,54 @@
+"""Changes of the owner table by compare-and-swap, with lost answers read back."""
+
+import attrs
+
+from celerypulley.decision_log import DecisionLog
+from celerypulley.failure_domains.owner_table import ShardEntry, entry_key
+from celerypulley.hosts.platform_view import PlatformView
+from celerypulley.links.platform import PlatformLink, PlatformUnavailableError
+from celerypulley.programs.identifier import ShardId
+
+__all__ = ["OwnerTableWriter"]
+
+_log = DecisionLog("owner-table")
+
+
+class OwnerTableWriter:
+    """Write one shard's entry where it has not changed since it was read."""
+
+    def __init__(self, platform: PlatformLink, view: PlatformView) -> None:
+        """Write through `platform` and show `view` what was written."""
+        self.platform = platform
+        self.view = view
+
+    async def write(
+        self, shard: ShardId, entry: ShardEntry, based_on: ShardEntry | None, why: str
+    ) -> ShardEntry | None:
+        """Return the entry as written, or None where another change came first.
+
+        Raise PlatformUnavailableError where it cannot be told; the caller then
+        treats the entry as unknown until the view shows it.
+        """
+        revision = based_on.revision if based_on else 0
+        key = entry_key(shard)
+        try:
+            await self.platform.write_if(key, entry.encode(), revision)
+        except PlatformUnavailableError as error:
+            _log.write("read back", str(error), shard=shard)
+        stored = await self.platform.read(key)
+        if stored is None or stored.value is None:
+            return None
+        found = ShardEntry.decode(stored.value, stored.revision)
+        self.view.learn_entry(shard, found)
+        if attrs.evolve(found, revision=0) != attrs.evolve(entry, revision=0):
+            _log.write("lost the race", why, shard=shard, owner=found.owner)
+            return None
+        _log.write(
+            "entry written",
+            why,
+            shard=shard,
+            owner=found.owner,
+            replica=found.replica,
+            epoch=found.epoch,
+        )
+        return found
--- /dev/null
+++ b/celerypulley/hosts/peers.py
@@ -0,0 +1,75 @@
+"""The links of a host to its peers, opened when first needed."""
+
+from collections.abc import AsyncIterator
+
+from mode import Service
+
+from celerypulley.failure_domains.member import Member
+from celerypulley.hosts.platform_view import PlatformView
+from celerypulley.links.frame_stream import LinkConditions
+from celerypulley.links.peer_link import LinkError, PeerIdentity, PeerLink
+
+__all__ = ["Peers"]
+
+_IDLE_CHECK_S = 10.0
+
+
+class Peers(Service):
+    """One link for each peer that this host talks to."""
+
+    def __init__(
+        self, identity: PeerIdentity, view: PlatformView, conditions: LinkConditions
+    ) -> None:
+        """Find peers' addresses in `view`."""
+        super().__init__()
+        self.identity = identity
+        self.view = view
+        self.conditions = conditions
+        self._links: dict[str, PeerLink] = {}
+
+    async def request(self, name: str, item: object, timeout_ms: float) -> object:
+        """Return the peer's reply; raise LinkError."""
+        link = await self._link(name)
+        return await link.request(item, timeout_ms)
+
+    async def stream(
+        self, name: str, item: object, timeout_ms: float
+    ) -> AsyncIterator[object]:
+        """Yield the peer's replies; raise LinkError."""
+        link = await self._link(name)
+        async for reply in link.stream(item, timeout_ms):
+            yield reply
+
+    def byte_counts(self) -> tuple[int, int]:
+        """Return the bytes sent and received over all links."""
+        sent = sum(link.total_sent_bytes for link in self._links.values())
+        received = sum(link.total_received_bytes for link in self._links.values())
+        return sent, received
+
+    async def _link(self, name: str) -> PeerLink:
+        link = self._links.get(name)
+        if link is not None:
+            return link
+        member = self.view.members.get(name) or self.view.former.get(name)
+        if member is None:
+            raise LinkError(f"{name} is not a member", sent=False)
+        return await self._open(member)
+
+    async def _open(self, member: Member) -> PeerLink:
+        link = PeerLink(
+            self.identity, member.name, member.peer_address, self.conditions
+        )
+        self._links[member.name] = link
+        await self.add_runtime_dependency(link)
+        return link
+
+    @Service.task
+    async def _close_links_of_former_members(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_IDLE_CHECK_S)
+            for name in list(self._links):
+                if name in self.view.members or self._links[name].is_up:
+                    continue
+                link = self._links.pop(name)
+                await link.stop()
+                self.remove_dependency(link)
--- /dev/null
+++ b/celerypulley/hosts/platform_view.py
@@ -0,0 +1,157 @@
+"""What a host knows from the platform's service: members, owners, configuration."""
+
+import asyncio
+import random
+
+from mode import Service
+
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
+from celerypulley.failure_domains.member import MEMBERS_PREFIX, Member
+from celerypulley.failure_domains.owner_table import (
+    OWNERS_PREFIX,
+    ShardEntry,
+    parse_entry_key,
+)
+from celerypulley.links.platform import (
+    KeyValue,
+    PlatformLink,
+    PlatformUnavailableError,
+    WatchCompactedError,
+)
+from celerypulley.programs.identifier import ShardId
+
+__all__ = ["HEAD_KEY", "PlatformView"]
+
+HEAD_KEY = "celerypulley/configuration/head"
+_WATCHED_PREFIX = "celerypulley/"
+_RETRY_MIN_S = 0.2
+_RETRY_MAX_S = 5.0
+_log = DecisionLog("platform")
+
+
+class PlatformView(Service):
+    """Follow the service by one watch, which counts as one waiting call.
+
+    While the service is away the view keeps what it last knew;
+    `confirmed_ms` says when it last heard from the service.
+    """
+
+    def __init__(self, platform: PlatformLink, clock: Clock) -> None:
+        """Know nothing until the first snapshot."""
+        super().__init__()
+        self.platform = platform
+        self.clock = clock
+        self.members: dict[str, Member] = {}
+        self.former: dict[str, Member] = {}
+        self.missing_since_ms: dict[str, float] = {}
+        self.entries: dict[ShardId, ShardEntry] = {}
+        self.head: KeyValue | None = None
+        self.confirmed_ms = float("-inf")
+        self.connected_since_ms: float | None = None
+        self.changed = asyncio.Event()
+        self._random = random.Random()
+
+    def confirmed_ago_ms(self) -> float:
+        """Return how long ago the service was last heard."""
+        return self.clock.now_ms() - self.confirmed_ms
+
+    async def wait_for_change(self, timeout_ms: float) -> bool:
+        """Return whether anything changed within the time."""
+        changed = self.changed
+        try:
+            await asyncio.wait_for(changed.wait(), timeout_ms / 1000)
+        except TimeoutError:
+            return False
+        return True
+
+    def learn_entry(self, shard: ShardId, entry: ShardEntry) -> None:
+        """Take in an entry that this host wrote or read, if it is newer."""
+        known = self.entries.get(shard)
+        if known is None or entry.revision > known.revision:
+            self.entries[shard] = entry
+            self._notify()
+
+    @Service.task
+    async def _follow(self) -> None:
+        wait_s = _RETRY_MIN_S
+        while not self.should_stop:
+            try:
+                await self._snapshot_and_watch()
+            except WatchCompactedError as error:
+                _log.write("take a new snapshot", str(error))
+                wait_s = _RETRY_MIN_S
+            except PlatformUnavailableError as error:
+                if self.connected_since_ms is not None:
+                    _log.write("platform lost", str(error))
+                    wait_s = _RETRY_MIN_S
+                self.connected_since_ms = None
+            await self.sleep(self._random.uniform(wait_s / 2, wait_s))
+            wait_s = min(wait_s * 2, _RETRY_MAX_S)
+
+    async def _snapshot_and_watch(self) -> None:
+        snapshot = await self.platform.read_prefix(_WATCHED_PREFIX)
+        self._replace_all(snapshot.items)
+        self.connected_since_ms = self.clock.now_ms()
+        _log.write("platform found", "snapshot taken", keys=len(snapshot.items))
+        async for batch in self.platform.watch(_WATCHED_PREFIX, snapshot.revision + 1):
+            self.confirmed_ms = self.clock.now_ms()
+            for item in batch:
+                self._apply(item)
+            if batch:
+                self._notify()
+        raise PlatformUnavailableError("the watch ended")
+
+    def _replace_all(self, items: tuple[KeyValue, ...]) -> None:
+        before = set(self.members)
+        self.former.update(self.members)
+        self.members.clear()
+        for item in items:
+            self._apply(item)
+        for name in before - set(self.members):
+            self._mark_missing(name)
+        self.confirmed_ms = self.clock.now_ms()
+        self._notify()
+
+    def _apply(self, item: KeyValue) -> None:
+        if item.key.startswith(MEMBERS_PREFIX):
+            self._apply_member(item)
+            return
+        if item.key.startswith(OWNERS_PREFIX) and item.value is not None:
+            shard = parse_entry_key(item.key)
+            known = self.entries.get(shard)
+            if known is None or item.revision > known.revision:
+                self.entries[shard] = ShardEntry.decode(item.value, item.revision)
+            return
+        if item.key != HEAD_KEY or item.value is None:
+            return
+        if self.head is None or item.revision > self.head.revision:
+            self.head = item
+
+    def _apply_member(self, item: KeyValue) -> None:
+        name = item.key.removeprefix(MEMBERS_PREFIX)
+        if item.value is None:
+            member = self.members.pop(name, None)
+            if member is not None:
+                self.former[name] = member
+            self._mark_missing(name)
+            return
+        self.members[name] = Member.decode(item.value)
+        self.missing_since_ms.pop(name, None)
+
+    def _mark_missing(self, name: str) -> None:
+        self.missing_since_ms.setdefault(name, self.clock.now_ms())
+
+    def missing_for_ms(self, name: str) -> float:
+        """Return how long a member has been missing while the service was there.
+
+        0 where it is present or the service is away.
+        """
+        if name in self.members or self.connected_since_ms is None:
+            return 0.0
+        since_ms = self.missing_since_ms.setdefault(name, self.clock.now_ms())
+        return self.clock.now_ms() - max(since_ms, self.connected_since_ms)
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
--- /dev/null
+++ b/celerypulley/hosts/program_desk.py
@@ -0,0 +1,175 @@
+"""Opening, reading and closing programs at their owner, and parents' budgets."""
+
+import orjson
+
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import CallRefusedError, ErrorKind, Refusal, RunState
+from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.program_locks import ProgramLocks
+from celerypulley.hosts.shards import Shards
+from celerypulley.hosts.turn_runner import find_program, require_configuration
+from celerypulley.links.peer_link import LinkError
+from celerypulley.links.peer_messages import (
+    CloseProgram,
+    DrawBudget,
+    OpenProgram,
+    ProgramReport,
+    ReadProgram,
+    Refused,
+)
+from celerypulley.programs.identifier import ProgramId
+from celerypulley.programs.program import Program
+from celerypulley.programs.records import BudgetDrawn, ProgramClosed, ProgramOpened
+
+__all__ = ["ProgramDesk", "refusal_of"]
+
+_DRAW_TIMEOUT_MS = 10_000.0
+_log = DecisionLog("program")
+
+
+def refusal_of(message: Refused) -> Refusal:
+    """Return the refusal that a peer sent."""
+    return Refusal(
+        ErrorKind(message.kind),
+        message.detail,
+        RunState(message.run),
+        message.retry_after_s,
+    )
+
+
+class ProgramDesk:
+    """Everything about programs at their owner but their turns."""
+
+    def __init__(
+        self,
+        shards: Shards,
+        peers: Peers,
+        configuration: ConfigurationFollower,
+        locks: ProgramLocks,
+        clock: Clock,
+    ) -> None:
+        """Keep the programs of `shards`."""
+        self.shards = shards
+        self.peers = peers
+        self.configuration = configuration
+        self.locks = locks
+        self.clock = clock
+
+    async def open(self, message: OpenProgram) -> ProgramReport:
+        """Open a program on a shard of this host; raise CallRefusedError."""
+        owner = self.shards.shard_for_new_program()
+        if owner is None:
+            raise CallRefusedError.of(
+                ErrorKind.OWNER_UNREACHABLE, "no shard here can commit now"
+            )
+        limits = require_configuration(self.configuration).limits(message.organisation)
+        budget = limits.program_budget_tokens
+        if message.budget_tokens:
+            budget = min(budget, message.budget_tokens)
+        name = ProgramId.new(owner.state.shard, owner.entry.epoch)
+        if message.parent:
+            await self._draw_from_parent(message, str(name), budget)
+        await owner.commit(
+            ProgramOpened(
+                str(name),
+                message.organisation,
+                budget,
+                self.clock.wall_ms(),
+                message.parent or None,
+            )
+        )
+        _log.write(
+            f"opened {name}",
+            "this host's shard with the fewest programs",
+            organisation=message.organisation,
+            budget_tokens=budget,
+        )
+        return ProgramReport(report_json(owner.state.programs[str(name)]))
+
+    async def _draw_from_parent(
+        self, message: OpenProgram, child: str, tokens: int
+    ) -> None:
+        parent = ProgramId.parse(message.parent)
+        draw = DrawBudget(message.parent, message.organisation, child, tokens)
+        owner = self.shards.owner_of(parent.shard)
+        if owner == self.shards.me.name:
+            await self.draw(draw)
+            return
+        if owner is None:
+            raise CallRefusedError.of(
+                ErrorKind.OWNER_UNREACHABLE, f"nobody owns {parent.shard}"
+            )
+        try:
+            reply = await self.peers.request(owner, draw, _DRAW_TIMEOUT_MS)
+        except LinkError as error:
+            raise CallRefusedError.of(
+                ErrorKind.OWNER_UNREACHABLE, f"the parent's owner: {error}"
+            ) from None
+        if isinstance(reply, Refused):
+            raise CallRefusedError(refusal_of(reply))
+
+    async def draw(self, message: DrawBudget) -> ProgramReport:
+        """Take a sub-agent's budget from a program; raise CallRefusedError."""
+        name = _parse(message.program)
+        owner = self.shards.require_owned(name.shard)
+        owner.require_promise()
+        program = find_program(owner, name, message.organisation)
+        if program.closed_ms is not None:
+            raise CallRefusedError.of(ErrorKind.PROGRAM_CLOSED, f"{name} is closed")
+        if message.name in program.draws:
+            return ProgramReport(report_json(program))
+        if message.tokens > program.left_tokens:
+            raise CallRefusedError.of(
+                ErrorKind.BUDGET_EXHAUSTED,
+                f"{name} has {program.left_tokens} tokens left, "
+                f"fewer than {message.tokens}",
+            )
+        await owner.commit(BudgetDrawn(message.program, message.name, message.tokens))
+        return ProgramReport(report_json(program))
+
+    async def read(self, message: ReadProgram) -> ProgramReport:
+        """Return a program's history; raise CallRefusedError."""
+        name = _parse(message.program)
+        owner = self.shards.require_owned(name.shard)
+        owner.require_promise()
+        program = find_program(owner, name, message.organisation)
+        return ProgramReport(report_json(program, with_messages=True))
+
+    async def close(self, message: CloseProgram) -> ProgramReport:
+        """Close a program once its turn under way has ended."""
+        name = _parse(message.program)
+        async with self.locks.lock(message.program):
+            owner = self.shards.require_owned(name.shard)
+            program = find_program(owner, name, message.organisation)
+            if program.closed_ms is None:
+                await owner.commit(ProgramClosed(message.program, self.clock.wall_ms()))
+                _log.write(f"closed {name}", "its caller asked for it")
+            return ProgramReport(report_json(program))
+
+
+def report_json(program: Program, with_messages: bool = False) -> bytes:
+    """Return a program as JSON, with its messages if wanted."""
+    fields = {
+        "id": program.program,
+        "object": "program",
+        "turns": program.turn_count,
+        "receipt": program.receipt,
+        "budget_tokens": program.budget_tokens,
+        "spent_tokens": program.spent_tokens,
+        "reserved_tokens": program.reserved_tokens,
+        "parent": program.parent,
+        "closed": program.closed_ms is not None,
+    }
+    head = orjson.dumps(fields)
+    if not with_messages:
+        return head
+    return head[:-1] + b',"messages":[' + program.messages_json() + b"]}"
+
+
+def _parse(text: str) -> ProgramId:
+    try:
+        return ProgramId.parse(text)
+    except ValueError as error:
+        raise CallRefusedError.of(ErrorKind.UNKNOWN_PROGRAM, str(error)) from None
--- /dev/null
+++ b/celerypulley/hosts/promise_keeper.py
@@ -0,0 +1,105 @@
+"""The renewal of replicas' promises: one message a period to each replica host."""
+
+from collections import defaultdict
+
+from mode import Service
+
+from celerypulley.clock import Clock
+from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.shard_owner import ShardOwner
+from celerypulley.hosts.shards import Shards
+from celerypulley.links.peer_link import LinkError
+from celerypulley.links.peer_messages import Promises, RenewPromises
+
+__all__ = ["PromiseKeeper"]
+
+_RENEWALS_PER_PROMISE = 3
+_MIN_TIMEOUT_MS = 300.0
+
+
+class PromiseKeeper(Service):
+    """Ask each replica host once a period for all its promises to this host."""
+
+    def __init__(
+        self,
+        shards: Shards,
+        peers: Peers,
+        configuration: ConfigurationFollower,
+        clock: Clock,
+    ) -> None:
+        """Renew the promises for the shards that this host owns."""
+        super().__init__()
+        self.shards = shards
+        self.peers = peers
+        self.configuration = configuration
+        self.clock = clock
+        self._busy: set[str] = set()
+
+    @property
+    def _promise_ms(self) -> int:
+        return self.shards.settings.promise_ms
+
+    @Service.task
+    async def _renew(self) -> None:
+        while not self.should_stop:
+            for replica, owners in self._owners_by_replica().items():
+                if replica not in self._busy:
+                    self.add_future(self._ask(replica, owners))
+            await self.sleep(self._promise_ms / 1000 / _RENEWALS_PER_PROMISE)
+
+    def _owners_by_replica(self) -> dict[str, list[ShardOwner]]:
+        grouped: dict[str, list[ShardOwner]] = defaultdict(list)
+        for owner in self.shards.owned.values():
+            if owner.superseded or owner.entry.replica is None:
+                continue
+            grouped[owner.entry.replica].append(owner)
+        return grouped
+
+    async def _ask(self, replica: str, owners: list[ShardOwner]) -> None:
+        self._busy.add(replica)
+        try:
+            await self._ask_for(replica, owners)
+        except LinkError:
+            for owner in owners:
+                if owner.entry.replica == replica:
+                    owner.note_replica(False)
+        finally:
+            self._busy.discard(replica)
+
+    async def _ask_for(self, replica: str, owners: list[ShardOwner]) -> None:
+        asked_ms = self.clock.now_ms()
+        epochs = [owner.entry.epoch for owner in owners]
+        items = [[owner.shard, owner.entry.epoch] for owner in owners]
+        message = RenewPromises(
+            items,
+            self._promise_ms,
+            self.configuration.version,
+            _whole_ms(self.configuration.confirmed_ago_ms()),
+        )
+        timeout_ms = max(_MIN_TIMEOUT_MS, self._promise_ms / 2)
+        reply = await self.peers.request(replica, message, timeout_ms)
+        if not isinstance(reply, Promises):
+            raise LinkError(f"{replica} answered {reply!r:.80}", sent=True)
+        self.configuration.hear(replica, reply.version, reply.confirmed_ago_ms)
+        for owner, epoch, state in zip(owners, epochs, reply.states, strict=True):
+            if owner.entry.epoch != epoch or owner.entry.replica != replica:
+                continue
+            self._take_state(owner, state, asked_ms)
+
+    def _take_state(self, owner: ShardOwner, state: str, asked_ms: float) -> None:
+        if state == "ok":
+            owner.note_replica(True)
+            until_ms = asked_ms + self._promise_ms
+            owner.promise_until_ms = max(owner.promise_until_ms, until_ms)
+            return
+        if state == "stale":
+            owner.supersede("the replica promised a newer owner")
+            return
+        owner.note_replica(False)
+
+
+def _whole_ms(value_ms: float) -> int:
+    if value_ms == float("inf"):
+        return -1
+    return int(value_ms)
--- /dev/null
+++ b/celerypulley/hosts/returned_shards.py
@@ -0,0 +1,79 @@
+"""Programs that a host still holds after others had to give them up as lost.
+
+Two hosts that are cut off together go on serving a shard. Meanwhile the others
+may have begun it anew without its programs. When the cut ends, the former owner
+returns what it holds; no program is ever served by both.
+"""
+
+from mode import Service
+
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import CallRefusedError, ErrorKind
+from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.shards import Shards
+from celerypulley.links.codec import from_wire, to_wire
+from celerypulley.links.peer_link import LinkError
+from celerypulley.links.peer_messages import Committed, ReturnImage
+from celerypulley.programs.identifier import ProgramId, ShardId
+from celerypulley.programs.records import CallImage, ProgramImage
+from celerypulley.programs.shard import ShardState
+
+__all__ = ["ReturnedShards"]
+
+_PERIOD_S = 1.0
+_TIMEOUT_MS = 10_000.0
+_log = DecisionLog("return")
+
+
+class ReturnedShards(Service):
+    """Return superseded shards to their owners, and take such shards back."""
+
+    def __init__(self, shards: Shards, peers: Peers) -> None:
+        """Return the shards that `shards` marks."""
+        super().__init__()
+        self.shards = shards
+        self.peers = peers
+
+    @Service.task
+    async def _return_all(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_PERIOD_S)
+            for shard, state in list(self.shards.returning.items()):
+                if await self._return(shard, state):
+                    del self.shards.returning[shard]
+
+    async def _return(self, shard: ShardId, state: ShardState) -> bool:
+        owner = self.shards.owner_of(shard)
+        if owner is None or owner == self.shards.me.name:
+            return False
+        epoch = self.shards.view.entries[shard].epoch
+        for record in state.images():
+            message = ReturnImage(str(shard), epoch, to_wire(record))
+            try:
+                reply = await self.peers.request(owner, message, _TIMEOUT_MS)
+            except LinkError as error:
+                _log.write("return later", str(error), shard=shard)
+                return False
+            if not isinstance(reply, Committed):
+                _log.write("return refused", repr(reply)[:120], shard=shard)
+                return False
+        _log.write("shard returned", "the cut has ended", shard=shard, to=owner)
+        return True
+
+    async def take_back(self, message: ReturnImage) -> None:
+        """Take in a program or call that this epoch does not know."""
+        owner = self.shards.require_owned(ShardId.parse(message.shard))
+        record = from_wire(message.record)
+        if isinstance(record, ProgramImage):
+            name = ProgramId.parse(record.program)
+            known = record.program in owner.state.programs
+            if known or name.epoch >= owner.entry.lost_epoch:
+                return
+        elif isinstance(record, CallImage):
+            if record.call in owner.state.calls:
+                return
+        else:
+            raise CallRefusedError.of(
+                ErrorKind.BAD_REQUEST, f"{type(record).__name__} is not returned"
+            )
+        await owner.commit(record)
--- /dev/null
+++ b/celerypulley/hosts/shard_keeper.py
@@ -0,0 +1,245 @@
+"""The loop that keeps every shard with an owner and a replica."""
+
+import random
+
+import attrs
+from mode import Service
+
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
+from celerypulley.failure_domains.owner_table import ShardEntry
+from celerypulley.failure_domains.placement import (
+    choose_move,
+    choose_replica,
+    is_local,
+    local_shard_count,
+    rendezvous,
+    takeover_candidates,
+)
+from celerypulley.hosts.owner_table_writer import OwnerTableWriter
+from celerypulley.hosts.platform_view import PlatformView
+from celerypulley.hosts.shard_owner import ShardOwner
+from celerypulley.hosts.shards import Shards
+from celerypulley.links.peer_link import LinkError
+from celerypulley.links.platform import PlatformUnavailableError
+from celerypulley.programs.identifier import ShardId
+from celerypulley.settings import Settings
+
+__all__ = ["ShardKeeper"]
+
+_TICK_MS = 400.0
+_SETTLE_MS = 1_500.0
+_MOVES_PER_TICK = 4
+_SUSPICION_MS = 1_500.0
+_LOST_MARGIN_MS = 5_000.0
+_log = DecisionLog("keeper")
+
+
+class ShardKeeper(Service):
+    """Claim, take over, copy and move shards; every change is one entry."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        shards: Shards,
+        view: PlatformView,
+        writer: OwnerTableWriter,
+        clock: Clock,
+    ) -> None:
+        """Keep the shards of `shards` by the members of `view`."""
+        super().__init__()
+        self.settings = settings
+        self.shards = shards
+        self.view = view
+        self.writer = writer
+        self.clock = clock
+        self.leaving = False
+        self._random = random.Random()
+
+    @property
+    def _me(self) -> str:
+        return self.shards.me.name
+
+    @Service.task
+    async def _keep(self) -> None:
+        while not self.should_stop:
+            await self.view.wait_for_change(self._random.uniform(0.5, 1.0) * _TICK_MS)
+            await self.sleep(self._random.uniform(0.02, 0.1))
+            if self.view.connected_since_ms is None:
+                continue
+            try:
+                await self._round()
+            except PlatformUnavailableError as error:
+                _log.write("round ended", str(error))
+
+    async def _round(self) -> None:
+        if self._me not in self.view.members:
+            return
+        if not self.leaving and self._view_has_settled():
+            await self._claim_new_shards()
+            await self._claim_lost_shards()
+        await self._take_over()
+        await self._fill_replicas()
+        await self._move_shards()
+
+    def _view_has_settled(self) -> bool:
+        since_ms = self.view.connected_since_ms
+        return since_ms is not None and self.clock.now_ms() - since_ms > _SETTLE_MS
+
+    def _is_local(self, shard: ShardId) -> bool:
+        return is_local(shard, self.settings.shards_per_domain)
+
+    async def _claim_new_shards(self) -> None:
+        count = self.settings.shards_per_domain
+        domain = self.shards.me.domain
+        for index in range(count + local_shard_count(count)):
+            shard = ShardId(domain, index)
+            if shard in self.view.entries:
+                continue
+            names = takeover_candidates(shard, self.view.members, local=True)
+            if rendezvous(str(shard), names) != self._me:
+                continue
+            entry = ShardEntry(self._me, None, epoch=1)
+            await self.writer.write(shard, entry, None, "the shard is new")
+
+    async def _claim_lost_shards(self) -> None:
+        grace_ms = self._lost_grace_ms()
+        for shard, entry in list(self.view.entries.items()):
+            if self.view.missing_for_ms(entry.owner) < grace_ms:
+                continue
+            replica = entry.replica
+            if replica and self.view.missing_for_ms(replica) < grace_ms:
+                continue
+            names = takeover_candidates(shard, self.view.members, self._is_local(shard))
+            if rendezvous(str(shard), names) != self._me:
+                continue
+            await self._claim_lost(shard, entry)
+
+    def _lost_grace_ms(self) -> float:
+        return self.settings.promise_ms + _LOST_MARGIN_MS
+
+    async def _claim_lost(self, shard: ShardId, entry: ShardEntry) -> None:
+        epoch = entry.epoch + 1
+        fresh = ShardEntry(
+            self._me, None, epoch, lost_epoch=epoch, lost_ms=self.clock.wall_ms()
+        )
+        await self.writer.write(shard, fresh, entry, "both holders are gone")
+
+    async def _take_over(self) -> None:
+        for shard, replica in list(self.shards.replicas.items()):
+            entry = self.view.entries.get(shard)
+            if entry is None or entry.replica != self._me or not replica.complete:
+                continue
+            if self.clock.now_ms() < replica.promised_until_ms:
+                continue
+            if replica.silent_for_ms() < self._takeover_after_ms(entry):
+                continue
+            await self._become_owner(shard, entry, "the owner is silent")
+
+    def _takeover_after_ms(self, entry: ShardEntry) -> float:
+        missing = entry.owner not in self.view.members
+        if missing:
+            return float(self.settings.promise_ms)
+        return self.settings.promise_ms + 2 * _SUSPICION_MS
+
+    async def _become_owner(self, shard: ShardId, entry: ShardEntry, why: str) -> None:
+        taken = attrs.evolve(entry, owner=self._me, replica=None, epoch=entry.epoch + 1)
+        written = await self.writer.write(shard, taken, entry, why)
+        if written is not None:
+            self.shards.adopt(shard, written, taken_over=True)
+
+    async def _fill_replicas(self) -> None:
+        for owner in list(self.shards.owned.values()):
+            if owner.superseded or not self._needs_replica(owner):
+                continue
+            await self._install_replica(owner)
+
+    def _needs_replica(self, owner: ShardOwner) -> bool:
+        replica = owner.entry.replica
+        member = self.view.members.get(replica) if replica else None
+        if member is None or member.leaving:
+            return True
+        since_ms = owner.replica_failing_since_ms
+        if since_ms is not None and self.clock.now_ms() - since_ms > _SUSPICION_MS:
+            return True
+        return self._could_be_farther(owner, member.domain)
+
+    def _could_be_farther(self, owner: ShardOwner, replica_domain: str) -> bool:
+        if self._is_local(owner.state.shard) or replica_domain != self.shards.me.domain:
+            return False
+        domains = {member.domain for member in self.view.members.values()}
+        return len(domains) > 1 and self._view_has_settled()
+
+    def _suspects(self, owner: ShardOwner) -> set[str]:
+        if owner.replica_failing_since_ms is None or owner.entry.replica is None:
+            return set()
+        return {owner.entry.replica}
+
+    async def _install_replica(self, owner: ShardOwner) -> None:
+        shard = owner.state.shard
+        chosen = choose_replica(
+            shard,
+            self.shards.me,
+            self.view.members,
+            self._suspects(owner),
+            self._is_local(shard),
+        )
+        if chosen is None or chosen.name == owner.entry.replica:
+            return
+        entry = owner.entry
+
+        async def switch() -> ShardEntry | None:
+            changed = attrs.evolve(entry, replica=chosen.name)
+            return await self.writer.write(shard, changed, entry, "new replica")
+
+        await self._install(owner, chosen.name, switch)
+
+    async def _move_shards(self) -> None:
+        if self.leaving or not self._view_has_settled():
+            return
+        for _ in range(_MOVES_PER_TICK):
+            move = choose_move(self.shards.me, self.view.members, self.view.entries)
+            if move is None:
+                return
+            if not await self.hand_over(move.shard, move.to, "balance"):
+                return
+
+    async def hand_over(self, shard: ShardId, to: str, why: str) -> bool:
+        """Give a shard to another host with its whole state; return success."""
+        owner = self.shards.owned.get(shard)
+        if owner is None or owner.superseded or not owner.holds_promise():
+            return False
+        entry = owner.entry
+        replica = entry.replica if entry.replica != to else self._me
+
+        async def switch() -> ShardEntry | None:
+            changed = attrs.evolve(
+                entry, owner=to, replica=replica, epoch=entry.epoch + 1
+            )
+            return await self.writer.write(shard, changed, entry, why)
+
+        if not await self._install(owner, to, switch):
+            return False
+        written = self.view.entries[shard]
+        self.shards.adopt(shard, written)
+        return True
+
+    def successor(self, shard: ShardId) -> str | None:
+        """Return who should own a shard when this host leaves."""
+        names = takeover_candidates(shard, self.view.members, self._is_local(shard))
+        others = [name for name in names if name != self._me]
+        entry = self.view.entries[shard]
+        replica = self.view.members.get(entry.replica or "")
+        if not others and replica is not None and not replica.leaving:
+            return replica.name
+        return rendezvous(str(shard), others)
+
+    async def _install(self, owner: ShardOwner, member: str, switch: object) -> bool:
+        try:
+            return await owner.install(member, switch)
+        except LinkError as error:
+            _log.write("copy failed", str(error), shard=owner.shard, to=member)
+            return False
+        except PlatformUnavailableError:
+            owner.set_entry(attrs.evolve(owner.entry, replica=None))
+            raise
--- /dev/null
+++ b/celerypulley/hosts/shard_replica.py
@@ -0,0 +1,73 @@
+"""The replica's side of one shard."""
+
+from celerypulley.clock import Clock
+from celerypulley.links.codec import from_wire
+from celerypulley.links.peer_messages import Acknowledged, Install, Replicate
+from celerypulley.programs.identifier import ShardId
+from celerypulley.programs.shard import InvariantError, ShardState
+
+__all__ = ["ShardReplica"]
+
+
+class ShardReplica:
+    """A copy of a shard, and the promise not to take it over for a while."""
+
+    def __init__(self, shard: ShardId, clock: Clock) -> None:
+        """Hold nothing yet."""
+        self.state = ShardState(shard)
+        self.clock = clock
+        self.owner = ""
+        self.epoch = 0
+        self.complete = False
+        self.promised_until_ms = 0.0
+        self.heard_ms = clock.now_ms()
+
+    def take_part(self, part: Install) -> Acknowledged:
+        """Take a part of a whole copy; an older epoch is refused."""
+        if part.epoch < self.epoch:
+            return Acknowledged("stale", self.epoch)
+        self.epoch = part.epoch
+        self.heard_ms = self.clock.now_ms()
+        if part.first:
+            self.state = ShardState(self.state.shard)
+            self.complete = False
+        for record in part.records:
+            self.state.apply(from_wire(record))
+        if part.last:
+            self.state.sequence = part.sequence
+            self.complete = True
+        return Acknowledged("ok", self.epoch)
+
+    def take_record(self, message: Replicate) -> Acknowledged:
+        """Apply one record in its order; a repeated one changes nothing."""
+        if message.epoch < self.epoch:
+            return Acknowledged("stale", self.epoch)
+        if not self.complete:
+            return Acknowledged("not-holding", self.epoch)
+        self.epoch = message.epoch
+        self.heard_ms = self.clock.now_ms()
+        if message.sequence == self.state.sequence:
+            return Acknowledged("ok", self.epoch)
+        if message.sequence != self.state.sequence + 1:
+            return Acknowledged("gap", self.epoch)
+        try:
+            self.state.apply(from_wire(message.record))
+        except InvariantError:
+            return Acknowledged("invalid", self.epoch)
+        return Acknowledged("ok", self.epoch)
+
+    def promise(self, epoch: int, promise_ms: float) -> str:
+        """Promise not to take over for `promise_ms`; return how it went."""
+        if epoch < self.epoch:
+            return "stale"
+        if not self.complete:
+            return "not-holding"
+        now_ms = self.clock.now_ms()
+        self.epoch = epoch
+        self.heard_ms = now_ms
+        self.promised_until_ms = max(self.promised_until_ms, now_ms + promise_ms)
+        return "ok"
+
+    def silent_for_ms(self) -> float:
+        """Return how long the owner has not been heard."""
+        return self.clock.now_ms() - self.heard_ms
--- /dev/null
+++ b/celerypulley/hosts/shards.py
@@ -0,0 +1,231 @@
+"""The shards of one host: those that it owns and those that it replicates."""
+
+from mode import Service
+
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import CallRefusedError, ErrorKind
+from celerypulley.failure_domains.member import Member
+from celerypulley.failure_domains.owner_table import ShardEntry
+from celerypulley.failure_domains.placement import is_local
+from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.platform_view import PlatformView
+from celerypulley.hosts.shard_owner import ShardOwner
+from celerypulley.hosts.shard_replica import ShardReplica
+from celerypulley.links.peer_messages import (
+    Acknowledged,
+    Install,
+    RenewPromises,
+    Replicate,
+)
+from celerypulley.programs.identifier import ShardId
+from celerypulley.programs.shard import ShardState
+from celerypulley.settings import Settings
+
+__all__ = ["Shards"]
+
+_log = DecisionLog("shard")
+
+
+class Shards(Service):
+    """Follow the owner table and answer for the shards that it gives this host."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        me: Member,
+        view: PlatformView,
+        peers: Peers,
+        clock: Clock,
+    ) -> None:
+        """Hold nothing until the owner table names this host."""
+        super().__init__()
+        self.settings = settings
+        self.me = me
+        self.view = view
+        self.peers = peers
+        self.clock = clock
+        self.owned: dict[ShardId, ShardOwner] = {}
+        self.replicas: dict[ShardId, ShardReplica] = {}
+        self.returning: dict[ShardId, ShardState] = {}
+
+    def owner_of(self, shard: ShardId) -> str | None:
+        """Return the member that owns a shard, None where nobody does."""
+        entry = self.view.entries.get(shard)
+        return entry.owner if entry else None
+
+    def require_owned(self, shard: ShardId) -> ShardOwner:
+        """Return a shard that this host owns; raise CallRefusedError."""
+        owner = self.owned.get(shard)
+        if owner is None or owner.superseded:
+            raise CallRefusedError.of(
+                ErrorKind.OWNER_UNREACHABLE, f"this host does not own shard {shard}"
+            )
+        return owner
+
+    def shard_for_new_program(self) -> ShardOwner | None:
+        """Return the owned shard with the fewest programs that can commit now.
+
+        Local shards, whose copies share this failure domain, come last.
+        """
+        best = None
+        best_rank = (True, 0)
+        for shard, owner in self.owned.items():
+            if not owner.holds_promise():
+                continue
+            if owner.replica_failing_since_ms is not None:
+                continue
+            local = is_local(shard, self.settings.shards_per_domain)
+            rank = (local, len(owner.state.programs))
+            if best is None or rank < best_rank:
+                best = owner
+                best_rank = rank
+        return best
+
+    def take_part(self, message: Install, sender: str) -> Acknowledged:
+        """Take a part of a copy from an owner."""
+        shard = ShardId.parse(message.shard)
+        owned = self.owned.get(shard)
+        if owned is not None and not owned.superseded:
+            if owned.entry.epoch >= message.epoch:
+                return Acknowledged("stale", owned.entry.epoch)
+            owned.supersede("a newer owner sends a copy")
+        replica = self.replicas.get(shard)
+        if replica is None:
+            replica = ShardReplica(shard, self.clock)
+            self.replicas[shard] = replica
+        replica.owner = sender
+        return replica.take_part(message)
+
+    def take_record(self, message: Replicate, sender: str) -> Acknowledged:
+        """Apply a record of an owner."""
+        shard = ShardId.parse(message.shard)
+        owned = self.owned.get(shard)
+        if owned is not None:
+            return Acknowledged("stale", owned.entry.epoch)
+        replica = self.replicas.get(shard)
+        if replica is None:
+            return Acknowledged("not-holding", 0)
+        replica.owner = sender
+        return replica.take_record(message)
+
+    def take_promises(self, message: RenewPromises) -> list[str]:
+        """Return for each asked shard whether the promise is given."""
+        states = []
+        for name, epoch in message.items:
+            shard = ShardId.parse(name)
+            replica = self.replicas.get(shard)
+            if shard in self.owned:
+                states.append("stale")
+                continue
+            if replica is None:
+                states.append("not-holding")
+                continue
+            states.append(replica.promise(epoch, message.promise_ms))
+        return states
+
+    @Service.task
+    async def _follow_owner_table(self) -> None:
+        while not self.should_stop:
+            for shard, entry in list(self.view.entries.items()):
+                self.adopt(shard, entry)
+            await self.view.wait_for_change(timeout_ms=1_000)
+
+    def adopt(
+        self, shard: ShardId, entry: ShardEntry, taken_over: bool = False
+    ) -> None:
+        """Bring this host's role in a shard in line with its entry.
+
+        A shard that is not `taken_over` was handed over: its former owner may
+        still finish turns that it began.
+        """
+        owned = self.owned.get(shard)
+        if entry.owner == self.me.name:
+            self._become_or_stay_owner(shard, entry, owned, taken_over)
+            return
+        if owned is not None:
+            self._stop_owning(shard, entry, owned)
+        if entry.replica == self.me.name:
+            return
+        replica = self.replicas.get(shard)
+        if replica is None or entry.epoch < replica.epoch:
+            return
+        if replica.silent_for_ms() > self.settings.lease_ttl_ms:
+            del self.replicas[shard]
+
+    def _become_or_stay_owner(
+        self,
+        shard: ShardId,
+        entry: ShardEntry,
+        owned: ShardOwner | None,
+        taken_over: bool,
+    ) -> None:
+        if owned is not None and not owned.superseded:
+            if entry.revision > owned.entry.revision:
+                owned.set_entry(entry)
+            return
+        if owned is not None and entry.epoch <= owned.entry.epoch:
+            return
+        replica = self.replicas.get(shard)
+        former_owner = "" if taken_over or replica is None else replica.owner
+        state = self._state_for(shard, entry)
+        if state is None:
+            return
+        self.owned[shard] = ShardOwner(
+            state, entry, self.peers, self.clock, self.settings.commit_timeout_ms
+        )
+        self.owned[shard].former_owner = former_owner
+        _log.write(
+            "own shard",
+            "the owner table names this host",
+            shard=shard,
+            epoch=entry.epoch,
+            programs=len(state.programs),
+        )
+
+    def _state_for(self, shard: ShardId, entry: ShardEntry) -> ShardState | None:
+        replica = self.replicas.get(shard)
+        begins_empty = entry.epoch == 1 or entry.lost_epoch == entry.epoch
+        if begins_empty:
+            self.replicas.pop(shard, None)
+            return ShardState(shard)
+        if replica is None or not replica.complete:
+            _log.write("cannot own", "no complete copy is here", shard=shard)
+            return None
+        del self.replicas[shard]
+        return replica.state
+
+    def _stop_owning(
+        self, shard: ShardId, entry: ShardEntry, owned: ShardOwner
+    ) -> None:
+        owned.supersede(f"the owner table names {entry.owner}")
+        del self.owned[shard]
+        if entry.lost_epoch > owned.entry.epoch:
+            self.returning[shard] = owned.state
+            return
+        if entry.replica == self.me.name:
+            self._keep_as_replica(shard, entry, owned)
+
+    def _keep_as_replica(
+        self, shard: ShardId, entry: ShardEntry, owned: ShardOwner
+    ) -> None:
+        if shard in self.replicas:
+            return
+        replica = ShardReplica(shard, self.clock)
+        replica.state = owned.state
+        replica.epoch = entry.epoch
+        replica.complete = True
+        self.replicas[shard] = replica
+
+    def report(self) -> dict:
+        """Return counts for `status` and metrics."""
+        owned = self.owned.values()
+        return {
+            "owned": len(self.owned),
+            "promised": sum(owner.holds_promise() for owner in owned),
+            "replicated": len(self.replicas),
+            "programs": sum(len(owner.state.programs) for owner in owned),
+            "history_bytes": sum(owner.state.history_bytes for owner in owned),
+            "calls": sum(len(owner.state.calls) for owner in owned),
+            "epochs": {str(key): each.entry.epoch for key, each in self.owned.items()},
+        }
--- /dev/null
+++ b/celerypulley/hosts/sweeper.py
@@ -0,0 +1,183 @@
+"""The end of what nobody needs: idle programs, old records, engines' memory."""
+
+from mode import Service
+
+from celerypulley.backend_servers.engine_state import EngineState
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import CallRefusedError
+from celerypulley.failure_domains.placement import rendezvous
+from celerypulley.hosts.backend_servers import BackendServers
+from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.program_locks import ProgramLocks
+from celerypulley.hosts.shard_owner import ShardOwner
+from celerypulley.hosts.shards import Shards
+from celerypulley.links.backend_link import BackendError, BackendLink
+from celerypulley.links.peer_link import LinkError
+from celerypulley.links.peer_messages import AskPrograms, LivePrograms
+from celerypulley.programs.identifier import ProgramId
+from celerypulley.programs.program import CallState, Program
+from celerypulley.programs.records import (
+    CallForgotten,
+    ProgramClosed,
+    ProgramForgotten,
+)
+
+__all__ = ["Sweeper"]
+
+_PERIOD_S = 5.0
+_CLOSED_KEPT_MS = 600_000
+_ASK_TIMEOUT_MS = 2_000.0
+_READ_TIMEOUT_S = 2.0
+_log = DecisionLog("sweeper")
+
+
+class Sweeper(Service):
+    """Close idle programs, forget old records, release what engines still hold.
+
+    Each engine is swept by one host of its failure domain: it reads which
+    programs the engine holds, asks their owners, and releases the others.
+    """
+
+    def __init__(
+        self,
+        shards: Shards,
+        peers: Peers,
+        servers: BackendServers,
+        link: BackendLink,
+        configuration: ConfigurationFollower,
+        locks: ProgramLocks,
+        clock: Clock,
+    ) -> None:
+        """Sweep the shards of this host and the engines that fall to it."""
+        super().__init__()
+        self.shards = shards
+        self.peers = peers
+        self.servers = servers
+        self.link = link
+        self.configuration = configuration
+        self.locks = locks
+        self.clock = clock
+        self.released_programs = 0
+
+    def live_programs(self, names: list) -> list[str]:
+        """Return those programs that are open here, or whose state is not known."""
+        live = []
+        for text in names:
+            try:
+                name = ProgramId.parse(str(text))
+            except ValueError:
+                continue
+            owner = self.shards.owned.get(name.shard)
+            if owner is None or not owner.holds_promise():
+                live.append(text)
+                continue
+            program = owner.state.programs.get(text)
+            if program is not None and program.closed_ms is None:
+                live.append(text)
+        return live
+
+    @Service.task
+    async def _sweep(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_PERIOD_S)
+            for owner in list(self.shards.owned.values()):
+                if not owner.holds_promise():
+                    continue
+                try:
+                    await self._sweep_shard(owner)
+                except CallRefusedError as error:
+                    _log.write("shard not swept", str(error), shard=owner.shard)
+            for engine in list(self.servers.engines.values()):
+                if self._is_mine(engine):
+                    await self._sweep_engine(engine)
+
+    async def _sweep_shard(self, owner: ShardOwner) -> None:
+        now_ms = self.clock.wall_ms()
+        for program in list(owner.state.programs.values()):
+            if self.locks.is_held(program.program):
+                continue
+            await self._sweep_program(owner, program, now_ms)
+        for call in list(owner.state.calls.values()):
+            if call.state == CallState.BEGUN and self.locks.is_held(call.call):
+                continue
+            if now_ms - call.begun_ms > self._retention_ms():
+                await owner.commit(CallForgotten(call.call))
+
+    async def _sweep_program(
+        self, owner: ShardOwner, program: Program, now_ms: int
+    ) -> None:
+        if program.closed_ms is not None:
+            if now_ms - program.closed_ms > _CLOSED_KEPT_MS:
+                await owner.commit(ProgramForgotten(program.program))
+            return
+        configuration = self.configuration.current
+        if configuration is None:
+            return
+        idle_ms = configuration.limits(program.organisation).program_idle_s * 1000
+        if now_ms - program.used_ms > idle_ms:
+            await owner.commit(ProgramClosed(program.program, now_ms))
+            _log.write(f"closed {program.program}", f"idle for {idle_ms / 1000:.0f} s")
+
+    def _retention_ms(self) -> float:
+        configuration = self.configuration.current
+        if configuration is None:
+            return float("inf")
+        return configuration.declaration.defaults.call_retention_s * 1000
+
+    def _is_mine(self, engine: EngineState) -> bool:
+        members = self.shards.view.members.values()
+        names = [each.name for each in members if each.domain == engine.domain]
+        return rendezvous(engine.name, names) == self.shards.me.name
+
+    async def _sweep_engine(self, engine: EngineState) -> None:
+        try:
+            held = await self.link.read_json(
+                engine.address, "/sessions", _READ_TIMEOUT_S
+            )
+            gone = await self._gone_programs(list(held))
+            for name, fence in gone.items():
+                await self.release(engine, name, fence)
+        except BackendError as error:
+            _log.write("engine not swept", str(error), server=engine.name)
+
+    async def _gone_programs(self, names: list[str]) -> dict[str, int]:
+        by_owner: dict[str, list[str]] = {}
+        gone: dict[str, int] = {}
+        for text in names:
+            try:
+                name = ProgramId.parse(text)
+            except ValueError:
+                continue
+            owner = self.shards.owner_of(name.shard)
+            if owner is not None:
+                by_owner.setdefault(owner, []).append(text)
+        for owner, asked in by_owner.items():
+            live = await self._ask(owner, asked)
+            if live is None:
+                continue
+            for text in set(asked) - live:
+                shard = ProgramId.parse(text).shard
+                gone[text] = self.shards.view.entries[shard].epoch
+        return gone
+
+    async def _ask(self, owner: str, names: list[str]) -> set[str] | None:
+        if owner == self.shards.me.name:
+            return set(self.live_programs(names))
+        try:
+            reply = await self.peers.request(owner, AskPrograms(names), _ASK_TIMEOUT_MS)
+        except LinkError:
+            return None
+        if not isinstance(reply, LivePrograms):
+            return None
+        return set(reply.programs)
+
+    async def release(self, engine: EngineState, program: str, fence: int) -> None:
+        """Order an engine to drop a program's cache; raise BackendError."""
+        body = {"session_id": program, "fence": fence}
+        status = await self.link.order(engine.address, "/release", body)
+        if status == 200:
+            self.released_programs += 1
+            engine.cached.pop(program, None)
+            _log.write(f"released {program}", "no open program", server=engine.name)
--- /dev/null
+++ b/celerypulley/links/answer_sink.py
@@ -0,0 +1,19 @@
+"""Where an answer goes, whoever carries it."""
+
+from typing import Protocol
+
+__all__ = ["AnswerSink", "CallerGoneError"]
+
+
+class CallerGoneError(Exception):
+    """The caller does not read its answer any more."""
+
+
+class AnswerSink(Protocol):
+    """The way back to a caller, over HTTP or a peer link."""
+
+    async def head(self, status: int, headers: dict[str, str]) -> None:
+        """Send status and headers; raise CallerGoneError."""
+
+    async def chunk(self, data: bytes) -> None:
+        """Send a part of the body; raise CallerGoneError."""
--- /dev/null
+++ b/celerypulley/links/backend_link.py
@@ -0,0 +1,126 @@
+"""The link to backend servers: requests built from nothing, streamed answers."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import attrs
+import orjson
+
+__all__ = ["BackendError", "BackendLink", "PlainAnswer"]
+
+_CONNECT_TIMEOUT_S = 1.0
+
+
+class BackendError(Exception):
+    """A backend server gave no whole answer.
+
+    `sent` is False only where certainly no byte reached the server. `status`
+    is the server's own error status, None where the connection failed.
+    """
+
+    def __init__(self, detail: str, sent: bool, status: int | None = None) -> None:
+        """Keep what happened."""
+        super().__init__(detail)
+        self.sent = sent
+        self.status = status
+
+
+@attrs.frozen
+class PlainAnswer:
+    """A plain service's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class BackendLink:
+    """Calls to engines and plain services.
+
+    No header of a caller is passed on: each call's headers are built here.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, fresh_session: aiohttp.ClientSession
+    ) -> None:
+        """Use `session` for engines; `fresh_session` opens a connection a call."""
+        self.session = session
+        self.fresh_session = fresh_session
+
+    async def stream_chat(
+        self, address: str, body: bytes, request_id: str, idle_timeout_s: float
+    ) -> AsyncIterator[bytes]:
+        """Yield the bytes of a streamed chat completion; raise BackendError."""
+        headers = {"Content-Type": "application/json", "X-Request-Id": request_id}
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=_CONNECT_TIMEOUT_S, sock_read=idle_timeout_s
+        )
+        url = f"http://{address}/v1/chat/completions"
+        try:
+            async with self.session.post(
+                url, data=body, headers=headers, timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    text = (await response.text())[:200]
+                    raise BackendError(text, sent=True, status=response.status)
+                async for data in response.content.iter_any():
+                    yield data
+        except aiohttp.ClientConnectorError as error:
+            raise BackendError(repr(error), sent=False) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise BackendError(repr(error), sent=True) from error
+
+    async def call_plain(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        content_type: str,
+        request_id: str,
+        timeout_s: float,
+    ) -> PlainAnswer:
+        """Send one call over a connection of its own; raise BackendError."""
+        headers = {"X-Request-Id": request_id}
+        if content_type:
+            headers["Content-Type"] = content_type
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self.fresh_session.post(
+                f"http://{address}{path}", data=body, headers=headers, timeout=timeout
+            ) as response:
+                answer = await response.read()
+                return PlainAnswer(
+                    response.status, response.headers.get("Content-Type", ""), answer
+                )
+        except aiohttp.ClientConnectorError as error:
+            raise BackendError(repr(error), sent=False) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise BackendError(repr(error), sent=True) from error
+
+    async def read_json(self, address: str, path: str, timeout_s: float) -> dict | list:
+        """Return a report of a server; raise BackendError."""
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self.session.get(
+                f"http://{address}{path}", timeout=timeout
+            ) as response:
+                raw = await response.read()
+                if response.status != 200:
+                    raise BackendError(f"{path} answered {response.status}", True)
+                return orjson.loads(raw)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise BackendError(repr(error), sent=True) from error
+
+    async def order(self, address: str, path: str, body: dict) -> int:
+        """Give a server an order; return its status; raise BackendError."""
+        timeout = aiohttp.ClientTimeout(total=2.0)
+        try:
+            async with self.session.post(
+                f"http://{address}{path}", json=body, timeout=timeout
+            ) as response:
+                await response.read()
+                return response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise BackendError(repr(error), sent=True) from error
--- /dev/null
+++ b/celerypulley/links/caller_server.py
@@ -0,0 +1,338 @@
+"""The HTTP server for callers: one task for each connection, by aiohttp."""
+
+import asyncio
+import secrets
+import ssl
+from collections.abc import Awaitable, Callable
+
+import orjson
+from aiohttp import web
+from mode import Service
+
+from celerypulley.clock import Clock
+from celerypulley.contracts.effective import Configuration
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import ANSWERS, CallRefusedError, ErrorKind, Refusal
+from celerypulley.hosts.entry import Caller, Entry
+from celerypulley.hosts.metrics import HostMetrics
+from celerypulley.hosts.turn_runner import require_configuration
+from celerypulley.links.answer_sink import CallerGoneError
+from celerypulley.links.peer_messages import OpenProgram, RunCall, RunTurn
+from celerypulley.settings import Address
+
+__all__ = ["CallerServer", "error_response"]
+
+_PROGRAM = "X-Celerypulley-Program"
+_TURN = "X-Celerypulley-Turn"
+_RECEIPT = "X-Celerypulley-Receipt"
+_PARENT = "X-Celerypulley-Parent"
+_BUDGET = "X-Celerypulley-Budget-Tokens"
+_IDEMPOTENCY_KEY = "Idempotency-Key"
+_MAX_HEADER_CHARS = 200
+_SHUTDOWN_POLL_S = 0.1
+_log = DecisionLog("caller")
+
+
+class HttpSink:
+    """The way back to one HTTP caller."""
+
+    def __init__(self, request: web.Request, request_id: str) -> None:
+        """Answer `request`."""
+        self.request = request
+        self.request_id = request_id
+        self.response: web.StreamResponse | None = None
+
+    async def head(self, status: int, headers: dict[str, str]) -> None:
+        """Send status and headers."""
+        named = {**headers, "X-Request-Id": self.request_id}
+        self.response = web.StreamResponse(status=status, headers=named)
+        try:
+            await self.response.prepare(self.request)
+        except OSError as error:
+            raise CallerGoneError(str(error)) from None
+
+    async def chunk(self, data: bytes) -> None:
+        """Send a part of the body."""
+        assert self.response is not None, "a chunk came before its head"
+        if not data:
+            return
+        try:
+            await self.response.write(data)
+        except OSError as error:
+            raise CallerGoneError(str(error)) from None
+
+
+class CallerServer(Service):
+    """Serve callers on one address."""
+
+    def __init__(
+        self,
+        address: Address,
+        entry: Entry,
+        metrics: HostMetrics,
+        clock: Clock,
+        body_limit_bytes: int,
+        shutdown_ms: int,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Hand checked requests to `entry`."""
+        super().__init__()
+        self.address = address
+        self.entry = entry
+        self.metrics = metrics
+        self.clock = clock
+        self.body_limit_bytes = body_limit_bytes
+        self.shutdown_ms = shutdown_ms
+        self.tls = tls
+        self.draining = False
+        self.active: dict[asyncio.Task, Caller | None] = {}
+        self._runner: web.AppRunner | None = None
+
+    async def on_start(self) -> None:
+        """Open the listening socket."""
+        app = web.Application(client_max_size=self.body_limit_bytes)
+        app.router.add_post("/v1/chat/completions", self._wrap(self._chat))
+        app.router.add_get("/v1/models", self._wrap(self._models))
+        app.router.add_post("/v1/programs", self._wrap(self._open))
+        app.router.add_get("/v1/programs/{program}", self._wrap(self._read))
+        app.router.add_delete("/v1/programs/{program}", self._wrap(self._close))
+        app.router.add_route("*", "/{tail:.*}", self._wrap(self._plain))
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner,
+            self.address.ip,
+            self.address.port,
+            ssl_context=self.tls,
+            reuse_address=True,
+        )
+        await site.start()
+
+    async def on_stop(self) -> None:
+        """Close the socket; `drain` has let requests end before."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def drain(self) -> None:
+        """Refuse new requests and wait until those under way have ended."""
+        self.draining = True
+        deadline_ms = self.clock.now_ms() + self.shutdown_ms
+        while self.active and self.clock.now_ms() < deadline_ms:
+            await asyncio.sleep(_SHUTDOWN_POLL_S)
+
+    def drop_withdrawn(self, configuration: Configuration) -> None:
+        """End the requests whose key has been withdrawn."""
+        for task, caller in list(self.active.items()):
+            if caller is None or configuration.keys.key_in_force(caller.key_id):
+                continue
+            _log.write("request ended", "its key was withdrawn", key_id=caller.key_id)
+            task.cancel()
+
+    def _wrap(
+        self, handle: Callable[[web.Request, Caller, HttpSink], Awaitable[None]]
+    ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+        async def handler(request: web.Request) -> web.StreamResponse:
+            return await self._answer(request, handle)
+
+        return handler
+
+    async def _answer(
+        self,
+        request: web.Request,
+        handle: Callable[[web.Request, Caller, HttpSink], Awaitable[None]],
+    ) -> web.StreamResponse:
+        begun_ms = self.clock.now_ms()
+        sink = HttpSink(request, secrets.token_hex(8))
+        task = asyncio.current_task()
+        assert task is not None, "a handler runs in a task"
+        self.active[task] = None
+        try:
+            refusal = await self._run(request, handle, sink, task)
+        finally:
+            del self.active[task]
+        self.metrics.note_request(self.clock.now_ms() - begun_ms, refusal)
+        if refusal is None and sink.response is not None:
+            await _end(sink.response)
+            return sink.response
+        if refusal is None:
+            refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, "the answer is missing")
+        if sink.response is None:
+            return error_response(refusal, sink.request_id, self.draining)
+        _log.write("answer cut", refusal.detail, kind=refusal.kind.value)
+        if request.transport is not None:
+            request.transport.abort()
+        return sink.response
+
+    async def _run(
+        self,
+        request: web.Request,
+        handle: Callable[[web.Request, Caller, HttpSink], Awaitable[None]],
+        sink: HttpSink,
+        task: asyncio.Task,
+    ) -> Refusal | None:
+        try:
+            if self.draining:
+                raise CallRefusedError.of(
+                    ErrorKind.SHUTTING_DOWN, "this host takes no new requests"
+                )
+            caller = self.entry.authenticate(_key(request))
+            self.active[task] = caller
+            await handle(request, caller, sink)
+        except CallRefusedError as error:
+            return error.refusal
+        except web.HTTPRequestEntityTooLarge:
+            detail = f"the body is above {self.body_limit_bytes} bytes"
+            return Refusal(ErrorKind.BODY_TOO_LARGE, detail)
+        except CallerGoneError as error:
+            return Refusal(ErrorKind.OUTCOME_UNKNOWN, str(error))
+        except asyncio.CancelledError:
+            return self._cancelled(task)
+        return None
+
+    def _cancelled(self, task: asyncio.Task) -> Refusal:
+        caller = self.active.get(task)
+        keys = require_configuration(self.entry.configuration).keys
+        if caller is not None and not keys.key_in_force(caller.key_id):
+            return Refusal(ErrorKind.KEY_REFUSED, "the key was withdrawn")
+        raise asyncio.CancelledError
+
+    async def _chat(self, request: web.Request, caller: Caller, sink: HttpSink) -> None:
+        program = _header(request, _PROGRAM)
+        message = RunTurn(
+            program=program,
+            organisation=caller.organisation,
+            turn=_whole_number(request, _TURN),
+            receipt=_header(request, _RECEIPT),
+            stream=False,
+            body=await request.read(),
+            request_id=sink.request_id,
+        )
+        await self.entry.chat(caller, message, sink)
+
+    async def _open(self, request: web.Request, caller: Caller, sink: HttpSink) -> None:
+        budget = _whole_number(request, _BUDGET)
+        if budget is not None and budget < 1:
+            raise CallRefusedError.of(
+                ErrorKind.BAD_REQUEST, f"{_BUDGET} is {budget}; it must be above 0"
+            )
+        parent = _header(request, _PARENT)
+        message = OpenProgram(caller.organisation, budget or 0, parent)
+        report = await self.entry.open_program(caller, message)
+        await _send_json(sink, 201, report)
+
+    async def _read(self, request: web.Request, caller: Caller, sink: HttpSink) -> None:
+        program = request.match_info["program"]
+        await _send_json(sink, 200, await self.entry.read_program(caller, program))
+
+    async def _close(
+        self, request: web.Request, caller: Caller, sink: HttpSink
+    ) -> None:
+        program = request.match_info["program"]
+        await _send_json(sink, 200, await self.entry.close_program(caller, program))
+
+    async def _models(
+        self, _request: web.Request, _caller: Caller, sink: HttpSink
+    ) -> None:
+        configuration = require_configuration(self.entry.configuration)
+        models = [
+            {"id": model, "object": "model", "created": 0, "owned_by": route.name}
+            for route in configuration.routes.values()
+            for model in route.models
+        ]
+        await _send_json(sink, 200, orjson.dumps({"object": "list", "data": models}))
+
+    async def _plain(
+        self, request: web.Request, caller: Caller, sink: HttpSink
+    ) -> None:
+        configuration = require_configuration(self.entry.configuration)
+        route = configuration.route_of_path(request.path)
+        if route is None or request.method != "POST":
+            raise CallRefusedError.of(
+                ErrorKind.UNKNOWN_ROUTE,
+                f"no route serves {request.method} {request.path[:100]}",
+            )
+        message = RunCall(
+            shard="",
+            call="",
+            organisation=caller.organisation,
+            route=route.name,
+            program=_header(request, _PROGRAM),
+            path=request.path,
+            content_type=_header(request, "Content-Type"),
+            body=await request.read(),
+            request_id=sink.request_id,
+        )
+        key = _header(request, _IDEMPOTENCY_KEY)
+        await self.entry.call_plain(caller, route, key, message, sink)
+
+
+def error_response(
+    refusal: Refusal, request_id: str, closing: bool = False
+) -> web.Response:
+    """Return the HTTP answer of a refusal."""
+    headers = {
+        "X-Request-Id": request_id,
+        "X-Celerypulley-Run": refusal.run.value,
+        "X-Celerypulley-Error": refusal.kind.value,
+    }
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(refusal.retry_after_s)
+    if closing:
+        headers["Connection"] = "close"
+    error = {
+        "type": refusal.kind.value,
+        "code": refusal.kind.value,
+        "message": refusal.detail,
+        "run": refusal.run.value,
+        "request_id": request_id,
+    }
+    return web.Response(
+        status=ANSWERS[refusal.kind].status,
+        body=orjson.dumps({"error": error}),
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+async def _end(response: web.StreamResponse) -> None:
+    try:
+        await response.write_eof()
+    except OSError as error:
+        _log.write("answer not ended", str(error))
+
+
+async def _send_json(sink: HttpSink, status: int, body: bytes) -> None:
+    await sink.head(status, {"Content-Type": "application/json"})
+    await sink.chunk(body)
+
+
+def _key(request: web.Request) -> str:
+    scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        raise CallRefusedError.of(
+            ErrorKind.KEY_REFUSED, "no key came in the Authorization header"
+        )
+    return key.strip()
+
+
+def _header(request: web.Request, name: str) -> str:
+    values = request.headers.getall(name, [])
+    if len(values) > 1:
+        raise CallRefusedError.of(ErrorKind.BAD_REQUEST, f"{name} came twice")
+    value = values[0] if values else ""
+    if len(value) > _MAX_HEADER_CHARS:
+        raise CallRefusedError.of(
+            ErrorKind.BAD_REQUEST, f"{name} is above {_MAX_HEADER_CHARS} characters"
+        )
+    return value
+
+
+def _whole_number(request: web.Request, name: str) -> int | None:
+    value = _header(request, name)
+    if not value:
+        return None
+    if not (value.isascii() and value.isdigit()):
+        raise CallRefusedError.of(
+            ErrorKind.BAD_REQUEST, f"{name} is {value!r}, not a whole number"
+        )
+    return int(value)
--- /dev/null
+++ b/celerypulley/links/frame_stream.py
@@ -0,0 +1,85 @@
+"""A TCP stream of msgpack frames, with cuts and delays for tests."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import attrs
+import msgpack
+
+from celerypulley.links.codec import CodecError, decode, encode
+from celerypulley.links.cuts import CutTable
+
+__all__ = ["FrameStream", "LinkConditions"]
+
+_READ_BYTES = 256 * 1024
+_MAX_FRAME_BYTES = 64 * 1024 * 1024
+
+
+@attrs.frozen
+class LinkConditions:
+    """What a host's links suffer: cuts, and a delay in ms before delivery."""
+
+    cuts: CutTable
+    delay_ms: float = 0.0
+
+
+class FrameStream:
+    """Frames in both directions over one connection.
+
+    A frame to or from a peer that is cut off vanishes, as it would in a
+    network that drops it.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        conditions: LinkConditions,
+    ) -> None:
+        """Use an open connection; the peer's names are set by the handshake."""
+        self.reader = reader
+        self.writer = writer
+        self.conditions = conditions
+        self.peer_member = ""
+        self.peer_names: tuple[str, ...] = ()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_FRAME_BYTES)
+
+    def send(self, stream_id: int, item: object) -> None:
+        """Queue a frame; `drain` waits until the connection keeps up."""
+        if self.conditions.cuts.is_cut(*self.peer_names):
+            return
+        frame = encode(stream_id, item)
+        self.sent_bytes += len(frame)
+        self.writer.write(frame)
+
+    async def drain(self) -> None:
+        """Wait until the connection keeps up with what was sent."""
+        await self.writer.drain()
+
+    async def frames(self) -> AsyncIterator[tuple[int, object]]:
+        """Yield frames until the connection ends; raise CodecError on rubbish."""
+        delay_s = self.conditions.delay_ms / 1000
+        while True:
+            data = await self.reader.read(_READ_BYTES)
+            if not data:
+                return
+            self.received_bytes += len(data)
+            if delay_s:
+                await asyncio.sleep(delay_s)
+            for frame in self._unpack(data):
+                if self.conditions.cuts.is_cut(*self.peer_names):
+                    continue
+                yield decode(frame)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.writer.close()
+
+    def _unpack(self, data: bytes) -> list:
+        self._unpacker.feed(data)
+        try:
+            return list(self._unpacker)
+        except (msgpack.UnpackException, ValueError) as error:
+            raise CodecError(f"not msgpack: {error}") from error
--- /dev/null
+++ b/celerypulley/links/peer_server.py
@@ -0,0 +1,153 @@
+"""The listening side of peer links: one task for each connection."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from mode import Service
+
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
+from celerypulley.links.codec import CodecError
+from celerypulley.links.frame_stream import FrameStream, LinkConditions
+from celerypulley.links.peer_auth import (
+    PeerRefusedError,
+    make_nonce,
+    proof_of,
+    verify_proof,
+)
+from celerypulley.links.peer_link import PeerIdentity
+from celerypulley.links.peer_messages import Cancel, Challenge, Hello, Refused, Welcome
+from celerypulley.settings import Address
+
+__all__ = ["PeerCall", "PeerServer", "refused_message"]
+
+_GREETING_TIMEOUT_S = 2.0
+_log = DecisionLog("peer-server")
+
+
+class PeerCall:
+    """One request of a peer and the way back for its replies."""
+
+    def __init__(self, stream: FrameStream, number: int, message: object) -> None:
+        """Answer `message` under its stream number."""
+        self.stream = stream
+        self.number = number
+        self.message = message
+        self.peer = stream.peer_member
+
+    async def reply(self, item: object) -> None:
+        """Send one reply; raise OSError where the peer has gone."""
+        self.stream.send(self.number, item)
+        await self.stream.drain()
+
+
+def refused_message(refusal: Refusal) -> Refused:
+    """Return a refusal as a message."""
+    return Refused(
+        refusal.kind.value, refusal.detail, refusal.run.value, refusal.retry_after_s
+    )
+
+
+class PeerServer(Service):
+    """Accept peers that know the secret and hand their requests on."""
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        address: Address,
+        conditions: LinkConditions,
+        handle: Callable[[PeerCall], Awaitable[None]],
+    ) -> None:
+        """Listen on `address`; `handle` answers each request."""
+        super().__init__()
+        self.identity = identity
+        self.address = address
+        self.conditions = conditions
+        self.handle = handle
+        self.received_bytes = 0
+        self.sent_bytes = 0
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def on_start(self) -> None:
+        """Open the listening socket."""
+        self._server = await asyncio.start_server(
+            self._serve, self.address.ip, self.address.port, limit=1024 * 1024
+        )
+
+    async def on_stop(self) -> None:
+        """Close the socket and end the tasks of every connection."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        stream = FrameStream(reader, writer, self.conditions)
+        calls: dict[int, asyncio.Task] = {}
+        frames = stream.frames()
+        try:
+            await asyncio.wait_for(self._greet(stream, frames), _GREETING_TIMEOUT_S)
+            async for number, message in frames:
+                if isinstance(message, Cancel):
+                    self._cancel(calls, number)
+                    continue
+                self._spawn(calls, PeerCall(stream, number, message))
+        except (OSError, TimeoutError, CodecError, PeerRefusedError) as error:
+            _log.write("peer refused", repr(error), peer=stream.peer_names or "-")
+        except StopAsyncIteration:
+            _log.write("peer left", "it closed before its greeting")
+        finally:
+            self.received_bytes += stream.received_bytes
+            self.sent_bytes += stream.sent_bytes
+            stream.close()
+            for number in list(calls):
+                self._cancel(calls, number)
+
+    def _spawn(self, calls: dict[int, asyncio.Task], call: PeerCall) -> None:
+        task = asyncio.create_task(self._answer(call))
+        calls[call.number] = task
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: calls.pop(call.number, None))
+
+    @staticmethod
+    def _cancel(calls: dict[int, asyncio.Task], number: int) -> None:
+        task = calls.pop(number, None)
+        if task is not None:
+            task.cancel()
+
+    async def _answer(self, call: PeerCall) -> None:
+        try:
+            await self.handle(call)
+        except CallRefusedError as error:
+            await self._reply_refused(call, error.refusal)
+        except OSError as error:
+            _log.write("reply lost", repr(error), peer=call.peer)
+        except Exception as error:
+            self.log.exception("peer request failed: %r", error)
+            detail = f"the peer failed: {type(error).__name__}"
+            refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, detail)
+            await self._reply_refused(call, refusal)
+
+    async def _reply_refused(self, call: PeerCall, refusal: Refusal) -> None:
+        try:
+            await call.reply(refused_message(refusal))
+        except OSError as error:
+            _log.write("reply lost", repr(error), peer=call.peer)
+
+    async def _greet(self, stream: FrameStream, frames: AsyncIterator) -> None:
+        me = self.identity
+        nonce = make_nonce()
+        stream.send(0, Challenge(nonce))
+        _, hello = await anext(frames)
+        if not isinstance(hello, Hello):
+            raise PeerRefusedError("the peer did not greet")
+        expected = proof_of(me.secret, "hello", hello.member, hello.domain, nonce)
+        verify_proof(expected, hello.proof)
+        proof = proof_of(me.secret, "welcome", me.member, me.domain, hello.nonce)
+        stream.send(0, Welcome(me.member, me.domain, proof))
+        stream.peer_member = hello.member
+        stream.peer_names = (hello.member.partition("+")[0], hello.domain)
--- a/celerypulley/links/platform.py
+++ b/celerypulley/links/platform.py
@@ -16,9 +16,9 @@
 __all__ = [
     "KeyValue",
     "PlatformLink",
-    "PlatformUnavailable",
+    "PlatformUnavailableError",
     "Snapshot",
-    "WatchCompacted",
+    "WatchCompactedError",
     "prefix_end",
 ]
 
@@ -27,11 +27,11 @@
 _PLATFORM = "platform"
 
 
-class PlatformUnavailable(Exception):
+class PlatformUnavailableError(Exception):
     """The service gave no answer; a write may have taken effect."""
 
 
-class WatchCompacted(Exception):
+class WatchCompactedError(Exception):
     """The watch fell behind; the reader takes a new snapshot."""
 
 
@@ -74,7 +74,7 @@
 class PlatformLink:
     """Calls to the key-value service.
 
-    Every method raises PlatformUnavailable when no answer came.
+    Every method raises PlatformUnavailableError when no answer came.
     """
 
     def __init__(
@@ -104,7 +104,7 @@
     ) -> bool:
         """Write where `key` is still at `revision` (0: does not exist).
 
-        Return whether the write took effect. After PlatformUnavailable the
+        Return whether the write took effect. After PlatformUnavailableError the
         caller reads the key back, since the write may have taken effect.
         """
         put = {"key": _encode(key), "value": _encode(value)}
@@ -155,16 +155,16 @@
                 timeout=timeout,
             ) as response:
                 if response.status != 200:
-                    raise PlatformUnavailable(f"watch answered {response.status}")
+                    raise PlatformUnavailableError(f"watch answered {response.status}")
                 async for line in response.content:
                     self._check_cut()
                     yield _watch_batch(orjson.loads(line)["result"])
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise PlatformUnavailable(f"watch broke: {error!r}") from error
+            raise PlatformUnavailableError(f"watch broke: {error!r}") from error
 
     def _check_cut(self) -> None:
         if self.cuts.is_cut(_PLATFORM):
-            raise PlatformUnavailable("the link is cut")
+            raise PlatformUnavailableError("the link is cut")
 
     async def _post(self, path: str, body: dict) -> dict:
         self._check_cut()
@@ -176,15 +176,15 @@
             ) as response:
                 raw = await response.read()
                 if response.status != 200:
-                    raise PlatformUnavailable(f"{path} answered {response.status}")
+                    raise PlatformUnavailableError(f"{path} answered {response.status}")
                 return orjson.loads(raw)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise PlatformUnavailable(f"{path}: {error!r}") from error
+            raise PlatformUnavailableError(f"{path}: {error!r}") from error
 
 
 def _watch_batch(result: dict) -> list[KeyValue]:
     if int(result.get("compact_revision", 0)) > 0:
-        raise WatchCompacted(f"compacted at {result['compact_revision']}")
+        raise WatchCompactedError(f"compacted at {result['compact_revision']}")
     batch = []
     for event in result.get("events", []):
         item = _decode(event["kv"])
--- /dev/null
+++ b/celerypulley/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: the commands that read and change declarations and keys."""
