--- /dev/null
+++ b/celerypulley/operators/commands.py
@@ -0,0 +1,213 @@
+"""The operators' commands: plain functions that return lines to print."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import aiohttp
+import orjson
+from returns.result import Failure
+
+from celerypulley.clock import Clock
+from celerypulley.contracts.declaration import Declaration
+from celerypulley.contracts.declaration_file import read_declaration
+from celerypulley.contracts.keys import StoredKey, give_key
+from celerypulley.failure_domains.member import MEMBERS_PREFIX, Member
+from celerypulley.links.cuts import CutTable
+from celerypulley.links.platform import PlatformLink, PlatformUnavailableError
+from celerypulley.operators.configuration_store import (
+    ChangeRefusedError,
+    ConfigurationStore,
+    StoredVersion,
+)
+from celerypulley.operators.differences import differences
+
+__all__ = [
+    "CommandFailedError",
+    "apply_file",
+    "check_file",
+    "explain",
+    "give",
+    "history",
+    "list_keys",
+    "plan_file",
+    "rollback",
+    "run_with_store",
+    "status",
+    "withdraw",
+]
+
+_STATUS_TIMEOUT_S = 2.0
+
+
+class CommandFailedError(Exception):
+    """A command did nothing; the message says why."""
+
+
+def run_with_store(
+    platform: str, work: Callable[[ConfigurationStore], Awaitable[list[str]]]
+) -> list[str]:
+    """Run a command against the service at `platform` (ip:port).
+
+    Raise CommandFailedError.
+    """
+
+    async def run() -> list[str]:
+        async with aiohttp.ClientSession() as session:
+            link = PlatformLink(f"http://{platform}", session, CutTable())
+            return await work(ConfigurationStore(link, Clock()))
+
+    try:
+        return asyncio.run(run())
+    except (ChangeRefusedError, PlatformUnavailableError) as error:
+        raise CommandFailedError(str(error)) from None
+
+
+def load_file(file: str) -> Declaration:
+    """Return a file's declaration; raise CommandFailedError with every error."""
+    result = read_declaration(Path(file))
+    if isinstance(result, Failure):
+        raise CommandFailedError("\n".join(str(each) for each in result.failure()))
+    return result.unwrap()
+
+
+def check_file(file: str) -> list[str]:
+    """Check a declaration; nothing is written."""
+    declaration = load_file(file)
+    return [
+        f"{file}: good; {len(declaration.organisations)} organisations, "
+        f"{len(declaration.routes)} routes, "
+        f"{len(declaration.exceptions)} exceptions"
+    ]
+
+
+async def plan_file(store: ConfigurationStore, declaration: Declaration) -> list[str]:
+    """Show what applying a declaration would change."""
+    base = await store.newest()
+    lines = differences(base.declaration if base else None, declaration)
+    version = base.head.version if base else 0
+    return [f"against version {version}:", *(lines or ["no change"])]
+
+
+async def apply_file(
+    store: ConfigurationStore, declaration: Declaration, reason: str
+) -> list[str]:
+    """Apply a declaration; keys of organisations that are gone go with them."""
+    base = await store.newest()
+    if base is not None and not differences(base.declaration, declaration):
+        return [f"no change; version {base.head.version} stays"]
+    names = {each.name for each in declaration.organisations}
+    kept = base.keys if base else ()
+    keys = tuple(key for key in kept if key.organisation in names)
+    head = await store.write(base, declaration, keys, reason)
+    return [f"version {head.version} applied"]
+
+
+async def explain(store: ConfigurationStore, subject: str) -> list[str]:
+    """Show for each value of a subject what decides it and why."""
+    newest = await _require_newest(store)
+    configuration = newest.configuration()
+    known = configuration.organisations | set(configuration.routes)
+    if subject not in known:
+        raise ChangeRefusedError(
+            f"{subject!r} is neither an organisation nor a route; "
+            f"known: {', '.join(sorted(known))}"
+        )
+    lines = [f"{subject}, version {newest.head.version}:"]
+    for item in configuration.explain(subject):
+        lines.append(f"  {item.name} = {item.value} ({item.decided_by}: {item.reason})")
+    return lines
+
+
+async def history(store: ConfigurationStore) -> list[str]:
+    """Show every kept version."""
+    return [
+        f"version {head.version}, made at {head.made_ms} ms: {head.reason}"
+        for head in await store.history()
+    ]
+
+
+async def rollback(store: ConfigurationStore, version: int, reason: str) -> list[str]:
+    """Apply an older declaration as a new version; keys stay as they are."""
+    base = await _require_newest(store)
+    old = await store.version(version)
+    names = {each.name for each in old.declaration.organisations}
+    keys = tuple(key for key in base.keys if key.organisation in names)
+    text = f"rollback to version {version}: {reason}"
+    head = await store.write(base, old.declaration, keys, text)
+    return [f"version {head.version} applied with the declaration of {version}"]
+
+
+async def give(store: ConfigurationStore, organisation: str) -> list[str]:
+    """Give an organisation a new key, which is shown this once."""
+    given = give_key(organisation, store.clock.wall_ms())
+
+    def add(base: StoredVersion) -> tuple[StoredKey, ...]:
+        if organisation not in {each.name for each in base.declaration.organisations}:
+            raise CommandFailedError(f"unknown organisation {organisation!r}")
+        return (*base.keys, given.stored)
+
+    head = await store.change_keys(add, f"key given to {organisation}")
+    return [f"version {head.version}", f"key {given.stored.key_id}", given.text]
+
+
+async def withdraw(store: ConfigurationStore, key_id: str) -> list[str]:
+    """Withdraw a key everywhere."""
+
+    def remove(base: StoredVersion) -> tuple[StoredKey, ...]:
+        if key_id not in {key.key_id for key in base.keys}:
+            raise CommandFailedError(f"no key {key_id!r} is in force")
+        return tuple(key for key in base.keys if key.key_id != key_id)
+
+    head = await store.change_keys(remove, f"key {key_id} withdrawn")
+    return [f"version {head.version}: key {key_id} withdrawn"]
+
+
+async def list_keys(store: ConfigurationStore) -> list[str]:
+    """Show the keys in force by identifier."""
+    newest = await _require_newest(store)
+    keys = sorted(newest.keys, key=lambda key: (key.organisation, key.given_ms))
+    return [
+        f"{key.organisation} {key.key_id} given at {key.given_ms} ms" for key in keys
+    ]
+
+
+async def status(store: ConfigurationStore) -> list[str]:
+    """Show every listed host with its own report."""
+    snapshot = await store.platform.read_prefix(MEMBERS_PREFIX)
+    members = [Member.decode(item.value or b"{}") for item in snapshot.items]
+    newest = await store.newest()
+    version = newest.head.version if newest else 0
+    lines = [f"configuration version {version}, {len(members)} hosts"]
+    for member in sorted(members, key=lambda each: each.name):
+        lines.append(await _host_line(store.platform.session, member))
+    return lines
+
+
+async def _host_line(session: aiohttp.ClientSession, member: Member) -> str:
+    url = f"http://{member.admin_address}/status"
+    timeout = aiohttp.ClientTimeout(total=_STATUS_TIMEOUT_S)
+    try:
+        async with session.get(url, timeout=timeout) as response:
+            report = orjson.loads(await response.read())
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        return f"{member.name} {member.domain} no answer: {error!r}"
+    shards = report["shards"]
+    engines = ", ".join(
+        f"{each['name']}:{each['state']}:{each['running']}+{each['waiting']}"
+        for each in report["engines"]
+    )
+    return (
+        f"{member.name} {member.domain} version {report['configuration_version']}"
+        f" owned {shards['owned']} ({shards['promised']} promised)"
+        f" replicated {shards['replicated']} programs {shards['programs']}"
+        f" requests {report['active_requests']} engines {engines}"
+        + (" leaving" if member.leaving else "")
+    )
+
+
+async def _require_newest(store: ConfigurationStore) -> StoredVersion:
+    newest = await store.newest()
+    if newest is None:
+        raise ChangeRefusedError("no declaration has been applied yet")
+    return newest
--- /dev/null
+++ b/celerypulley/operators/configuration_store.py
@@ -0,0 +1,167 @@
+"""Versions of the configuration in the platform's service."""
+
+from collections.abc import Callable
+from contextlib import suppress
+
+import attrs
+
+from celerypulley.clock import Clock
+from celerypulley.contracts.declaration import Declaration
+from celerypulley.contracts.effective import Configuration
+from celerypulley.contracts.keys import StoredKey
+from celerypulley.contracts.stored_configuration import (
+    ConfigurationHead,
+    chunk_key,
+    join_chunks,
+    split_configuration,
+)
+from celerypulley.hosts.platform_view import HEAD_KEY
+from celerypulley.links.platform import (
+    KeyValue,
+    PlatformLink,
+    PlatformUnavailableError,
+)
+
+__all__ = ["ChangeRefusedError", "ConfigurationStore", "StoredVersion"]
+
+_HISTORY_PREFIX = "celerypulley-history/"
+_VERSION_DIGITS = 10
+
+
+class ChangeRefusedError(Exception):
+    """A change was not made; the message says why and what is in force."""
+
+
+@attrs.frozen
+class StoredVersion:
+    """One version with its declaration and keys; `revision` is the head's."""
+
+    head: ConfigurationHead
+    declaration: Declaration
+    keys: tuple[StoredKey, ...]
+    revision: int
+
+    def configuration(self) -> Configuration:
+        """Return the version, indexed."""
+        return Configuration(self.head.version, self.declaration, self.keys)
+
+
+def _history_key(version: int) -> str:
+    return f"{_HISTORY_PREFIX}{version:0{_VERSION_DIGITS}}"
+
+
+class ConfigurationStore:
+    """Read versions, and write new ones by compare-and-swap on the head."""
+
+    def __init__(self, platform: PlatformLink, clock: Clock) -> None:
+        """Use the service behind `platform`."""
+        self.platform = platform
+        self.clock = clock
+
+    async def newest(self) -> StoredVersion | None:
+        """Return the version in force, None where there is none yet."""
+        item = await self.platform.read(HEAD_KEY)
+        if item is None or item.value is None:
+            return None
+        return await self._load(ConfigurationHead.decode(item.value), item.revision)
+
+    async def version(self, number: int) -> StoredVersion:
+        """Return an older version; raise ChangeRefusedError where it is not kept."""
+        item = await self.platform.read(_history_key(number))
+        newest = await self.newest()
+        if newest is not None and newest.head.version == number:
+            return newest
+        if item is None or item.value is None:
+            raise ChangeRefusedError(f"version {number} is not kept")
+        return await self._load(ConfigurationHead.decode(item.value), item.revision)
+
+    async def history(self) -> list[ConfigurationHead]:
+        """Return every kept version, the oldest first."""
+        snapshot = await self.platform.read_prefix(_HISTORY_PREFIX)
+        heads = [
+            ConfigurationHead.decode(item.value or b"{}") for item in snapshot.items
+        ]
+        newest = await self.newest()
+        if newest is not None and newest.head not in heads:
+            heads.append(newest.head)
+        return heads
+
+    async def write(
+        self,
+        base: StoredVersion | None,
+        declaration: Declaration,
+        keys: tuple[StoredKey, ...],
+        reason: str,
+    ) -> ConfigurationHead:
+        """Write the version after `base`; return its head.
+
+        Raise ChangeRefusedError where another operator's version came first,
+        PlatformUnavailableError where the outcome cannot be told.
+        """
+        digests, chunks = split_configuration(declaration, keys)
+        for digest, content in chunks.items():
+            await self._write_once(chunk_key(digest), content)
+        if base is not None:
+            key = _history_key(base.head.version)
+            await self._write_once(key, base.head.encode())
+        version = base.head.version + 1 if base else 1
+        head = ConfigurationHead(version, digests, self.clock.wall_ms(), reason)
+        revision = base.revision if base else 0
+        with suppress(PlatformUnavailableError):
+            await self.platform.write_if(HEAD_KEY, head.encode(), revision)
+        found = await self._read_head_back()
+        if found != head and not await self._is_kept(head):
+            raise ChangeRefusedError(_what_changed(found))
+        return head
+
+    async def change_keys(
+        self,
+        change: Callable[[StoredVersion], tuple[StoredKey, ...]],
+        reason: str,
+        tries: int = 20,
+    ) -> ConfigurationHead:
+        """Change the keys of the newest version, again after each lost race."""
+        for attempt in range(tries):
+            base = await self.newest()
+            if base is None:
+                raise ChangeRefusedError("no declaration has been applied yet")
+            try:
+                return await self.write(base, base.declaration, change(base), reason)
+            except ChangeRefusedError:
+                if attempt == tries - 1:
+                    raise
+        raise AssertionError("the loop returns or raises")
+
+    async def _is_kept(self, head: ConfigurationHead) -> bool:
+        item = await self.platform.read(_history_key(head.version))
+        return item is not None and item.value == head.encode()
+
+    async def _read_head_back(self) -> ConfigurationHead | None:
+        item: KeyValue | None = await self.platform.read(HEAD_KEY)
+        if item is None or item.value is None:
+            return None
+        return ConfigurationHead.decode(item.value)
+
+    async def _write_once(self, key: str, content: bytes) -> None:
+        if await self.platform.read(key) is not None:
+            return
+        await self.platform.write_if(key, content, 0)
+
+    async def _load(self, head: ConfigurationHead, revision: int) -> StoredVersion:
+        chunks = {}
+        for digest in dict.fromkeys(head.chunks.values()):
+            item = await self.platform.read(chunk_key(digest))
+            if item is None or item.value is None:
+                raise ChangeRefusedError(f"chunk {digest} is missing")
+            chunks[digest] = item.value
+        declaration, keys = join_chunks(head, chunks)
+        return StoredVersion(head, declaration, keys, revision)
+
+
+def _what_changed(found: ConfigurationHead | None) -> str:
+    if found is None:
+        return "the head is missing"
+    return (
+        f"version {found.version} came first ({found.reason!r}); "
+        "look at it with plan, then apply again"
+    )
--- /dev/null
+++ b/celerypulley/process.py
@@ -0,0 +1,61 @@
+"""Running one service as a process: event loop, signals and logs."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+import uvloop
+from absl import logging
+from aiohttp import web
+
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog, LogFormat
+from celerypulley.hosts.host import Host
+from celerypulley.settings import Address, Settings
+
+__all__ = ["run_app", "run_host"]
+
+
+def run_host(settings: Settings) -> None:
+    """Serve until SIGTERM or SIGINT, then leave without cutting a request."""
+    _set_up_logs(settings.log_format, settings.host_id)
+    uvloop.run(_serve_host(settings))
+
+
+def run_app(make_app: Callable[[], web.Application], address: Address) -> None:
+    """Serve a stand-in until SIGTERM or SIGINT."""
+    _set_up_logs("text", "stand-in")
+    uvloop.run(_serve_app(make_app, address))
+
+
+def _set_up_logs(log_format: str, host_id: str) -> None:
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    DecisionLog.format = LogFormat(log_format)
+    DecisionLog.host_id = host_id
+
+
+async def _serve_host(settings: Settings) -> None:
+    host = Host(settings, Clock())
+    await host.start()
+    await _wait_for_signal()
+    await host.leave()
+    await host.stop()
+
+
+async def _serve_app(make_app: Callable[[], web.Application], address: Address) -> None:
+    runner = web.AppRunner(
+        make_app(), access_log=None, shutdown_timeout=1.0, handler_cancellation=True
+    )
+    await runner.setup()
+    await web.TCPSite(runner, address.ip, address.port).start()
+    await _wait_for_signal()
+    await runner.cleanup()
+
+
+async def _wait_for_signal() -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
--- /dev/null
+++ b/celerypulley/programs/chat.py
@@ -0,0 +1,217 @@
+"""Chat-completion bodies and streams: pure reading and writing of JSON."""
+
+import hashlib
+
+import attrs
+import orjson
+
+from celerypulley.errors import CallRefusedError, ErrorKind
+
+__all__ = ["AnswerReader", "ChatRequest", "completion_json", "read_chat_request"]
+
+_PASSED_ON = (
+    "temperature",
+    "top_p",
+    "stop",
+    "seed",
+    "tools",
+    "tool_choice",
+    "parallel_tool_calls",
+    "response_format",
+    "presence_penalty",
+    "frequency_penalty",
+    "logit_bias",
+)
+_ROLES = frozenset({"system", "developer", "user", "assistant", "tool"})
+_DIGEST_BYTES = 16
+_BYTES_PER_TOKEN = 4
+_DONE = b"[DONE]"
+
+
+@attrs.frozen
+class ChatRequest:
+    """A caller's chat completion, checked.
+
+    `messages_json` is the inside of the JSON array of new messages.
+    """
+
+    model: str
+    messages_json: bytes
+    message_count: int
+    max_tokens: int | None
+    stream: bool
+    digest: bytes
+    options: dict
+
+    def engine_body(
+        self, history_json: bytes, max_tokens: int, priority: int, program: str
+    ) -> bytes:
+        """Return the body for an engine: the history, then the new messages."""
+        fields = {
+            **self.options,
+            "model": self.model,
+            "max_tokens": max_tokens,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+            "priority": priority,
+            "session_id": program,
+        }
+        joint = b"," if history_json else b""
+        head = orjson.dumps(fields)[:-1]
+        messages = history_json + joint + self.messages_json
+        return head + b',"messages":[' + messages + b"]}"
+
+    def prompt_tokens(self, history_bytes: int) -> int:
+        """Return a rough count of the prompt's tokens."""
+        return (history_bytes + len(self.messages_json)) // _BYTES_PER_TOKEN
+
+
+def _bad(detail: str) -> CallRefusedError:
+    return CallRefusedError.of(ErrorKind.BAD_REQUEST, detail)
+
+
+def read_chat_request(body: bytes) -> ChatRequest:
+    """Return the checked request; raise CallRefusedError naming what is wrong."""
+    try:
+        data = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise _bad(f"the body is not JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise _bad("the body is not a JSON object")
+    model = data.get("model")
+    if not isinstance(model, str):
+        raise _bad("model is missing or not text")
+    messages = data.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise _bad("messages is missing or empty")
+    for number, message in enumerate(messages):
+        if not isinstance(message, dict) or message.get("role") not in _ROLES:
+            raise _bad(f"messages[{number}] has no known role")
+    if data.get("n", 1) != 1:
+        raise _bad(f"n is {data['n']!r}; only one choice is served")
+    max_tokens = data.get("max_completion_tokens", data.get("max_tokens"))
+    if max_tokens is not None and (type(max_tokens) is not int or max_tokens < 1):
+        raise _bad(f"max_tokens is {max_tokens!r}; it must be a whole number above 0")
+    messages_json = orjson.dumps(messages)[1:-1]
+    digest = hashlib.sha256(model.encode() + b"\0" + messages_json).digest()
+    return ChatRequest(
+        model=model,
+        messages_json=messages_json,
+        message_count=len(messages),
+        max_tokens=max_tokens,
+        stream=bool(data.get("stream", False)),
+        digest=digest[:_DIGEST_BYTES],
+        options={name: data[name] for name in _PASSED_ON if name in data},
+    )
+
+
+class AnswerReader:
+    """Read an engine's event stream once: text, tool calls, usage and its end.
+
+    `feed` returns the events that may be passed on at once; what ends the
+    answer is held back until the turn has been committed.
+    """
+
+    def __init__(self, max_tokens: int) -> None:
+        """Start before the first event; the answer is cut at `max_tokens`."""
+        self.max_tokens = max_tokens
+        self.text: list[str] = []
+        self.tool_calls: dict[int, dict] = {}
+        self.tokens = 0
+        self.usage: dict = {}
+        self.finish_reason: str | None = None
+        self.held = b""
+        self.done = False
+        self.answer_id = ""
+        self._rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Take in bytes; return whole events to pass on; raise ValueError."""
+        events = (self._rest + data).split(b"\n\n")
+        self._rest = events.pop()
+        passed = []
+        for event in events:
+            if self.done:
+                break
+            if self._read_event(event):
+                passed.append(event + b"\n\n")
+        return b"".join(passed)
+
+    def message(self) -> dict:
+        """Return the assistant's message."""
+        message: dict = {"role": "assistant", "content": "".join(self.text)}
+        if self.tool_calls:
+            message["tool_calls"] = [
+                self.tool_calls[index] for index in sorted(self.tool_calls)
+            ]
+        return message
+
+    def _read_event(self, event: bytes) -> bool:
+        if not event.startswith(b"data:"):
+            return False
+        payload = event[5:].strip()
+        if payload == _DONE:
+            self.done = True
+            return False
+        chunk = orjson.loads(payload)
+        self.answer_id = chunk.get("id", self.answer_id)
+        if chunk.get("usage"):
+            self.usage = chunk["usage"]
+        ends = not chunk.get("choices")
+        if self.tokens >= self.max_tokens and _has_content(chunk):
+            self.finish_reason = "length"
+            self.done = True
+            return False
+        for choice in chunk.get("choices", ()):
+            self._read_delta(choice.get("delta") or {})
+            if choice.get("finish_reason"):
+                self.finish_reason = choice["finish_reason"]
+                ends = True
+        if ends:
+            self.held += event + b"\n\n"
+        return not ends
+
+    def _read_delta(self, delta: dict) -> None:
+        content = delta.get("content")
+        if content:
+            self.text.append(content)
+            self.tokens += 1
+        for call in delta.get("tool_calls") or ():
+            self.tokens += 1
+            self._read_tool_call(call)
+
+    def _read_tool_call(self, call: dict) -> None:
+        index = call.get("index", 0)
+        known = self.tool_calls.setdefault(
+            index,
+            {"id": "", "type": "function", "function": {"name": "", "arguments": ""}},
+        )
+        known["id"] = call.get("id") or known["id"]
+        function = call.get("function") or {}
+        known["function"]["name"] += function.get("name") or ""
+        known["function"]["arguments"] += function.get("arguments") or ""
+
+
+def _has_content(chunk: dict) -> bool:
+    for choice in chunk.get("choices", ()):
+        delta = choice.get("delta") or {}
+        if delta.get("content") or delta.get("tool_calls"):
+            return True
+    return False
+
+
+def completion_json(
+    model: str, answer_id: str, message: dict, finish_reason: str, usage: dict
+) -> bytes:
+    """Return a whole chat completion."""
+    choice = {"index": 0, "message": message, "finish_reason": finish_reason}
+    return orjson.dumps(
+        {
+            "id": answer_id,
+            "object": "chat.completion",
+            "created": 0,
+            "model": model,
+            "choices": [choice],
+            "usage": usage,
+        }
+    )
--- /dev/null
+++ b/celerypulley/programs/program.py
@@ -0,0 +1,107 @@
+"""A program: its history, its budget and the calls that may not be repeated."""
+
+import hashlib
+import zlib
+
+import attrs
+
+__all__ = ["CallRecord", "CallState", "Program", "Turn", "history_digest", "pack_turn"]
+
+_DIGEST_CHARS = 16
+_COMPRESSION_LEVEL = 1
+
+
+class CallState:
+    """The states of a call that may not be repeated."""
+
+    BEGUN = "begun"
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class Turn:
+    """One turn of a history: the request's digest and its packed messages."""
+
+    request_digest: bytes
+    messages: bytes
+
+
+@attrs.define(slots=True)
+class Program:
+    """The state of one program, equal on owner and replica.
+
+    Budgets are in generated tokens. `draws` maps the names of sub-agents to
+    the tokens taken for them.
+    """
+
+    program: str
+    organisation: str
+    budget_tokens: int
+    opened_ms: int
+    parent: str | None
+    spent_tokens: int = 0
+    reserved_tokens: int = 0
+    turns: list[Turn] = attrs.Factory(list)
+    draws: dict[str, int] = attrs.Factory(dict)
+    used_ms: int = 0
+    closed_ms: int | None = None
+    runner: str = ""
+    chain_digest: bytes = b""
+
+    @property
+    def turn_count(self) -> int:
+        """Return the number of turns in the history."""
+        return len(self.turns)
+
+    @property
+    def left_tokens(self) -> int:
+        """Return the tokens that are neither spent nor reserved."""
+        return self.budget_tokens - self.spent_tokens - self.reserved_tokens
+
+    @property
+    def digest(self) -> str:
+        """Return a digest of the whole history."""
+        return self.chain_digest.hex()[:_DIGEST_CHARS]
+
+    @property
+    def receipt(self) -> str:
+        """Return what a caller shows to prove what it was answered."""
+        return f"{self.turn_count}.{self.digest}"
+
+    def add_turn(self, turn: Turn) -> None:
+        """Append a turn to the history."""
+        self.turns.append(turn)
+        self.chain_digest = history_digest(self.chain_digest, turn)
+
+    def last_turn_json(self) -> bytes:
+        """Return the last turn's messages as a JSON array's inside."""
+        return zlib.decompress(self.turns[-1].messages)
+
+    def messages_json(self) -> bytes:
+        """Return the history as a JSON array's inside."""
+        return b",".join(zlib.decompress(turn.messages) for turn in self.turns)
+
+
+@attrs.define(slots=True)
+class CallRecord:
+    """What is known of one call that may not be repeated."""
+
+    call: str
+    fingerprint: bytes
+    begun_ms: int
+    state: str = CallState.BEGUN
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+def pack_turn(messages_json: bytes) -> bytes:
+    """Return a turn's messages as they are stored."""
+    return zlib.compress(messages_json, _COMPRESSION_LEVEL)
+
+
+def history_digest(before: bytes, turn: Turn) -> bytes:
+    """Return the digest of a history with one more turn."""
+    return hashlib.sha256(before + turn.request_digest + turn.messages).digest()
--- a/celerypulley/stand_ins/engine.py
+++ b/celerypulley/stand_ins/engine.py
@@ -76,7 +76,7 @@
         self.arrived = asyncio.Event()
         self.fences: dict[str, int] = {}
         self.reports: deque[tuple[float, dict]] = deque(maxlen=1_000)
-        self.events: deque[tuple[int, str, int, int]] = deque(maxlen=_EVENTS_KEPT)
+        self.events: deque[tuple[int, str, str, int]] = deque(maxlen=_EVENTS_KEPT)
         self.event_number = 0
         self.requests = 0
         self.seen_headers: set[str] = set()
@@ -167,7 +167,7 @@
         limit_ms = self.clock.now_ms() - self.options.load_lag_ms
         report = self._measure()
         for taken_ms, older in reversed(self.reports):
-            report = older
+            report = {**older, "age_ms": self.clock.now_ms() - taken_ms}
             if taken_ms <= limit_ms:
                 break
         return web.json_response(report)
@@ -217,12 +217,12 @@
             self._publish()
 
     def _publish(self) -> None:
-        for kind, prefix_hash, tokens in self.core.events:
+        for kind, program, tokens in self.core.events:
             self.event_number += 1
             gap = self.options.event_gap
             if gap and self.event_number % gap == 0:
                 continue
-            self.events.append((self.event_number, kind, prefix_hash, tokens))
+            self.events.append((self.event_number, kind, program, tokens))
         self.core.events.clear()
 
     async def _report(self) -> None:
--- a/celerypulley/stand_ins/engine_core.py
+++ b/celerypulley/stand_ins/engine_core.py
@@ -108,7 +108,7 @@
         self.active_tokens = 0
         self.prefilled_tokens = 0
         self.reused_tokens = 0
-        self.events: list[tuple[str, int, int]] = []
+        self.events: list[tuple[str, str, int]] = []
         self._order = itertools.count()
 
     def submit(self, request: EngineRequest, now_ms: float) -> None:
@@ -205,7 +205,7 @@
                 node = CacheNode(segment.tokens, request.program)
                 self.cache[segment.prefix_hash] = node
                 self.cached_tokens += segment.tokens
-                self.events.append(("stored", segment.prefix_hash, segment.tokens))
+                self.events.append(("stored", request.program, segment.tokens))
             node.users += 1
             node.used_ms = now_ms
             self.cache.move_to_end(segment.prefix_hash)
@@ -228,7 +228,7 @@
         node = CacheNode(request.generated, request.program, 0, now_ms)
         self.cache[request.answer_hash] = node
         self.cached_tokens += request.generated
-        self.events.append(("stored", request.answer_hash, request.generated))
+        self.events.append(("stored", request.program, request.generated))
         for segment in reversed(request.segments):
             if segment.prefix_hash in self.cache:
                 self.cache.move_to_end(segment.prefix_hash)
@@ -249,5 +249,5 @@
     def _evict(self, prefix_hash: int) -> int:
         node = self.cache.pop(prefix_hash)
         self.cached_tokens -= node.tokens
-        self.events.append(("evicted", prefix_hash, node.tokens))
+        self.events.append(("evicted", node.program, node.tokens))
         return node.tokens
--- a/celerypulley/stand_ins/kv.py
+++ b/celerypulley/stand_ins/kv.py
@@ -48,6 +48,7 @@
     down: bool = False
     delay_ms: float = 0.0
     lose_answer_share: float = 0.0
+    list_lag_ms: float = 1_000.0
 
 
 class KeyValueStore:
@@ -155,6 +156,7 @@
         self.reads = 0
         self.writes = 0
         self.watch_events = 0
+        self.server_states: list[tuple[float, str, str]] = []
 
     def _header(self) -> dict:
         return {"revision": str(self.store.revision)}
@@ -263,6 +265,23 @@
         }
         return _json(counts)
 
+    async def list_servers(self, _request: web.Request) -> web.Response:
+        """Return the list of live and leaving backend servers, as late as it is."""
+        limit_ms = self.store.clock.now_ms() - self.faults.list_lag_ms
+        shown: dict[str, str] = {}
+        for at_ms, name, state in self.server_states:
+            if at_ms <= limit_ms:
+                shown[name] = state
+        items = [{"name": name, "state": state} for name, state in shown.items()]
+        return web.json_response(items)
+
+    async def set_server(self, request: web.Request) -> web.Response:
+        """Record a backend server's state: live or leaving."""
+        body = orjson.loads(await request.read())
+        now_ms = self.store.clock.now_ms()
+        self.server_states.append((now_ms, body["name"], body["state"]))
+        return _json({})
+
     async def run_leases(self, _app: web.Application) -> object:
         """Expire leases while the server runs; an outage stops their time."""
 
@@ -319,6 +338,8 @@
     app.router.add_post("/v3/lease/keepalive", server.keepalive)
     app.router.add_post("/v3/lease/revoke", server.revoke)
     app.router.add_post("/v3/watch", server.watch)
+    app.router.add_get("/backend-servers", server.list_servers)
+    app.router.add_post("/backend-servers", server.set_server)
     app.router.add_post("/faults", server.set_faults)
     app.router.add_get("/counts", server.counts)
     app.cleanup_ctx.append(server.run_leases)
