Run a whole deployment on loopback with seeded programs and checked promises

Cause: the path was only tried by hand. Change: a seeded plan of programs, a client that keeps its own history and compares every answer with it, checks against what the stand-ins saw, and a launcher that starts every process of a deployment.

--- /dev/null
+++ b/celerypulley/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load: seeded programs, a client that follows them, and checks of promises."""
--- /dev/null
+++ b/celerypulley/load/ledger.py
@@ -0,0 +1,74 @@
+"""What the client saw: one line for each operation, in the order of their ends."""
+
+import enum
+from pathlib import Path
+
+import attrs
+import orjson
+
+__all__ = ["Ledger", "Operation", "Outcome"]
+
+
+class Outcome(enum.Enum):
+    """How one try of an operation ended for its caller."""
+
+    OK = "ok"
+    REPLAYED = "replayed"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class Operation:
+    """One try: who, what, when (ms of the run) and how it ended."""
+
+    kind: str
+    organisation: str
+    program: str
+    name: str
+    begun_ms: float
+    ended_ms: float
+    outcome: str
+    error: str
+    detail: str
+
+
+class Ledger:
+    """The operations of a run, and the faults that went with them."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.operations: list[Operation] = []
+        self.violations: list[str] = []
+        self.program_ms: dict[str, list[float]] = {}
+        self.first_token_ms: list[float] = []
+        self.token_gap_ms: list[float] = []
+        self.turn_ms: list[tuple[str, float]] = []
+        self.finished_programs = 0
+        self.unfinished_programs = 0
+        self.acknowledged_turns = 0
+
+    def add(self, operation: Operation) -> None:
+        """Record one try."""
+        self.operations.append(operation)
+
+    def violate(self, promise: str, detail: str) -> None:
+        """Record that a promise was broken."""
+        self.violations.append(f"{promise}: {detail}")
+
+    def count(self, outcome: Outcome) -> int:
+        """Return how many tries ended that way."""
+        return sum(each.outcome == outcome.value for each in self.operations)
+
+    def errors(self) -> dict[str, int]:
+        """Return how many tries ended with each error kind."""
+        counts: dict[str, int] = {}
+        for each in self.operations:
+            if each.error:
+                counts[each.error] = counts.get(each.error, 0) + 1
+        return counts
+
+    def save(self, path: Path) -> None:
+        """Write a JSON line for each operation."""
+        lines = [orjson.dumps(attrs.asdict(each)) for each in self.operations]
+        path.write_bytes(b"\n".join(lines) + b"\n")
--- /dev/null
+++ b/celerypulley/load/workload.py
@@ -0,0 +1,154 @@
+"""Seeded plans of agent programs: what each one asks, and when.
+
+A plan is drawn before the run, so that the same seed gives the same programs
+whatever the system does.
+"""
+
+import random
+from collections.abc import Sequence
+
+import attrs
+
+__all__ = ["MIXES", "Mix", "PlannedProgram", "PlannedTurn", "plan_programs"]
+
+
+@attrs.frozen(kw_only=True)
+class Mix:
+    """The shape of a user's programs.
+
+    Shares are from 0 to 1, lengths in words, pauses in ms; a pair is the lowest
+    and the highest value of a uniform draw.
+    """
+
+    short_share: float
+    short_turns: tuple[int, int]
+    long_turns: tuple[int, int]
+    prompt_words: tuple[int, int]
+    first_prompt_words: tuple[int, int]
+    answer_tokens: tuple[int, int]
+    pause_ms: tuple[float, float]
+    child_share: float
+    order_share: float
+    large_organisation_share: float
+
+
+MIXES = {
+    "aguapunto": Mix(
+        short_share=0.7,
+        short_turns=(1, 3),
+        long_turns=(4, 10),
+        prompt_words=(5, 40),
+        first_prompt_words=(40, 400),
+        answer_tokens=(8, 48),
+        pause_ms=(20.0, 400.0),
+        child_share=0.05,
+        order_share=0.3,
+        large_organisation_share=0.5,
+    ),
+    "jalisco": Mix(
+        short_share=0.5,
+        short_turns=(1, 2),
+        long_turns=(6, 14),
+        prompt_words=(10, 120),
+        first_prompt_words=(200, 1_200),
+        answer_tokens=(16, 80),
+        pause_ms=(50.0, 800.0),
+        child_share=0.1,
+        order_share=0.15,
+        large_organisation_share=0.4,
+    ),
+}
+
+
+@attrs.frozen
+class PlannedTurn:
+    """One turn: its prompt, the longest answer, the pause before it, an order.
+
+    `order` is the identifier of a non-repeatable call after the turn, or empty.
+    """
+
+    prompt: str
+    max_tokens: int
+    pause_ms: float
+    stream: bool
+    order: str
+
+
+@attrs.frozen
+class PlannedProgram:
+    """One program and when it starts.
+
+    `child_after` is the turn after which a sub-agent is opened, 0 for none.
+    """
+
+    number: int
+    organisation: str
+    model: str
+    starts_ms: float
+    turns: tuple[PlannedTurn, ...]
+    child_after: int
+
+
+def plan_programs(
+    mix: Mix,
+    seed: int,
+    organisations: Sequence[str],
+    models: Sequence[str],
+    programs_per_s: float,
+    duration_ms: float,
+) -> list[PlannedProgram]:
+    """Return the programs that start within `duration_ms`.
+
+    The first quarter of the organisations gets the mix's large share.
+    """
+    draws = random.Random(seed)
+    large_count = max(1, len(organisations) // 4)
+    planned = []
+    at_ms = 0.0
+    while True:
+        at_ms += draws.expovariate(programs_per_s) * 1_000
+        if at_ms >= duration_ms:
+            return planned
+        group = organisations[large_count:] or organisations
+        if draws.random() < mix.large_organisation_share:
+            group = organisations[:large_count]
+        number = len(planned)
+        turns = _plan_turns(mix, draws, seed, number)
+        has_child = len(turns) > 1 and draws.random() < mix.child_share
+        planned.append(
+            PlannedProgram(
+                number=number,
+                organisation=draws.choice(list(group)),
+                model=draws.choice(list(models)),
+                starts_ms=at_ms,
+                turns=turns,
+                child_after=1 if has_child else 0,
+            )
+        )
+
+
+def _plan_turns(
+    mix: Mix, draws: random.Random, seed: int, number: int
+) -> tuple[PlannedTurn, ...]:
+    span = mix.short_turns if draws.random() < mix.short_share else mix.long_turns
+    turns = []
+    for position in range(draws.randint(*span)):
+        words = mix.first_prompt_words if position == 0 else mix.prompt_words
+        has_order = draws.random() < mix.order_share
+        turns.append(
+            PlannedTurn(
+                prompt=_prompt(draws, seed, number, position, draws.randint(*words)),
+                max_tokens=draws.randint(*mix.answer_tokens),
+                pause_ms=draws.uniform(*mix.pause_ms) if position else 0.0,
+                stream=draws.random() < 0.7,
+                order=f"o-{seed}-{number}-{position}" if has_order else "",
+            )
+        )
+    return tuple(turns)
+
+
+def _prompt(
+    draws: random.Random, seed: int, number: int, position: int, words: int
+) -> str:
+    body = " ".join(f"w{draws.randrange(10_000)}" for _ in range(words))
+    return f"program {seed}-{number} turn {position}: {body}"
--- a/celerypulley/stand_ins/engine.py
+++ b/celerypulley/stand_ins/engine.py
@@ -14,6 +14,7 @@
     EngineCore,
     EngineLimits,
     EngineRequest,
+    Segment,
     chain,
 )
 
@@ -118,6 +119,7 @@
             segments=segments,
             max_tokens=max_tokens + self.options.overrun_tokens,
             priority=float(body.get("priority", 0)),
+            known_tokens=_known_tokens(body["messages"], segments),
         )
         answer = {"role": "assistant", "content": _answer_text(body, request)}
         hasher = xxhash.xxh64()
@@ -198,6 +200,7 @@
             "requests": self.requests,
             "prefilled_tokens": self.core.prefilled_tokens,
             "reused_tokens": self.core.reused_tokens,
+            "repeated_tokens": self.core.repeated_tokens,
             "headers": sorted(self.seen_headers),
         }
         return web.json_response(counts)
@@ -244,6 +247,17 @@
         }
 
 
+def _known_tokens(messages: list[dict], segments: tuple[Segment, ...]) -> int:
+    """Return the tokens up to the last answer, which an engine has seen before."""
+    known = 0
+    total = 0
+    for message, segment in zip(messages, segments, strict=True):
+        total += segment.tokens
+        if message.get("role") == "assistant":
+            known = total
+    return known
+
+
 def _answer_words(body: dict, request: EngineRequest) -> list[str]:
     count = len(body["messages"])
     digest = conversation_digest(body["messages"])
--- a/celerypulley/stand_ins/engine_core.py
+++ b/celerypulley/stand_ins/engine_core.py
@@ -44,7 +44,11 @@
 
 @attrs.define(eq=False)
 class EngineRequest:
-    """One generation: its prompt, how much to generate and how far it is."""
+    """One generation: its prompt, how much to generate and how far it is.
+
+    `known_tokens` is the part of the prompt that earlier requests of the same
+    program have prefilled or generated somewhere.
+    """
 
     name: str
     program: str
@@ -54,6 +58,7 @@
     arrived_ms: float = 0.0
     answer_hash: int = 0
     cached_tokens: int = 0
+    known_tokens: int = 0
     prefill_left: int = 0
     generated: int = 0
     first_token_ms: float | None = None
@@ -108,6 +113,7 @@
         self.active_tokens = 0
         self.prefilled_tokens = 0
         self.reused_tokens = 0
+        self.repeated_tokens = 0
         self.events: list[tuple[str, str, int]] = []
         self._order = itertools.count()
 
@@ -194,6 +200,7 @@
                 break
             self.waiting.pop(0)
             request.prefill_left = max(1, fresh)
+            self.repeated_tokens += max(0, request.known_tokens - request.cached_tokens)
             self.reused_tokens += request.cached_tokens
             self._hold(request, now_ms)
             self.running.append(request)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the repository: a cluster on loopback, the demo, the soak, slopes."""
--- /dev/null
+++ b/tools/cluster.py
@@ -0,0 +1,328 @@
+"""A cluster on loopback for demos, soaks and measurements.
+
+The launcher is a tool of the repository: no process of the system starts
+another.
+"""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import aiohttp
+import attrs
+import orjson
+import yaml
+
+from celerypulley.clock import Clock
+from celerypulley.contracts.declaration import Declaration, RouteKind
+from celerypulley.contracts.declaration_file import structure_declaration
+from celerypulley.links.cuts import CutTable
+from celerypulley.links.platform import PlatformLink
+from celerypulley.operators import commands
+from celerypulley.operators.configuration_store import ConfigurationStore
+
+__all__ = ["Cluster", "ClusterOptions", "DEPLOYMENTS", "Deployment", "Process"]
+
+_SECRET = "a-secret-for-loopback-only"
+_READY_TIMEOUT_S = 60.0
+_POLL_S = 0.1
+_ROOT = Path(__file__).resolve().parent.parent
+
+
+@attrs.frozen
+class Deployment:
+    """One user's size: its declaration, hosts and one-way delay between domains."""
+
+    name: str
+    file: Path
+    hosts: int
+    peer_delay_ms: float
+    order_path: str
+
+
+DEPLOYMENTS = {
+    "aguapunto": Deployment(
+        "aguapunto", _ROOT / "declarations/aguapunto.yaml", 6, 1.0, "/tokens/issue"
+    ),
+    "jalisco": Deployment(
+        "jalisco", _ROOT / "declarations/jalisco.yaml", 7, 1.5, "/orders/fabricate"
+    ),
+}
+
+
+@attrs.frozen(kw_only=True)
+class ClusterOptions:
+    """How a cluster is run.
+
+    `engine_speed` divides the engines' step times.
+    """
+
+    deployment: Deployment
+    folder: Path
+    engine_speed: float = 1.0
+    shards_per_domain: int = 16
+    promise_ms: int = 2_000
+    lease_ttl_ms: int = 5_000
+    hosts: int | None = None
+    engine_flags: tuple[str, ...] = ()
+
+
+@attrs.define(eq=False)
+class Process:
+    """One process of the cluster."""
+
+    name: str
+    kind: str
+    command: list[str]
+    address: str
+    admin_address: str = ""
+    domain: str = ""
+    popen: subprocess.Popen | None = None
+    frozen: bool = False
+
+    @property
+    def running(self) -> bool:
+        """Return whether the process is alive and not frozen."""
+        return self.popen is not None and self.popen.poll() is None and not self.frozen
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Cluster:
+    """The processes of one run, and the faults that are done to them."""
+
+    def __init__(self, options: ClusterOptions) -> None:
+        """Plan the processes; nothing starts yet."""
+        self.options = options
+        self.folder = options.folder
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.kv_address = f"127.0.0.1:{free_port()}"
+        self.declaration = self._bind_declaration()
+        self.hosts: list[Process] = []
+        self.engines: list[Process] = []
+        self.plain: list[Process] = []
+        self.kv = self._process("kv", "kv", ["stand_in", "kv"], self.kv_address)
+        self.session: aiohttp.ClientSession | None = None
+        self.keys: dict[str, str] = {}
+        self._plan_servers()
+        self._plan_hosts()
+
+    def _bind_declaration(self) -> Declaration:
+        data = yaml.safe_load(self.options.deployment.file.read_text())
+        ports: dict[str, str] = {}
+        for server in data["backend_servers"]:
+            bound = ports.setdefault(server["address"], f"127.0.0.1:{free_port()}")
+            server["address"] = bound
+        path = self.folder / "declaration.yaml"
+        path.write_text(yaml.safe_dump(data, sort_keys=False))
+        return structure_declaration(data)
+
+    def _process(self, name: str, kind: str, words: list[str], address: str) -> Process:
+        command = [sys.executable, "-m", "celerypulley.cli", *words]
+        return Process(name, kind, [*command, f"--address={address}"], address)
+
+    def _plan_servers(self) -> None:
+        routes = {route.name: route for route in self.declaration.routes}
+        seen = set()
+        for server in self.declaration.backend_servers:
+            if server.address in seen:
+                continue
+            seen.add(server.address)
+            route = routes[server.route]
+            if route.kind is RouteKind.PLAIN:
+                words = ["stand_in", "plain"]
+                planned = self._process(server.name, "plain", words, server.address)
+                self.plain.append(planned)
+                continue
+            words = [
+                "stand_in",
+                "engine",
+                f"--models={','.join(route.models)}",
+                f"--speed={self.options.engine_speed}",
+                f"--ignores_fencing={not server.checks_fencing}",
+                "--event_gap=7",
+                *self.options.engine_flags,
+            ]
+            engine = self._process(server.name, "engine", words, server.address)
+            engine.domain = server.domain
+            self.engines.append(engine)
+
+    def _plan_hosts(self) -> None:
+        domains = self.declaration.failure_domains
+        count = self.options.hosts or self.options.deployment.hosts
+        for number in range(count):
+            self.hosts.append(
+                self._plan_host(f"host-{number + 1}", domains[number % len(domains)])
+            )
+
+    def _plan_host(self, name: str, domain: str) -> Process:
+        options = self.options
+        caller, admin, peer = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        settings = {
+            "host-id": name,
+            "domain": domain,
+            "caller-address": caller,
+            "admin-address": admin,
+            "peer-address": peer,
+            "platform-address": self.kv_address,
+            "peer-secret": _SECRET,
+            "shards-per-domain": options.shards_per_domain,
+            "promise-ms": options.promise_ms,
+            "lease-ttl-ms": options.lease_ttl_ms,
+            "peer-delay-ms": options.deployment.peer_delay_ms,
+            "faults-allowed": "true",
+        }
+        flags = [f"--{flag}={value}" for flag, value in settings.items()]
+        command = [sys.executable, "-m", "celerypulley.cli", "serve", *flags]
+        return Process(name, "host", command, caller, admin, domain)
+
+    @property
+    def processes(self) -> list[Process]:
+        """Return every process."""
+        return [self.kv, *self.engines, *self.plain, *self.hosts]
+
+    async def start(self) -> None:
+        """Start everything, apply the declaration and give each organisation a key."""
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=False)
+        )
+        for process in (self.kv, *self.engines, *self.plain):
+            self.launch(process)
+        await self._wait_for(self._kv_answers, "the key-value service")
+        await self._apply()
+        for process in self.hosts:
+            self.launch(process)
+        await self._wait_for(self._all_ready, "the hosts")
+
+    def launch(self, process: Process) -> None:
+        """Start one process; its output goes to a file named after it."""
+        path = self.folder / f"{process.name}.log"
+        with path.open("ab") as log:
+            process.popen = subprocess.Popen(
+                process.command, stdout=log, stderr=log, cwd=_ROOT
+            )
+        process.frozen = False
+
+    async def stop(self) -> None:
+        """End every process that this cluster started."""
+        for process in self.processes:
+            if process.popen is None:
+                continue
+            if process.frozen:
+                self.thaw(process)
+            if process.popen.poll() is None:
+                process.popen.kill()
+            process.popen.wait()
+        if self.session is not None:
+            await self.session.close()
+
+    def kill(self, process: Process) -> None:
+        """Kill a process at once."""
+        assert process.popen is not None, "only a started process is killed"
+        process.popen.kill()
+        process.popen.wait()
+
+    def terminate(self, process: Process) -> None:
+        """Ask a process to stop."""
+        assert process.popen is not None, "only a started process is stopped"
+        process.popen.terminate()
+
+    def freeze(self, process: Process) -> None:
+        """Stop a process as a pause of its machine would."""
+        assert process.popen is not None, "only a started process is frozen"
+        os.kill(process.popen.pid, signal.SIGSTOP)
+        process.frozen = True
+
+    def thaw(self, process: Process) -> None:
+        """Let a frozen process go on."""
+        assert process.popen is not None, "only a started process is thawed"
+        os.kill(process.popen.pid, signal.SIGCONT)
+        process.frozen = False
+
+    async def cut(self, process: Process, names: list[str]) -> None:
+        """Cut a host's links to `names` (hosts, domains or "platform")."""
+        await self._post(process.admin_address, "/cuts", names)
+
+    async def kv_faults(self, **faults: object) -> None:
+        """Set the key-value service's faults; none heals it."""
+        await self._post(self.kv_address, "/faults", faults)
+
+    async def plain_faults(self, **faults: object) -> None:
+        """Set the plain services' faults."""
+        for process in self.plain:
+            await self._post(process.address, "/faults", faults)
+
+    async def list_server(self, name: str, state: str) -> None:
+        """List a backend server as live or leaving."""
+        await self._post(
+            self.kv_address, "/backend-servers", {"name": name, "state": state}
+        )
+
+    async def read(self, address: str, path: str) -> dict:
+        """Return a JSON report; an empty one where nothing answers."""
+        assert self.session is not None, "the cluster has not been started"
+        timeout = aiohttp.ClientTimeout(total=2.0)
+        try:
+            async with self.session.get(
+                f"http://{address}{path}", timeout=timeout
+            ) as response:
+                return orjson.loads(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return {}
+
+    def store(self) -> ConfigurationStore:
+        """Return the operators' way to the key-value service."""
+        assert self.session is not None, "the cluster has not been started"
+        url = f"http://{self.kv_address}"
+        return ConfigurationStore(PlatformLink(url, self.session, CutTable()), Clock())
+
+    def caller_addresses(self) -> list[str]:
+        """Return the callers' addresses of all hosts."""
+        return [host.address for host in self.hosts]
+
+    async def _post(self, address: str, path: str, body: object) -> None:
+        assert self.session is not None, "the cluster has not been started"
+        timeout = aiohttp.ClientTimeout(total=3.0)
+        async with self.session.post(
+            f"http://{address}{path}", data=orjson.dumps(body), timeout=timeout
+        ) as response:
+            await response.read()
+            response.raise_for_status()
+
+    async def _apply(self) -> None:
+        store = self.store()
+        await commands.apply_file(store, self.declaration, "start of the run")
+        for organisation in self.declaration.organisations:
+            lines = await commands.give(store, organisation.name)
+            self.keys[organisation.name] = lines[-1]
+
+    async def _kv_answers(self) -> bool:
+        return bool(await self.read(self.kv_address, "/counts"))
+
+    async def _all_ready(self) -> bool:
+        for host in self.hosts:
+            status = await self.read(host.admin_address, "/status")
+            if not status.get("ready") or not _settled(status, len(self.hosts)):
+                return False
+        return True
+
+    async def _wait_for(self, ready: object, what: str) -> None:
+        for _ in range(int(_READY_TIMEOUT_S / _POLL_S)):
+            if await ready():
+                return
+            await asyncio.sleep(_POLL_S)
+        raise TimeoutError(f"{what} did not become ready; see {self.folder}")
+
+
+def _settled(status: dict, hosts: int) -> bool:
+    shards = status["shards"]
+    return status["members"] == hosts and 0 < shards["owned"] == shards["promised"]
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,143 @@
+"""The demo: a user's whole deployment on loopback, under load, with its promises."""
+
+import asyncio
+import os
+import sys
+import tempfile
+from pathlib import Path
+
+import fire
+import orjson
+from absl import logging
+from tqdm import tqdm
+
+from celerypulley.clock import Clock
+from celerypulley.load.checks import check_history, check_orders, check_secrecy
+from celerypulley.load.client import Balancer, ProgramClient
+from celerypulley.load.ledger import Ledger
+from celerypulley.load.summary import Summary, summarize, table
+from celerypulley.load.workload import MIXES, PlannedProgram, plan_programs
+from tools.cluster import DEPLOYMENTS, Cluster, ClusterOptions
+
+__all__ = ["drive", "judge", "main"]
+
+_DRAIN_S = 60.0
+
+
+async def drive(
+    cluster: Cluster, planned: list[PlannedProgram], ledger: Ledger, show: bool
+) -> None:
+    """Start each program at its time and wait until all have ended."""
+    assert cluster.session is not None, "the cluster has not been started"
+    clock = Clock()
+    balancer = Balancer(cluster.caller_addresses(), cluster.session, seed=1)
+    begun_ms = clock.now_ms()
+    bar = tqdm(total=len(planned), unit="program", disable=not show)
+
+    async def follow(plan: PlannedProgram) -> None:
+        client = ProgramClient(
+            plan,
+            cluster.keys[plan.organisation],
+            balancer,
+            ledger,
+            clock,
+            cluster.options.deployment.order_path,
+        )
+        try:
+            await client.run()
+        finally:
+            bar.update()
+
+    tasks = []
+    for plan in planned:
+        wait_ms = begun_ms + plan.starts_ms - clock.now_ms()
+        if wait_ms > 0:
+            await asyncio.sleep(wait_ms / 1_000)
+        tasks.append(asyncio.create_task(follow(plan)))
+    _, late = await asyncio.wait(tasks, timeout=_DRAIN_S)
+    bar.close()
+    for task in late:
+        task.cancel()
+        ledger.unfinished_programs += 1
+    for task in tasks:
+        if task.done() and not task.cancelled():
+            task.result()
+
+
+async def judge(cluster: Cluster, ledger: Ledger) -> Summary:
+    """Ask the stand-ins what they saw and check the promises."""
+    runs: dict[str, int] = {}
+    headers: set[str] = set()
+    counts = []
+    for process in cluster.plain:
+        report = await cluster.read(process.address, "/counts")
+        runs.update(report.get("runs", {}))
+        headers.update(report.get("headers", []))
+    for process in cluster.engines:
+        report = await cluster.read(process.address, "/counts")
+        if report:
+            counts.append(report)
+            headers.update(report["headers"])
+    checks = [
+        *check_history(ledger),
+        *check_orders(ledger, runs),
+        check_secrecy(headers),
+    ]
+    return summarize(ledger, checks, counts)
+
+
+async def run_demo(
+    deployment: str, seed: int, seconds: float, programs_per_s: float, show: bool
+) -> Summary:
+    """Run one deployment and return its summary."""
+    with tempfile.TemporaryDirectory(prefix="celerypulley-demo-") as folder:
+        options = ClusterOptions(
+            deployment=DEPLOYMENTS[deployment], folder=Path(folder)
+        )
+        cluster = Cluster(options)
+        try:
+            await cluster.start()
+            declaration = cluster.declaration
+            models = sorted({m for route in declaration.routes for m in route.models})
+            planned = plan_programs(
+                MIXES[deployment],
+                seed,
+                [each.name for each in declaration.organisations],
+                models,
+                programs_per_s,
+                seconds * 1_000,
+            )
+            ledger = Ledger()
+            await drive(cluster, planned, ledger, show)
+            return await judge(cluster, ledger)
+        finally:
+            await cluster.stop()
+
+
+def demo(
+    deployment: str = "aguapunto",
+    seed: int = 1,
+    seconds: float = 20.0,
+    programs_per_s: float = 4.0,
+    json: bool = False,
+) -> None:
+    """Run the demo; exit with 0 only if every promise held."""
+    logging.set_verbosity(logging.WARNING)
+    show = sys.stderr.isatty() and not json
+    summary = asyncio.run(run_demo(deployment, seed, seconds, programs_per_s, show))
+    if json:
+        print(orjson.dumps(summary.as_data()).decode())
+    else:
+        print(f"deployment {deployment}, seed {seed}")
+        print(table(summary))
+    sys.stdout.flush()
+    os._exit(0 if summary.holds() else 1)
+
+
+def main() -> None:
+    """Run the command line of the demo."""
+    fire.Fire(demo)
+
+
+if __name__ == "__main__":
+    main()
