Survive an owner that is cut off, and say so in tests

Cause: an entry host waited 150 s for an owner whose frames vanished, and a meter taken over refused requests whose tokens were a millisecond away. Change: a link with replies due sends pings and is given up after four silent periods; a request that would be allowed within 400 ms waits for it; a turn carries its request identifier, so a host may send it again safely. Ruled out: TCP keepalive alone, since a frozen peer still answers it. Before: the test of a cut-off owner failed with owner_unreachable (unknown), then with rate_exceeded.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= aguapunto
+SEED ?= 1
+JSON ?= 0
+SECONDS_LONG ?= 60
+
+.PHONY: install demo test lint format binary bench soak slopes docs
+
+install: $(VENV)/installed
+
+$(VENV)/installed: requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e . || $(BIN)/pip install --quiet --no-deps -e .
+	touch $@
+
+demo: install
+	$(BIN)/python -m tools.demo --deployment=$(DEPLOYMENT) --seed=$(SEED) $(if $(filter 1,$(JSON)),--json,)
+
+test: install
+	$(BIN)/python -m pytest
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python -m tools.import_rules
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+binary: install
+	$(BIN)/python -m tools.binary
+
+bench: install
+	$(BIN)/python -m benchmarks.relay
+
+soak: install
+	$(BIN)/python -m tools.soak --deployment=$(DEPLOYMENT) --seed=$(SEED) --seconds=$(SECONDS_LONG)
+
+slopes: install
+	$(BIN)/python -m tools.slopes
--- a/celerypulley/hosts/domain_meter.py
+++ b/celerypulley/hosts/domain_meter.py
@@ -11,8 +11,9 @@
 from celerypulley.clock import Clock
 from celerypulley.contracts.effective import Configuration
 from celerypulley.contracts.rates import Bucket, Share, domain_share, sum_shares
+from celerypulley.links.peer_messages import Allowance
 
-__all__ = ["DomainMeter", "Loan", "TakeResult", "group_order"]
+__all__ = ["DomainMeter", "Loan", "group_order"]
 
 
 @attrs.frozen
@@ -24,15 +25,6 @@
     until_ms: float
 
 
-@attrs.frozen
-class TakeResult:
-    """Whether a request may go on, or where to ask instead, or when to retry."""
-
-    granted: bool
-    instead: str = ""
-    retry_after_ms: float = 0.0
-
-
 def group_order(group: int, domains: tuple[str, ...]) -> tuple[str, ...]:
     """Return the domains in the order in which they pool a group's shares."""
     start = group % len(domains)
@@ -42,17 +34,21 @@
 class DomainMeter:
     """Buckets of one group in one domain, and the loans in and out.
 
-    A new meter cannot know what its predecessor lent, so it begins as if its
-    share were lent for a whole loan.
+    A new meter cannot know what its predecessor lent or granted, so it begins as
+    if its share were lent for a whole loan, with empty buckets. Only the first
+    meter ever has no predecessor: its buckets begin with the domain's burst.
     """
 
-    def __init__(self, domain: str, group: int, clock: Clock, loan_ms: float) -> None:
-        """Begin with empty buckets."""
+    def __init__(
+        self, domain: str, group: int, clock: Clock, loan_ms: float, is_first: bool
+    ) -> None:
+        """Begin after a predecessor unless `is_first`."""
         self.domain = domain
         self.group = group
         self.clock = clock
         self.loan_ms = loan_ms
-        self.lent = Loan("", "", clock.now_ms() + loan_ms)
+        self.is_first = is_first
+        self.lent = Loan("", "", clock.now_ms() + (0 if is_first else loan_ms))
         self.borrowed: dict[str, float] = {}
         self.buckets: dict[str, Bucket] = {}
         self._holding: tuple[str, ...] = ()
@@ -69,6 +65,7 @@
         if taken:
             return False
         self.borrowed.clear()
+        self.is_first = False
         self.lent = Loan(borrower, domain, now_ms + self.loan_ms)
         return True
 
@@ -91,21 +88,34 @@
         """Bring the buckets in line with the shares that are held now."""
         self._settle_holding(self.clock.now_ms(), configuration)
 
-    def take(self, organisation: str, configuration: Configuration) -> TakeResult:
-        """Take one request out of an organisation's allowance."""
+    def take(self, organisation: str, configuration: Configuration) -> Allowance | None:
+        """Take one request out of an organisation's allowance.
+
+        None while a predecessor's loan may still be in use.
+        """
         now_ms = self.clock.now_ms()
         self._settle_holding(now_ms, configuration)
         if self.is_lent():
-            wait_ms = self.lent.until_ms - now_ms
-            return TakeResult(False, self.lent.domain, wait_ms)
+            return self._lent_answer(now_ms)
         bucket = self.buckets.get(organisation)
         if bucket is None:
             share = self._share(organisation, configuration)
             bucket = Bucket(self._holding_since_ms, share)
+            if self.is_first:
+                limits = configuration.limits(organisation)
+                own = domain_share(
+                    organisation, limits, configuration.domains, self.domain
+                )
+                bucket.tokens = own.burst
             self.buckets[organisation] = bucket
         if bucket.take(now_ms):
-            return TakeResult(True)
-        return TakeResult(False, retry_after_ms=bucket.wait_ms())
+            return Allowance(True, "", 0.0)
+        return Allowance(False, "", bucket.wait_ms())
+
+    def _lent_answer(self, now_ms: float) -> Allowance | None:
+        if not self.lent.domain:
+            return None
+        return Allowance(False, self.lent.domain, self.lent.until_ms - now_ms)
 
     def _settle_holding(self, now_ms: float, configuration: Configuration) -> None:
         changes = sorted(
--- a/celerypulley/hosts/entry.py
+++ b/celerypulley/hosts/entry.py
@@ -20,7 +20,11 @@
 from celerypulley.hosts.peers import Peers
 from celerypulley.hosts.program_desk import ProgramDesk, refusal_of
 from celerypulley.hosts.shards import Shards
-from celerypulley.hosts.turn_runner import TurnRunner, require_configuration
+from celerypulley.hosts.turn_runner import (
+    TurnRunner,
+    require_configuration,
+    require_route,
+)
 from celerypulley.links.answer_sink import AnswerSink
 from celerypulley.links.backend_link import BackendError, BackendLink, PlainAnswer
 from celerypulley.links.peer_link import LinkError
@@ -113,19 +117,14 @@
         """Run one chat completion, in a program or alone."""
         configuration = require_configuration(self.configuration)
         request = read_chat_request(message.body)
-        route = configuration.route_of_model(request.model)
-        if route is None:
-            raise CallRefusedError.of(
-                ErrorKind.UNKNOWN_MODEL, f"no route serves model {request.model!r}"
-            )
+        route = require_route(configuration, request.model)
         self.check_fresh(configuration.limits(caller.organisation), False)
         shard = _shard_of_program(message.program) if message.program else None
         await self.meters.take(caller.organisation)
         if shard is None:
             await self._chat_alone(caller, message, route, sink)
             return
-        resend = message.turn is not None
-        await self._at_owner(shard, message, sink, resend, self.turns.run)
+        await self._at_owner(shard, message, sink, self.turns.run)
 
     async def call_plain(
         self, caller: Caller, route: Route, key: str, message: RunCall, sink: AnswerSink
@@ -149,7 +148,7 @@
             shard=str(shard),
             call=call_name(caller.organisation, route.name, message.program, key),
         )
-        await self._at_owner(shard, named, sink, True, self.calls.run)
+        await self._at_owner(shard, named, sink, self.calls.run)
 
     def _shard_of_call(
         self,
@@ -215,7 +214,7 @@
             report = await run_here(message)
             await sink.chunk(report.report)
 
-        await self._at_owner(shard, message, sink, True, run)
+        await self._at_owner(shard, message, sink, run)
         return b"".join(sink.parts)
 
     async def _at_owner(
@@ -223,13 +222,12 @@
         shard: ShardId,
         message: object,
         sink: AnswerSink,
-        may_resend: bool,
         run_here: Callable,
     ) -> None:
         """Run a message at the owner of its shard, wherever that is.
 
-        While the shard has no owner that answers, wait for one. A message that
-        may have reached an owner is sent again only if `may_resend`.
+        While the shard has no owner that answers, wait for one. A message may
+        reach two owners; each kind of message is recognised when it comes again.
         """
         deadline_ms = self.clock.now_ms() + _OWNER_WAIT_MS
         while True:
@@ -247,8 +245,6 @@
                 failure = CallRefusedError.of(
                     ErrorKind.OWNER_UNREACHABLE, f"owner of {shard}: {error}", run
                 )
-                if error.sent and not may_resend:
-                    raise failure from None
             if self.clock.now_ms() > deadline_ms:
                 raise failure
             await asyncio.sleep(_OWNER_POLL_S * self._random.uniform(0.7, 1.3))
--- a/celerypulley/hosts/meters.py
+++ b/celerypulley/hosts/meters.py
@@ -8,15 +8,14 @@
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.failure_domains.placement import local_shard_count
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
-from celerypulley.hosts.domain_meter import DomainMeter, TakeResult
+from celerypulley.hosts.domain_meter import DomainMeter
 from celerypulley.hosts.peers import Peers
 from celerypulley.hosts.shards import Shards
 from celerypulley.links.peer_link import LinkError
 from celerypulley.links.peer_messages import (
-    AllowanceGranted,
+    Allowance,
     Lend,
     Lent,
-    Refused,
     TakeAllowance,
 )
 from celerypulley.programs.identifier import ShardId
@@ -27,7 +26,8 @@
 _LOAN_RENEWALS = 3
 _ASK_TIMEOUT_MS = 500.0
 _ASK_PAUSE_S = 0.1
-_ASK_DEADLINE_MS = 6_000.0
+_ASK_DEADLINE_MS = 8_000.0
+_SHAPING_MS = 400.0
 _log = DecisionLog("meter")
 
 
@@ -61,21 +61,27 @@
     async def take(self, organisation: str) -> None:
         """Take one request from an organisation's allowance.
 
-        Raise CallRefusedError where the rate is exceeded or no meter answers.
+        A request that would be allowed within a moment waits for it. Raise
+        CallRefusedError where the rate is exceeded or no meter answers.
         """
         group = meter_group(organisation, self._group_count())
-        deadline_ms = self.clock.now_ms() + _ASK_DEADLINE_MS
+        begun_ms = self.clock.now_ms()
         domain = self._pooled_in.get(group, self.shards.me.domain)
+        shaped_ms = 0.0
         while True:
             answer = await self._ask(organisation, domain, group)
             if answer is not None and answer.granted:
                 self._pooled_in[group] = domain
                 self.granted += 1
                 return
-            if answer is not None and not answer.instead and answer.retry_after_ms:
-                self.refused += 1
-                raise _rate_exceeded(organisation, answer.retry_after_ms)
-            if self.clock.now_ms() > deadline_ms:
+            if answer is not None and not answer.instead:
+                shaped_ms += max(answer.wait_ms, 1.0)
+                if shaped_ms > _SHAPING_MS:
+                    self.refused += 1
+                    raise _rate_exceeded(organisation, answer.wait_ms)
+                await self.sleep(max(answer.wait_ms, 1.0) / 1_000)
+                continue
+            if self.clock.now_ms() - begun_ms > _ASK_DEADLINE_MS:
                 raise CallRefusedError.of(
                     ErrorKind.METER_UNREACHABLE, f"no meter for {organisation} answers"
                 )
@@ -83,7 +89,7 @@
             if domain == self.shards.me.domain:
                 await self.sleep(_ASK_PAUSE_S)
 
-    def _next_domain(self, answer: TakeResult | None, asked: str, group: int) -> str:
+    def _next_domain(self, answer: Allowance | None, asked: str, group: int) -> str:
         home = self.shards.me.domain
         self._pooled_in.pop(group, None)
         if answer is not None and answer.instead and asked == home:
@@ -92,7 +98,7 @@
 
     async def _ask(
         self, organisation: str, domain: str, group: int
-    ) -> TakeResult | None:
+    ) -> Allowance | None:
         shard = self._shard_of(domain, group)
         owner = self.shards.owner_of(shard)
         if owner == self.shards.me.name:
@@ -104,13 +110,9 @@
             reply = await self.peers.request(owner, message, _ASK_TIMEOUT_MS)
         except LinkError:
             return None
-        if isinstance(reply, AllowanceGranted):
-            return TakeResult(not reply.instead, reply.instead)
-        if isinstance(reply, Refused) and reply.kind == ErrorKind.RATE_EXCEEDED.value:
-            return TakeResult(False, retry_after_ms=(reply.retry_after_s or 1) * 1000)
-        return None
+        return reply if isinstance(reply, Allowance) else None
 
-    def _take_here(self, organisation: str, shard: ShardId) -> TakeResult | None:
+    def _take_here(self, organisation: str, shard: ShardId) -> Allowance | None:
         owner = self.shards.owned.get(shard)
         meter = self.meters.get(shard)
         configuration = self.configuration.current
@@ -118,22 +120,17 @@
             return None
         if not owner.holds_promise() or organisation not in configuration.organisations:
             return None
-        result = meter.take(organisation, configuration)
-        if not result.granted and not result.instead and meter.is_lent():
-            return None
-        return result
+        return meter.take(organisation, configuration)
 
-    def answer_take(self, message: TakeAllowance) -> AllowanceGranted:
-        """Answer a peer; raise CallRefusedError where the rate is exceeded."""
+    def answer_take(self, message: TakeAllowance) -> Allowance:
+        """Answer a peer; raise CallRefusedError where no meter is ready."""
         shard = self._shard_of(message.domain, message.group)
         result = self._take_here(message.organisation, shard)
         if result is None:
             raise CallRefusedError.of(
                 ErrorKind.METER_UNREACHABLE, f"meter {shard} is not ready"
             )
-        if result.granted or result.instead:
-            return AllowanceGranted(result.instead)
-        raise _rate_exceeded(message.organisation, result.retry_after_ms)
+        return result
 
     def answer_lend(self, message: Lend, borrower: str) -> Lent:
         """Lend a share to a peer's meter where it is free."""
@@ -163,7 +160,9 @@
             group = shard.index - count
             if group < 0 or owner.superseded or shard in self.meters:
                 continue
-            self.meters[shard] = DomainMeter(shard.domain, group, self.clock, _LOAN_MS)
+            self.meters[shard] = DomainMeter(
+                shard.domain, group, self.clock, _LOAN_MS, owner.entry.epoch == 1
+            )
         for shard in list(self.meters):
             if shard not in self.shards.owned:
                 del self.meters[shard]
--- a/celerypulley/hosts/peers.py
+++ b/celerypulley/hosts/peers.py
@@ -72,4 +72,4 @@
                     continue
                 link = self._links.pop(name)
                 await link.stop()
-                self.remove_dependency(link)
+                await self.remove_dependency(link)
--- a/celerypulley/hosts/program_desk.py
+++ b/celerypulley/hosts/program_desk.py
@@ -120,13 +120,7 @@
             raise CallRefusedError.of(ErrorKind.PROGRAM_CLOSED, f"{name} is closed")
         if message.name in program.draws:
             return ProgramReport(report_json(program))
-        if message.tokens > program.left_tokens:
-            raise CallRefusedError.of(
-                ErrorKind.BUDGET_EXHAUSTED,
-                f"{name} has {program.left_tokens} tokens left, "
-                f"fewer than {message.tokens}",
-            )
-        await owner.commit(BudgetDrawn(message.program, message.name, message.tokens))
+        await owner.commit_built(lambda: _drawn(program, message))
         return ProgramReport(report_json(program))
 
     async def read(self, message: ReadProgram) -> ProgramReport:
@@ -149,6 +143,16 @@
             return ProgramReport(report_json(program))
 
 
+def _drawn(program: Program, message: DrawBudget) -> BudgetDrawn:
+    if message.tokens > program.left_tokens:
+        raise CallRefusedError.of(
+            ErrorKind.BUDGET_EXHAUSTED,
+            f"{program.program} has {program.left_tokens} tokens left, "
+            f"fewer than {message.tokens}",
+        )
+    return BudgetDrawn(message.program, message.name, message.tokens)
+
+
 def report_json(program: Program, with_messages: bool = False) -> bytes:
     """Return a program as JSON, with its messages if wanted."""
     fields = {
--- a/celerypulley/hosts/shard_owner.py
+++ b/celerypulley/hosts/shard_owner.py
@@ -99,7 +99,16 @@
         Raise CallRefusedError where no replica acknowledged it in time. The
         replica may then still hold it, but this owner will never act on it.
         """
+        await self.commit_built(lambda: record)
+
+    async def commit_built(self, build: Callable[[], object]) -> None:
+        """Commit the record that `build` returns.
+
+        `build` sees the state as of all earlier commits, so it can check what
+        must hold and raise CallRefusedError.
+        """
         async with self._order:
+            record = build()
             deadline_ms = self.clock.now_ms() + self.commit_timeout_ms
             while True:
                 self._require_ownership()
--- a/celerypulley/hosts/turn_runner.py
+++ b/celerypulley/hosts/turn_runner.py
@@ -6,6 +6,7 @@
 import orjson
 
 from celerypulley.clock import Clock
+from celerypulley.contracts.declaration import Route
 from celerypulley.contracts.effective import Configuration
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal, RunState
@@ -142,13 +143,12 @@
         owner.require_promise()
         program = find_program(owner, name, message.organisation)
         await self._settle_former(owner, program)
+        require_route(require_configuration(self.configuration), request.model)
         check_receipt(program, message.receipt)
         turn = message.turn if message.turn is not None else program.turn_count + 1
-        if turn == program.turn_count and turn > 0:
-            replayed = program.turns[turn - 1].request_digest == request.digest
-            if replayed:
-                await _replay(program, request, sink)
-                return
+        if _is_resent(program, request, message):
+            await _replay(program, request, sink)
+            return
         if turn != program.turn_count + 1:
             raise CallRefusedError.of(
                 ErrorKind.TURN_OUT_OF_ORDER,
@@ -164,11 +164,7 @@
     ) -> EngineJob:
         """Return the engine job of a turn."""
         configuration = require_configuration(self.configuration)
-        route = configuration.route_of_model(request.model)
-        if route is None:
-            raise CallRefusedError.of(
-                ErrorKind.UNKNOWN_MODEL, f"no route serves model {request.model!r}"
-            )
+        route = require_route(configuration, request.model)
         history = program.messages_json()
         attained = min(
             program.spent_tokens // _PRIORITY_STEP_TOKENS, _PRIORITY_PER_ROUTE - 1
@@ -235,11 +231,9 @@
 
     async def run(self) -> None:
         """Run the turn; raise CallRefusedError."""
-        reserve = self._reserve_tokens()
+        await self.owner.commit_built(self._begun)
+        reserve = self.program.reserved_tokens
         job = self.runner.job(self.program, self.request, self.message, reserve)
-        me = self.runner.shards.me.name
-        begun = TurnBegun(self.program.program, self.turn, reserve, me)
-        await self.owner.commit(begun)
         try:
             reader = await self._run_engine(job)
         except CallRefusedError as error:
@@ -259,6 +253,10 @@
         self.presence.engine_task = task
         return await task
 
+    def _begun(self) -> TurnBegun:
+        me = self.runner.shards.me.name
+        return TurnBegun(self.program.program, self.turn, self._reserve_tokens(), me)
+
     def _reserve_tokens(self) -> int:
         limits = require_configuration(self.runner.configuration).limits(
             self.program.organisation
@@ -303,6 +301,7 @@
         record = TurnDone(
             program=self.program.program,
             turn=self.turn,
+            request_id=self.message.request_id,
             request_digest=self.request.digest,
             messages=pack_turn(messages),
             spent_tokens=spent,
@@ -362,6 +361,16 @@
     return follower.current
 
 
+def require_route(configuration: Configuration, model: str) -> Route:
+    """Return the route of a model; raise CallRefusedError without one."""
+    route = configuration.route_of_model(model)
+    if route is None:
+        raise CallRefusedError.of(
+            ErrorKind.UNKNOWN_MODEL, f"no route serves model {model!r}"
+        )
+    return route
+
+
 def _not_remembered(error: CallRefusedError, turn: int) -> CallRefusedError:
     return CallRefusedError(
         Refusal(
@@ -379,6 +388,21 @@
         raise CallRefusedError.of(ErrorKind.UNKNOWN_PROGRAM, str(error)) from None
 
 
+def _is_resent(program: Program, request: ChatRequest, message: RunTurn) -> bool:
+    """Return whether the last turn already answered this request.
+
+    A host that lost its link to the owner sends the same request identifier
+    again; a caller sends the same turn number and messages again.
+    """
+    if not program.turns:
+        return False
+    last = program.turns[-1]
+    if last.request_digest != request.digest:
+        return False
+    same_request = last.request_id == message.request_id
+    return same_request or message.turn == program.turn_count
+
+
 async def _replay(program: Program, request: ChatRequest, sink: AnswerSink) -> None:
     stored = orjson.loads(b"[" + program.last_turn_json() + b"]")
     message = stored[-1]
--- a/celerypulley/links/frame_stream.py
+++ b/celerypulley/links/frame_stream.py
@@ -65,7 +65,8 @@
             data = await self.reader.read(_READ_BYTES)
             if not data:
                 return
-            self.received_bytes += len(data)
+            if not self.conditions.cuts.is_cut(*self.peer_names):
+                self.received_bytes += len(data)
             if delay_s:
                 await asyncio.sleep(delay_s)
             for frame in self._unpack(data):
--- a/celerypulley/links/peer_link.py
+++ b/celerypulley/links/peer_link.py
@@ -17,13 +17,21 @@
     proof_of,
     verify_proof,
 )
-from celerypulley.links.peer_messages import Cancel, Challenge, Hello, Welcome
+from celerypulley.links.peer_messages import (
+    Cancel,
+    Challenge,
+    Hello,
+    Ping,
+    Welcome,
+)
 from celerypulley.settings import Address
 
 __all__ = ["LinkError", "PeerIdentity", "PeerLink"]
 
 _CONNECT_TIMEOUT_S = 1.0
 _RETRY_S = 0.25
+_PING_PERIOD_S = 0.5
+_SILENT_PERIODS = 4
 _log = DecisionLog("peer-link")
 
 
@@ -188,6 +196,28 @@
             raise PeerRefusedError(f"{self.address} is {welcome.member}")
         stream.peer_names = (welcome.member.partition("+")[0], welcome.domain)
 
+    @Service.task
+    async def _watch_silence(self) -> None:
+        """Give up a connection that carries nothing back while replies are due."""
+        seen_bytes = -1
+        silent = 0
+        while not self.should_stop:
+            await self.sleep(_PING_PERIOD_S)
+            stream = self._stream
+            if stream is None or not self._replies:
+                silent = 0
+                continue
+            silent = silent + 1 if stream.received_bytes == seen_bytes else 0
+            seen_bytes = stream.received_bytes
+            if silent >= _SILENT_PERIODS:
+                _log.write("link given up", "nothing comes back", peer=self.member)
+                silent = 0
+                stream.close()
+                self._drop_connection()
+                continue
+            if silent:
+                stream.send(0, Ping())
+
     def _drop_connection(self) -> None:
         self._stream = None
         self._connected.clear()
--- a/celerypulley/links/peer_messages.py
+++ b/celerypulley/links/peer_messages.py
@@ -4,7 +4,7 @@
 
 __all__ = [
     "Acknowledged",
-    "AllowanceGranted",
+    "Allowance",
     "AskPrograms",
     "Cancel",
     "Challenge",
@@ -23,6 +23,8 @@
     "Lent",
     "LivePrograms",
     "OpenProgram",
+    "Ping",
+    "Pong",
     "Promises",
     "ProgramReport",
     "ReadProgram",
@@ -68,6 +70,16 @@
     """The caller of this stream has gone."""
 
 
+@message(5)
+class Ping:
+    """Ask whether the connection still carries frames both ways."""
+
+
+@message(6)
+class Pong:
+    """The connection carries frames both ways."""
+
+
 @message(10)
 class RunTurn:
     """Run one turn of a program at its owner.
@@ -291,10 +303,15 @@
 
 
 @message(36)
-class AllowanceGranted:
-    """One request may go on; or ask the meter in `instead`."""
+class Allowance:
+    """Whether a request may go on, or which domain's meter to ask instead.
+
+    `wait_ms` is the time until one request is allowed again.
+    """
 
+    granted: bool
     instead: str
+    wait_ms: float
 
 
 @message(37)
--- a/celerypulley/links/peer_server.py
+++ b/celerypulley/links/peer_server.py
@@ -16,7 +16,15 @@
     verify_proof,
 )
 from celerypulley.links.peer_link import PeerIdentity
-from celerypulley.links.peer_messages import Cancel, Challenge, Hello, Refused, Welcome
+from celerypulley.links.peer_messages import (
+    Cancel,
+    Challenge,
+    Hello,
+    Ping,
+    Pong,
+    Refused,
+    Welcome,
+)
 from celerypulley.settings import Address
 
 __all__ = ["PeerCall", "PeerServer", "refused_message"]
@@ -94,6 +102,9 @@
                 if isinstance(message, Cancel):
                     self._cancel(calls, number)
                     continue
+                if isinstance(message, Ping):
+                    stream.send(number, Pong())
+                    continue
                 self._spawn(calls, PeerCall(stream, number, message))
         except (OSError, TimeoutError, CodecError, PeerRefusedError) as error:
             _log.write("peer refused", repr(error), peer=stream.peer_names or "-")
--- a/celerypulley/programs/program.py
+++ b/celerypulley/programs/program.py
@@ -22,8 +22,9 @@
 
 @attrs.frozen
 class Turn:
-    """One turn of a history: the request's digest and its packed messages."""
+    """One turn of a history: its request, that one's digest, packed messages."""
 
+    request_id: str
     request_digest: bytes
     messages: bytes
 
--- a/celerypulley/programs/records.py
+++ b/celerypulley/programs/records.py
@@ -53,6 +53,7 @@
 
     program: str
     turn: int
+    request_id: str
     request_digest: bytes
     messages: bytes
     spent_tokens: int
@@ -99,7 +100,7 @@
 class ProgramImage:
     """A whole program, for a new replica or a returned shard.
 
-    `turns` holds [request_digest, messages] pairs.
+    `turns` holds [request_id, request_digest, messages] triples.
     """
 
     program: str
--- a/celerypulley/programs/shard.py
+++ b/celerypulley/programs/shard.py
@@ -52,7 +52,7 @@
         budget_tokens=program.budget_tokens,
         spent_tokens=program.spent_tokens,
         reserved_tokens=program.reserved_tokens,
-        turns=[[turn.request_digest, turn.messages] for turn in program.turns],
+        turns=[list(attrs.astuple(turn)) for turn in program.turns],
         draws=dict(program.draws),
         opened_ms=program.opened_ms,
         used_ms=program.used_ms,
@@ -90,7 +90,8 @@
     if record.turn != program.turn_count + 1:
         raise InvariantError(f"turn {record.turn} after {program.turn_count}")
     _settle(program, record.spent_tokens)
-    program.add_turn(Turn(record.request_digest, record.messages))
+    turn = Turn(record.request_id, record.request_digest, record.messages)
+    program.add_turn(turn)
     program.used_ms = record.ended_ms
     shard.history_bytes += len(record.messages)
 
@@ -140,9 +141,10 @@
         closed_ms=record.closed_ms,
         runner=record.runner,
     )
-    for request_digest, messages in record.turns:
-        program.add_turn(Turn(request_digest, messages))
-        shard.history_bytes += len(messages)
+    for fields in record.turns:
+        turn = Turn(*fields)
+        program.add_turn(turn)
+        shard.history_bytes += len(turn.messages)
     shard.programs[record.program] = program
 
 
