--- a/celerypulley/hosts/platform_view.py
+++ b/celerypulley/hosts/platform_view.py
@@ -26,7 +26,9 @@
 HEAD_KEY = "celerypulley/configuration/head"
 _WATCHED_PREFIX = "celerypulley/"
 _RETRY_MIN_S = 0.2
-_RETRY_MAX_S = 5.0
+_RETRY_MAX_S = 3.0
+_CONFIRM_PERIOD_S = 4.0
+_WATCH_GRACE_S = 1.0
 _log = DecisionLog("platform")
 
 
@@ -34,7 +36,8 @@
     """Follow the service by one watch, which counts as one waiting call.
 
     While the service is away the view keeps what it last knew;
-    `confirmed_ms` says when it last heard from the service.
+    `confirmed_ms` says when it was last certain to know the newest. A read every
+    few seconds confirms that the watch has delivered everything.
     """
 
     def __init__(self, platform: PlatformLink, clock: Clock) -> None:
@@ -50,6 +53,8 @@
         self.confirmed_ms = float("-inf")
         self.connected_since_ms: float | None = None
         self.changed = asyncio.Event()
+        self._seen_revision = 0
+        self._watching: asyncio.Task | None = None
         self._random = random.Random()
 
     def confirmed_ago_ms(self) -> float:
@@ -76,8 +81,13 @@
     async def _follow(self) -> None:
         wait_s = _RETRY_MIN_S
         while not self.should_stop:
+            self._watching = asyncio.create_task(self._snapshot_and_watch())
             try:
-                await self._snapshot_and_watch()
+                await asyncio.wait({self._watching})
+                self._watching.result()
+            except asyncio.CancelledError:
+                _log.write("take a new snapshot", "the watch fell silent")
+                self.connected_since_ms = None
             except WatchCompactedError as error:
                 _log.write("take a new snapshot", str(error))
                 wait_s = _RETRY_MIN_S
@@ -92,16 +102,44 @@
     async def _snapshot_and_watch(self) -> None:
         snapshot = await self.platform.read_prefix(_WATCHED_PREFIX)
         self._replace_all(snapshot.items)
+        self._seen_revision = snapshot.revision
         self.connected_since_ms = self.clock.now_ms()
         _log.write("platform found", "snapshot taken", keys=len(snapshot.items))
         async for batch in self.platform.watch(_WATCHED_PREFIX, snapshot.revision + 1):
-            self.confirmed_ms = self.clock.now_ms()
             for item in batch:
                 self._apply(item)
+                self._seen_revision = max(self._seen_revision, item.revision)
             if batch:
                 self._notify()
         raise PlatformUnavailableError("the watch ended")
 
+    @Service.task
+    async def _confirm(self) -> None:
+        while not self.should_stop:
+            await self.sleep(self._random.uniform(0.8, 1.2) * _CONFIRM_PERIOD_S)
+            if self.connected_since_ms is None:
+                continue
+            try:
+                await self._confirm_once()
+            except PlatformUnavailableError:
+                self._give_up_watch()
+
+    async def _confirm_once(self) -> None:
+        asked_ms = self.clock.now_ms()
+        seen = self._seen_revision
+        if not await self.platform.changed_since(_WATCHED_PREFIX, seen):
+            self.confirmed_ms = asked_ms
+            return
+        await self.sleep(_WATCH_GRACE_S)
+        if self._seen_revision == seen:
+            self._give_up_watch()
+            return
+        self.confirmed_ms = asked_ms
+
+    def _give_up_watch(self) -> None:
+        if self._watching is not None:
+            self._watching.cancel()
+
     def _replace_all(self, items: tuple[KeyValue, ...]) -> None:
         before = set(self.members)
         self.former.update(self.members)
--- a/celerypulley/links/platform.py
+++ b/celerypulley/links/platform.py
@@ -99,6 +99,18 @@
         items = tuple(_decode(item) for item in answer.get("kvs", []))
         return Snapshot(int(answer["header"]["revision"]), items)
 
+    async def changed_since(self, prefix: str, revision: int) -> bool:
+        """Return whether a key below `prefix` was written after `revision`."""
+        body = {
+            "key": _encode(prefix),
+            "range_end": _encode(prefix_end(prefix)),
+            "min_mod_revision": str(revision + 1),
+            "keys_only": True,
+            "limit": "1",
+        }
+        answer = await self._post("/v3/kv/range", body)
+        return bool(answer.get("kvs"))
+
     async def write_if(
         self, key: str, value: bytes, revision: int, lease_id: str | None = None
     ) -> bool:
--- a/celerypulley/stand_ins/kv.py
+++ b/celerypulley/stand_ins/kv.py
@@ -19,7 +19,7 @@
 
 _HISTORY_EVENTS = 20_000
 _LEASE_TICK_S = 0.1
-_WATCH_PING_S = 5.0
+_WATCH_CHECK_S = 5.0
 
 
 @attrs.define
@@ -64,6 +64,7 @@
             maxlen=_HISTORY_EVENTS
         )
         self.changed = asyncio.Event()
+        self.compacted_revision = 0
         self._next_lease = 1000
 
     def put(self, key: str, value: bytes, lease_id: str | None) -> None:
@@ -127,7 +128,18 @@
         found = [name for name in self.items if key <= name < end]
         return [(name, self.items[name]) for name in sorted(found)]
 
+    def changes_from(self, revision: int) -> list[tuple[int, str, bytes | None]]:
+        """Return the kept changes from a revision on, the oldest first."""
+        found = []
+        for change in reversed(self.history):
+            if change[0] < revision:
+                break
+            found.append(change)
+        return found[::-1]
+
     def _record(self, key: str, value: bytes | None) -> None:
+        if len(self.history) == self.history.maxlen:
+            self.compacted_revision = self.history[0][0]
         self.history.append((self.revision, key, value))
         self.changed.set()
         self.changed = asyncio.Event()
@@ -167,6 +179,9 @@
         self.reads += 1
         body = orjson.loads(await request.read())
         found = self.store.range(_text(body["key"]), _text(body.get("range_end")))
+        changed_from = int(body.get("min_mod_revision", 0))
+        if changed_from:
+            found = [each for each in found if each[1].mod_revision >= changed_from]
         items = [self._kv(key, stored) for key, stored in found]
         return _json({"header": self._header(), "kvs": items, "count": len(items)})
 
@@ -221,28 +236,33 @@
         response = web.StreamResponse()
         await response.prepare(request)
         await self._send(response, {"created": True})
-        while True:
+        while request.transport is not None and not request.transport.is_closing():
             changed = self.store.changed
             if self.faults.down:
-                raise web.HTTPServiceUnavailable
-            if self.store.history and self.store.history[0][0] > position + 1:
-                first = self.store.history[0][0]
-                if first > position and position > 1:
-                    await self._send(response, {"compact_revision": str(first)})
-                    return response
-            events = []
-            for revision, key, value in self.store.history:
-                if revision < position or not start <= key < end:
-                    continue
-                events.append(self._event(revision, key, value))
+                if request.transport is not None:
+                    request.transport.abort()
+                return response
+            compacted = self.store.compacted_revision
+            if position <= compacted:
+                await self._send(response, {"compact_revision": str(compacted)})
+                return response
+            events = [
+                self._event(*change)
+                for change in self.store.changes_from(position)
+                if start <= change[1] < end
+            ]
             position = self.store.revision + 1
             if events:
                 self.watch_events += len(events)
-                await self._send(response, {"events": events})
+                try:
+                    await self._send(response, {"events": events})
+                except OSError:
+                    return response
             try:
-                await asyncio.wait_for(changed.wait(), _WATCH_PING_S)
+                await asyncio.wait_for(changed.wait(), _WATCH_CHECK_S)
             except TimeoutError:
-                await self._send(response, {})
+                continue
+        return response
 
     async def set_faults(self, request: web.Request) -> web.Response:
         """Change the faults (a switch for tests)."""
