Break a connection that lost frames in a cut, as TCP does

Cause: after a cut ended, the connection lived on without the frames it had dropped, so a request waited 60 s for an answer that nobody owed it. Change: a stream that dropped a frame closes when the cut ends.

--- a/celerypulley/links/frame_stream.py
+++ b/celerypulley/links/frame_stream.py
@@ -26,8 +26,8 @@
 class FrameStream:
     """Frames in both directions over one connection.
 
-    A frame to or from a peer that is cut off vanishes, as it would in a
-    network that drops it.
+    A frame to or from a peer that is cut off vanishes. A connection that lost
+    a frame breaks when the cut ends, since TCP never skips bytes.
     """
 
     def __init__(
@@ -44,11 +44,12 @@
         self.peer_names: tuple[str, ...] = ()
         self.sent_bytes = 0
         self.received_bytes = 0
+        self._has_lost_frames = False
         self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_FRAME_BYTES)
 
     def send(self, stream_id: int, item: object) -> None:
         """Queue a frame; `drain` waits until the connection keeps up."""
-        if self.conditions.cuts.is_cut(*self.peer_names):
+        if self._drops_frames():
             return
         frame = encode(stream_id, item)
         self.sent_bytes += len(frame)
@@ -65,15 +66,22 @@
             data = await self.reader.read(_READ_BYTES)
             if not data:
                 return
-            if not self.conditions.cuts.is_cut(*self.peer_names):
-                self.received_bytes += len(data)
+            if self._drops_frames():
+                continue
+            self.received_bytes += len(data)
             if delay_s:
                 await asyncio.sleep(delay_s)
             for frame in self._unpack(data):
-                if self.conditions.cuts.is_cut(*self.peer_names):
-                    continue
                 yield decode(frame)
 
+    def _drops_frames(self) -> bool:
+        if self.conditions.cuts.is_cut(*self.peer_names):
+            self._has_lost_frames = True
+            return True
+        if self._has_lost_frames:
+            self.close()
+        return self._has_lost_frames
+
     def close(self) -> None:
         """Close the connection."""
         self.writer.close()
