Let a turn end at its new owner, and ask before waiting for it

Cause: a shard went from host-6 to host-7 and back within a second while the platform lost answers. The turn that host-7 ran could not be recorded: the new owner learned of its shard 1.7 s later than host-7 kept trying (0.6 s). The next turn then waited its whole 90 s for a host that had long given up. Change: forwarding goes on for the commit timeout; a new owner asks the host that began a turn whether it still runs it. The marks of how a shard changed hands are gone, since any superseded owner may forward what it finished.

--- a/celerypulley/hosts/host.py
+++ b/celerypulley/hosts/host.py
@@ -27,6 +27,7 @@
 from celerypulley.hosts.promise_keeper import PromiseKeeper
 from celerypulley.hosts.record_committer import RecordCommitter
 from celerypulley.hosts.returned_shards import ReturnedShards
+from celerypulley.hosts.running_turns import RunningTurns
 from celerypulley.hosts.shard_keeper import ShardKeeper
 from celerypulley.hosts.shards import Shards
 from celerypulley.hosts.sweeper import Sweeper
@@ -109,7 +110,9 @@
         )
         self.returned = ReturnedShards(self.shards, self.peers)
         self.meters = Meters(self.shards, self.peers, self.configuration, self.clock)
-        self.committer = RecordCommitter(self.shards, self.peers, self.clock)
+        self.committer = RecordCommitter(
+            self.shards, self.peers, RunningTurns(), self.clock
+        )
 
     def _make_runners(self) -> None:
         locks = ProgramLocks()
--- a/celerypulley/hosts/peer_desk.py
+++ b/celerypulley/hosts/peer_desk.py
@@ -81,6 +81,7 @@
             messages.ReturnImage: self._take_back,
             messages.CommitRecord: self._commit,
             messages.AskPrograms: self._ask_programs,
+            messages.AskTurn: self._ask_turn,
             messages.FetchConfiguration: self._fetch_configuration,
         }
 
@@ -121,10 +122,10 @@
         await call.reply(self.meters.answer_lend(call.message, call.peer))
 
     async def _replicate(self, call: PeerCall) -> None:
-        await call.reply(self.shards.take_record(call.message, call.peer))
+        await call.reply(self.shards.take_record(call.message))
 
     async def _install(self, call: PeerCall) -> None:
-        await call.reply(self.shards.take_part(call.message, call.peer))
+        await call.reply(self.shards.take_part(call.message))
 
     async def _promise(self, call: PeerCall) -> None:
         message = call.message
@@ -144,7 +145,11 @@
         await call.reply(messages.Committed(""))
 
     async def _commit(self, call: PeerCall) -> None:
-        await call.reply(await self.committer.answer_commit(call.message))
+        await call.reply(await self.committer.answer_commit(call.message, call.peer))
+
+    async def _ask_turn(self, call: PeerCall) -> None:
+        running = self.committer.running.is_running(call.message.program)
+        await call.reply(messages.TurnState(running))
 
     async def _ask_programs(self, call: PeerCall) -> None:
         live = self.sweeper.live_programs(call.message.programs)
--- a/celerypulley/hosts/record_committer.py
+++ b/celerypulley/hosts/record_committer.py
@@ -6,19 +6,27 @@
 from celerypulley.clock import Clock
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.running_turns import RunningTurns
 from celerypulley.hosts.shard_owner import ShardOwner
 from celerypulley.hosts.shards import Shards
 from celerypulley.links.codec import from_wire, to_wire
 from celerypulley.links.peer_link import LinkError
-from celerypulley.links.peer_messages import CommitRecord, Committed, Refused
+from celerypulley.links.peer_messages import (
+    AskTurn,
+    CommitRecord,
+    Committed,
+    Refused,
+    TurnState,
+)
+from celerypulley.links.peer_server import refused_message
 from celerypulley.programs.identifier import ShardId
-from celerypulley.programs.program import Program
+from celerypulley.programs.program import CallState, Program
 from celerypulley.programs.records import CallEnded, TurnAbandoned, TurnDone
 
 __all__ = ["RecordCommitter"]
 
 _FORWARD_TIMEOUT_MS = 4_000.0
-_ATTEMPTS = 3
+_ASK_TIMEOUT_MS = 1_000.0
 _PAUSE_S = 0.2
 _SETTLE_POLL_S = 0.1
 _FORWARDED = (TurnDone, TurnAbandoned, CallEnded)
@@ -27,8 +35,11 @@
 class RecordCommitter:
     """Commit at the owner, or at the host to which the shard was handed over."""
 
-    def __init__(self, shards: Shards, peers: Peers, clock: Clock) -> None:
+    def __init__(
+        self, shards: Shards, peers: Peers, running: RunningTurns, clock: Clock
+    ) -> None:
         """Commit to the shards of this host or of its peers."""
+        self.running = running
         self.shards = shards
         self.peers = peers
         self.clock = clock
@@ -49,47 +60,54 @@
     async def commit(self, owner: ShardOwner, record: object) -> str:
         """Commit a record that ends work; return the program's receipt, if any.
 
-        Raise CallRefusedError where no owner took it.
+        Where the shard has another owner by now, that one commits it. Raise
+        CallRefusedError where no owner took it.
         """
         try:
             await owner.commit(record)
             return _receipt(owner, record)
         except CallRefusedError:
-            if not owner.superseded or not owner.handed_over:
+            if not owner.superseded:
                 raise
         return await self._forward(owner.state.shard, record)
 
     async def _forward(self, shard: ShardId, record: object) -> str:
         message = CommitRecord(str(shard), to_wire(record))
-        for _ in range(_ATTEMPTS):
-            name = self.shards.owner_of(shard)
-            if name is not None and name != self.shards.me.name:
-                try:
-                    reply = await self.peers.request(name, message, _FORWARD_TIMEOUT_MS)
-                except LinkError:
-                    reply = None
-                if isinstance(reply, Committed):
-                    return reply.receipt
-                if isinstance(reply, Refused) and reply.kind != "owner_unreachable":
-                    break
+        deadline_ms = self.clock.now_ms() + self.shards.settings.commit_timeout_ms
+        while self.clock.now_ms() < deadline_ms:
+            reply = await self._ask_owner(shard, message)
+            if isinstance(reply, Committed):
+                return reply.receipt
+            refused = isinstance(reply, Refused)
+            if refused and reply.kind != ErrorKind.OWNER_UNREACHABLE.value:
+                break
             await asyncio.sleep(_PAUSE_S)
         raise CallRefusedError.of(
             ErrorKind.OWNER_UNREACHABLE, f"the new owner of {shard} took no record"
         )
 
-    async def answer_commit(self, message: CommitRecord) -> Committed:
-        """Commit for the host that owned the shard before."""
+    async def _ask_owner(self, shard: ShardId, message: CommitRecord) -> object:
+        name = self.shards.owner_of(shard)
+        if name is None:
+            return None
+        try:
+            if name == self.shards.me.name:
+                return await self.answer_commit(message, name)
+            return await self.peers.request(name, message, _FORWARD_TIMEOUT_MS)
+        except LinkError:
+            return None
+        except CallRefusedError as error:
+            return refused_message(error.refusal)
+
+    async def answer_commit(self, message: CommitRecord, sender: str) -> Committed:
+        """Commit for a host that owned the shard when the work began."""
         record = from_wire(message.record)
         if not isinstance(record, _FORWARDED):
             raise CallRefusedError.of(
                 ErrorKind.BAD_REQUEST, f"{type(record).__name__} is not forwarded"
             )
         owner = self.shards.require_owned(ShardId.parse(message.shard))
-        if not _still_awaited(owner, record):
-            raise CallRefusedError.of(
-                ErrorKind.TURN_OUT_OF_ORDER, "the work has been settled without it"
-            )
-        await owner.commit(record)
+        await owner.commit_built(lambda: _awaited(owner, record, sender))
         return Committed(_receipt(owner, record))
 
     async def settle(
@@ -97,32 +115,48 @@
     ) -> None:
         """Settle a turn that a former owner began, before the next one begins.
 
-        Wait while that owner may still finish it; otherwise charge its reserve.
+        Wait while that host still runs it; otherwise charge its whole reserve.
         """
         deadline_ms = self.clock.now_ms() + timeout_ms
         while program.reserved_tokens and self.clock.now_ms() < deadline_ms:
-            runner = program.runner
-            if runner != owner.former_owner:
-                break
-            if runner not in self.shards.view.members:
+            if not await self._still_runs(program):
                 break
             await asyncio.sleep(_SETTLE_POLL_S)
         if not program.reserved_tokens:
             return
-        record = TurnAbandoned(
-            program.program, program.turn_count + 1, program.reserved_tokens
-        )
+        turn = program.turn_count + 1
+        record = TurnAbandoned(program.program, turn, program.reserved_tokens)
         await owner.commit(record)
 
+    async def _still_runs(self, program: Program) -> bool:
+        if program.runner == self.shards.me.name:
+            return self.running.is_running(program.program)
+        message = AskTurn(program.program)
+        try:
+            reply = await self.peers.request(program.runner, message, _ASK_TIMEOUT_MS)
+        except LinkError:
+            return False
+        return isinstance(reply, TurnState) and reply.running
+
 
-def _still_awaited(owner: ShardOwner, record: object) -> bool:
+def _awaited(owner: ShardOwner, record: object, sender: str) -> object:
+    """Return the record if its work is still open; raise CallRefusedError."""
     if isinstance(record, CallEnded):
         call = owner.state.calls.get(record.call)
-        return call is not None and call.state == "begun"
-    program = owner.state.programs.get(record.program)
-    if program is None or not program.reserved_tokens:
-        return False
-    return record.turn == program.turn_count + 1
+        if call is not None and call.state == CallState.BEGUN:
+            return record
+    else:
+        program = owner.state.programs.get(record.program)
+        if (
+            program is not None
+            and program.reserved_tokens
+            and program.runner == sender
+            and record.turn == program.turn_count + 1
+        ):
+            return record
+    raise CallRefusedError.of(
+        ErrorKind.TURN_OUT_OF_ORDER, "the work has been settled without it"
+    )
 
 
 def _receipt(owner: ShardOwner, record: object) -> str:
--- a/celerypulley/hosts/shard_keeper.py
+++ b/celerypulley/hosts/shard_keeper.py
@@ -146,7 +146,7 @@
         taken = attrs.evolve(entry, owner=self._me, replica=None, epoch=entry.epoch + 1)
         written = await self.writer.write(shard, taken, entry, why)
         if written is not None:
-            self.shards.adopt(shard, written, taken_over=True)
+            self.shards.adopt(shard, written)
 
     async def _fill_replicas(self) -> None:
         for owner in list(self.shards.owned.values()):
--- a/celerypulley/hosts/shard_owner.py
+++ b/celerypulley/hosts/shard_owner.py
@@ -46,8 +46,6 @@
         self.promise_until_ms = 0.0
         self.replica_failing_since_ms: float | None = None
         self.superseded = False
-        self.former_owner = ""
-        self.handed_over = False
         self._order = asyncio.Lock()
         self._wire = asyncio.Lock()
         self._entry_changed = asyncio.Event()
@@ -140,7 +138,6 @@
             if entry.owner == self.entry.owner:
                 self.set_entry(entry)
                 return True
-            self.handed_over = True
             self.supersede(f"handed over to {entry.owner}")
             return True
 
--- a/celerypulley/hosts/shard_replica.py
+++ b/celerypulley/hosts/shard_replica.py
@@ -16,7 +16,6 @@
         """Hold nothing yet."""
         self.state = ShardState(shard)
         self.clock = clock
-        self.owner = ""
         self.epoch = 0
         self.complete = False
         self.promised_until_ms = 0.0
--- a/celerypulley/hosts/shards.py
+++ b/celerypulley/hosts/shards.py
@@ -82,7 +82,7 @@
                 best_rank = rank
         return best
 
-    def take_part(self, message: Install, sender: str) -> Acknowledged:
+    def take_part(self, message: Install) -> Acknowledged:
         """Take a part of a copy from an owner."""
         shard = ShardId.parse(message.shard)
         owned = self.owned.get(shard)
@@ -94,10 +94,9 @@
         if replica is None:
             replica = ShardReplica(shard, self.clock)
             self.replicas[shard] = replica
-        replica.owner = sender
         return replica.take_part(message)
 
-    def take_record(self, message: Replicate, sender: str) -> Acknowledged:
+    def take_record(self, message: Replicate) -> Acknowledged:
         """Apply a record of an owner."""
         shard = ShardId.parse(message.shard)
         owned = self.owned.get(shard)
@@ -106,7 +105,6 @@
         replica = self.replicas.get(shard)
         if replica is None:
             return Acknowledged("not-holding", 0)
-        replica.owner = sender
         return replica.take_record(message)
 
     def take_promises(self, message: RenewPromises) -> list[str]:
@@ -131,17 +129,11 @@
                 self.adopt(shard, entry)
             await self.view.wait_for_change(timeout_ms=1_000)
 
-    def adopt(
-        self, shard: ShardId, entry: ShardEntry, taken_over: bool = False
-    ) -> None:
-        """Bring this host's role in a shard in line with its entry.
-
-        A shard that is not `taken_over` was handed over: its former owner may
-        still finish turns that it began.
-        """
+    def adopt(self, shard: ShardId, entry: ShardEntry) -> None:
+        """Bring this host's role in a shard in line with its entry."""
         owned = self.owned.get(shard)
         if entry.owner == self.me.name:
-            self._become_or_stay_owner(shard, entry, owned, taken_over)
+            self._become_or_stay_owner(shard, entry, owned)
             return
         if owned is not None:
             self._stop_owning(shard, entry, owned)
@@ -158,7 +150,6 @@
         shard: ShardId,
         entry: ShardEntry,
         owned: ShardOwner | None,
-        taken_over: bool,
     ) -> None:
         if owned is not None and not owned.superseded:
             if entry.revision > owned.entry.revision:
@@ -166,15 +157,12 @@
             return
         if owned is not None and entry.epoch <= owned.entry.epoch:
             return
-        replica = self.replicas.get(shard)
-        former_owner = "" if taken_over or replica is None else replica.owner
         state = self._state_for(shard, entry)
         if state is None:
             return
         self.owned[shard] = ShardOwner(
             state, entry, self.peers, self.clock, self.settings.commit_timeout_ms
         )
-        self.owned[shard].former_owner = former_owner
         _log.write(
             "own shard",
             "the owner table names this host",
--- a/celerypulley/hosts/turn_runner.py
+++ b/celerypulley/hosts/turn_runner.py
@@ -157,7 +157,8 @@
         if program.closed_ms is not None:
             raise CallRefusedError.of(ErrorKind.PROGRAM_CLOSED, f"{name} is closed")
         run = TurnRun(self, owner, program, request, message, sink, presence, turn)
-        await run.run()
+        with self.committer.running.run(program.program):
+            await run.run()
 
     def job(
         self, program: Program, request: ChatRequest, message: RunTurn, reserve: int
--- a/celerypulley/links/peer_messages.py
+++ b/celerypulley/links/peer_messages.py
@@ -6,6 +6,7 @@
     "Acknowledged",
     "Allowance",
     "AskPrograms",
+    "AskTurn",
     "Cancel",
     "Challenge",
     "Chunk",
@@ -35,6 +36,7 @@
     "RunCall",
     "RunTurn",
     "TakeAllowance",
+    "TurnState",
     "Welcome",
 ]
 
@@ -248,6 +250,20 @@
     receipt: str
 
 
+@message(29)
+class AskTurn:
+    """Ask whether a turn of this program is under way at the receiving host."""
+
+    program: str
+
+
+@message(18)
+class TurnState:
+    """Whether a turn of the asked program is under way."""
+
+    running: bool
+
+
 @message(24)
 class FetchConfiguration:
     """Ask for the configuration if it is newer than `version`."""
