Prove rates, ownership, at-most-once and configuration by fault tables

Found: the line of a value that breaks a limit was that of its mapping, and a watch's history could not be shortened in the stand-in; both mended.

--- a/celerypulley/contracts/declaration_file.py
+++ b/celerypulley/contracts/declaration_file.py
@@ -148,11 +148,10 @@
 
 
 def _line(lines: dict, path: str, problem: str) -> int:
-    if problem.startswith("unknown field "):
-        name = problem.removeprefix("unknown field ").partition(";")[0]
-        first = f"{path}.{name.partition(',')[0]}"
-        if first in lines:
-            return lines[first]
+    words = problem.removeprefix("unknown field ").split()
+    named = f"{path}.{words[0].rstrip(';,')}"
+    if named in lines:
+        return lines[named]
     while path not in lines and path:
         path = path.rpartition(".")[0] or path.rpartition("[")[0]
     return lines.get(path, 1)
--- a/celerypulley/stand_ins/kv.py
+++ b/celerypulley/stand_ins/kv.py
@@ -54,14 +54,14 @@
 class KeyValueStore:
     """Keys with revisions, leases and a history for watchers."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Start empty at revision 1."""
+    def __init__(self, clock: Clock, history_events: int = _HISTORY_EVENTS) -> None:
+        """Start empty at revision 1; watchers may lag by `history_events`."""
         self.clock = clock
         self.revision = 1
         self.items: dict[str, Stored] = {}
         self.leases: dict[str, Lease] = {}
         self.history: deque[tuple[int, str, bytes | None]] = deque(
-            maxlen=_HISTORY_EVENTS
+            maxlen=history_events
         )
         self.changed = asyncio.Event()
         self.compacted_revision = 0
@@ -348,9 +348,11 @@
         return {"kv": {**kv, "value": _b64(value)}}
 
 
-def make_kv_app(clock: Clock, seed: int = 0) -> web.Application:
+def make_kv_app(
+    clock: Clock, seed: int = 0, history_events: int = _HISTORY_EVENTS
+) -> web.Application:
     """Return the service as an application that a runner can serve."""
-    server = KvServer(KeyValueStore(clock), seed)
+    server = KvServer(KeyValueStore(clock, history_events), seed)
     app = web.Application(client_max_size=2 * 1024 * 1024)
     app.router.add_post("/v3/kv/range", server.range)
     app.router.add_post("/v3/kv/txn", server.txn)
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,106 @@
+"""Configuration: one order of versions, never back, whatever the service does."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from celerypulley.contracts.keys import KeyRing, give_key
+from celerypulley.links.platform import PlatformUnavailableError
+from celerypulley.operators import commands
+from celerypulley.operators.configuration_store import ChangeRefusedError
+from tests.harness import Deployment, deployment, until
+
+
+@pytest.mark.parametrize("lose_answer_share", [0.0, 0.3])
+async def test_fifty_racing_operators_make_one_order_of_versions(
+    lose_answer_share: float,
+) -> None:
+    async with deployment() as made:
+        seen: dict[str, list[int]] = {host.me.name: [] for host in made.hosts}
+        for host in made.hosts:
+            host.configuration.on_change.append(
+                lambda found, name=host.me.name: seen[name].append(found.version)
+            )
+        await made.set_faults(made.platform, lose_answer_share=lose_answer_share)
+
+        async def change() -> int | None:
+            try:
+                return int((await commands.give(made.store, "other"))[0].split()[1])
+            except (ChangeRefusedError, PlatformUnavailableError):
+                return None
+
+        versions = await asyncio.gather(*(change() for _ in range(50)))
+        await made.set_faults(made.platform)
+        written = [version for version in versions if version is not None]
+        assert written and len(set(written)) == len(written)
+        newest = (await made.store.newest()).head.version
+        assert newest >= max(written)
+        await until(
+            lambda: all(host.configuration.version == newest for host in made.hosts),
+            "the newest version everywhere",
+        )
+        for versions_seen in seen.values():
+            assert versions_seen == sorted(set(versions_seen))
+        kept = [head.version for head in await made.store.history()]
+        assert kept == list(range(1, newest + 1))
+
+
+async def test_lost_race_tells_the_operator_what_came_first() -> None:
+    async with deployment() as made:
+        base = await made.store.newest()
+        changed = attrs.evolve(made.declaration, exceptions=[])
+        await commands.give(made.store, "other")
+        with pytest.raises(ChangeRefusedError, match="key given to other"):
+            await made.store.write(base, changed, base.keys, "too late")
+
+
+async def test_rollback_is_a_new_version_and_brings_back_no_key() -> None:
+    async with deployment() as made:
+        key_id = made.keys["other"].split("_")[1]
+        await commands.withdraw(made.store, key_id)
+        lines = await commands.rollback(made.store, 3, "a bad limit")
+        assert lines == ["version 5 applied with the declaration of 3"]
+        newest = await made.store.newest()
+        assert key_id not in {key.key_id for key in newest.keys}
+
+
+async def _irreversible(made: Deployment, number: int) -> str:
+    status, _, answer = await made.post(
+        made.hosts[number], "/tokens/a", {"id": "x"}, Idempotency_Key="x"
+    )
+    return answer["error"]["type"] if status >= 400 else "ok"
+
+
+async def test_host_without_news_runs_nothing_irreversible() -> None:
+    async with deployment(stale_after_s=0.5) as made:
+        for host in made.hosts:
+            made.isolate(host)
+        await asyncio.sleep(1.0)
+        for number in range(len(made.hosts)):
+            assert await _irreversible(made, number) == "configuration_stale"
+        status, _, _ = await made.post(made.hosts[0], "/v1/programs")
+        assert status in (201, 503)
+
+
+async def test_host_cut_off_from_the_platform_learns_from_its_peers() -> None:
+    async with deployment() as made:
+        host = made.hosts[0]
+        host.cuts.replace(frozenset({"platform"}))
+        await commands.give(made.store, "other")
+        await until(lambda: host.configuration.version == 4, "the version from a peer")
+        await until(
+            lambda: host.configuration.confirmed_ago_ms() < 5_000,
+            "the peers' confirmation",
+        )
+
+
+def test_key_is_stored_without_itself_and_found_only_whole() -> None:
+    given = give_key("kiosk", 0)
+    ring = KeyRing((given.stored,))
+    assert ring.find(given.text) == given.stored
+    secret = given.text.rsplit("_", 1)[-1]
+    assert secret not in repr(given) and secret not in str(attrs.asdict(given.stored))
+    for wrong in (given.text[:-1] + "!", given.text[:-1], "", "cp__", given.text + "a"):
+        assert ring.find(wrong) is None
+    assert KeyRing(()).find(given.text) is None
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,210 @@
+"""Contracts of the links: peers, the key-value service, engines' streams."""
+
+import asyncio
+
+import aiohttp
+import msgpack
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from celerypulley.clock import Clock
+from celerypulley.errors import CallRefusedError
+from celerypulley.links import peer_messages
+from celerypulley.links.codec import CodecError, decode, encode, from_wire
+from celerypulley.links.cuts import CutTable
+from celerypulley.links.peer_messages import Hello, Ping, RunTurn
+from celerypulley.links.platform import (
+    PlatformLink,
+    PlatformUnavailableError,
+    WatchCompactedError,
+)
+from celerypulley.programs.chat import AnswerReader, read_chat_request
+from celerypulley.stand_ins.kv import KeyValueStore, make_kv_app
+from tests.harness import ManualClock, deployment, serve
+
+
+@given(
+    st.recursive(
+        st.none() | st.integers(-5, 60) | st.text(max_size=5) | st.binary(max_size=5),
+        lambda inner: st.lists(inner, max_size=9),
+        max_leaves=30,
+    )
+)
+@settings(max_examples=300, deadline=None, derandomize=True)
+def test_no_frame_gets_past_the_codec_unchecked(frame: object) -> None:
+    try:
+        _, message = decode(frame)
+    except CodecError:
+        return
+    assert type(message).__name__ in (*peer_messages.__all__, *_record_names())
+
+
+def _record_names() -> list[str]:
+    from celerypulley.programs import records
+
+    return list(records.__all__)
+
+
+def test_message_comes_back_as_it_was() -> None:
+    message = RunTurn("p", "kiosk", None, "", True, b"{}", "id")
+    assert decode(msgpack.unpackb(encode(7, message))) == (7, message)
+    with pytest.raises(CodecError, match="RunTurn.turn"):
+        from_wire([10, "p", "kiosk", "one", "", True, b"{}", "id"])
+
+
+GREETINGS = [
+    ("no greeting", Ping()),
+    ("a wrong proof", Hello("h9+0", "north", b"n", b"\0" * 32)),
+]
+
+
+@pytest.mark.parametrize(("name", "greeting"), GREETINGS)
+async def test_peer_port_answers_nobody_without_the_secret(
+    name: str, greeting: object
+) -> None:
+    async with deployment() as made:
+        address = made.hosts[0].settings.peer_address
+        reader, writer = await asyncio.open_connection(address.ip, address.port)
+        await reader.read(1_000)
+        forged = RunTurn("", "kiosk", None, "", False, b"{}", "forged")
+        writer.write(encode(0, greeting) + encode(1, forged))
+        rest = await asyncio.wait_for(reader.read(1_000), 20)
+        assert rest == b""
+        writer.close()
+
+
+class Kv:
+    """A running stand-in and a link to it."""
+
+    def __init__(self, link: PlatformLink, session: aiohttp.ClientSession) -> None:
+        self.link = link
+        self.session = session
+
+    async def faults(self, **faults: object) -> None:
+        url = self.link.base_url + "/faults"
+        async with self.session.post(url, json=faults) as answer:
+            assert answer.status == 200
+
+
+async def with_kv(body: object) -> None:
+    runner, address = await serve(make_kv_app(Clock(), seed=1, history_events=50))
+    async with aiohttp.ClientSession() as session:
+        link = PlatformLink(f"http://{address}", session, CutTable())
+        await body(Kv(link, session))
+    await runner.cleanup()
+
+
+async def test_write_takes_effect_only_at_the_revision_that_was_read() -> None:
+    async def body(kv: Kv) -> None:
+        assert await kv.link.write_if("k", b"1", 0)
+        assert not await kv.link.write_if("k", b"2", 0)
+        item = await kv.link.read("k")
+        assert item.value == b"1"
+        assert await kv.link.write_if("k", b"2", item.revision)
+        assert not await kv.link.write_if("k", b"3", item.revision)
+        tries = [kv.link.write_if("race", b"%d" % n, 0) for n in range(20)]
+        assert sum(await asyncio.gather(*tries)) == 1
+
+    await with_kv(body)
+
+
+async def test_lost_answer_is_settled_by_reading_back() -> None:
+    async def body(kv: Kv) -> None:
+        await kv.faults(lose_answer_share=1.0)
+        with pytest.raises(PlatformUnavailableError):
+            await kv.link.write_if("k", b"1", 0)
+        await kv.faults()
+        assert (await kv.link.read("k")).value == b"1"
+
+    await with_kv(body)
+
+
+async def test_watch_delivers_every_change_in_order_and_breaks_in_an_outage() -> None:
+    async def body(kv: Kv) -> None:
+        seen = []
+
+        async def follow() -> None:
+            async for batch in kv.link.watch("a/", 1):
+                seen.extend((item.key, item.value) for item in batch)
+
+        task = asyncio.create_task(follow())
+        for number in range(5):
+            await kv.link.write_if(f"a/{number}", b"x", 0)
+            await kv.link.write_if(f"b/{number}", b"x", 0)
+        while len(seen) < 5:
+            await asyncio.sleep(0.01)
+        assert seen == [(f"a/{number}", b"x") for number in range(5)]
+        await kv.faults(down=True)
+        with pytest.raises(PlatformUnavailableError):
+            await task
+        with pytest.raises(PlatformUnavailableError):
+            await kv.link.read("a/0")
+
+    await with_kv(body)
+
+
+def test_lease_ends_with_its_keys_and_old_watches_are_told() -> None:
+    time = ManualClock()
+    store = KeyValueStore(time.clock)
+    lease = store.grant(1_000)
+    store.put("k", b"1", lease)
+    time.move(900)
+    assert store.renew(lease) == 1_000
+    time.move(999)
+    store.expire_leases()
+    assert "k" in store.items
+    time.move(2)
+    store.expire_leases()
+    assert "k" not in store.items and store.renew(lease) == 0.0
+    assert [change[1:] for change in store.changes_from(2)] == [
+        ("k", b"1"),
+        ("k", None),
+    ]
+
+
+async def test_watch_that_fell_behind_is_told_so() -> None:
+    async def body(kv: Kv) -> None:
+        for number in range(60):
+            await kv.link.write_if(f"a/{number}", b"x", 0)
+        with pytest.raises(WatchCompactedError):
+            async for _ in kv.link.watch("a/", 2):
+                pass
+
+    await with_kv(body)
+
+
+def event(content: str, finish: str | None = None) -> bytes:
+    choice = {"delta": {"content": content} if content else {}, "finish_reason": finish}
+    return b"data: " + orjson.dumps({"id": "r", "choices": [choice]}) + b"\n\n"
+
+
+STREAM = event("one") + event(" two") + event("", "stop") + b"data: [DONE]\n\n"
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 50, 10_000])
+def test_stream_is_read_once_whatever_its_pieces(size: int) -> None:
+    reader = AnswerReader(10)
+    passed = b"".join(
+        reader.feed(STREAM[start : start + size])
+        for start in range(0, len(STREAM), size)
+    )
+    assert passed == event("one") + event(" two")
+    assert reader.held == event("", "stop")
+    assert reader.done and reader.tokens == 2
+    assert reader.message() == {"role": "assistant", "content": "one two"}
+
+
+def test_answer_of_an_engine_that_overruns_is_cut_at_the_reserve() -> None:
+    reader = AnswerReader(2)
+    passed = reader.feed(b"".join(event(f"w{number}") for number in range(9)))
+    assert passed == event("w0") + event("w1")
+    assert reader.done and reader.finish_reason == "length"
+
+
+@given(st.binary(max_size=60))
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_no_body_breaks_the_chat_reader(body: bytes) -> None:
+    with pytest.raises(CallRefusedError):
+        read_chat_request(body)
--- /dev/null
+++ b/tests/test_rates.py
@@ -0,0 +1,143 @@
+"""Rate and burst: all meters together never grant more than was declared."""
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from celerypulley.contracts.declaration import Limits
+from celerypulley.contracts.effective import Configuration
+from celerypulley.contracts.rates import domain_share, sum_shares
+from celerypulley.hosts.domain_meter import DomainMeter, group_order
+from celerypulley.load.checks import check_rate
+from tests.harness import DOMAINS, ManualClock, declare, free_address
+
+LOAN_MS = 2_000.0
+RATE_PER_S = 7.0
+BURST = 5
+
+
+def configuration(rate_per_s: float = RATE_PER_S, burst: int = BURST) -> Configuration:
+    declared = declare([], free_address(), rate_per_s=rate_per_s, burst=burst)
+    return Configuration(1, declared, ())
+
+
+@pytest.mark.parametrize("burst", [1, 2, 3, 5, 100])
+@pytest.mark.parametrize("organisation", ["kiosk", "other", "third"])
+def test_shares_of_domains_sum_to_what_is_declared(
+    organisation: str, burst: int
+) -> None:
+    limits = Limits(rate_per_s=RATE_PER_S, burst=burst)
+    total = sum_shares(
+        domain_share(organisation, limits, DOMAINS, domain) for domain in DOMAINS
+    )
+    assert total.burst == burst
+    assert total.rate_per_s == pytest.approx(RATE_PER_S)
+
+
+class MeterMachine(RuleBasedStateMachine):
+    """Three domains' meters of one group under delays, losses and takeovers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.time = ManualClock()
+        self.configuration = configuration()
+        self.grants_ms: list[float] = []
+        self.replies: list[tuple[str, int, str, float]] = []
+        self.generation = dict.fromkeys(DOMAINS, 0)
+        self.meters = {
+            domain: DomainMeter(domain, 0, self.time.clock, LOAN_MS, is_first=True)
+            for domain in DOMAINS
+        }
+
+    @rule(by_ms=st.floats(0.0, 3_000.0))
+    def time_passes(self, by_ms: float) -> None:
+        self.time.move(by_ms)
+
+    @rule(domain=st.sampled_from(DOMAINS), count=st.integers(1, 8))
+    def requests_come(self, domain: str, count: int) -> None:
+        for _ in range(count):
+            answer = self.meters[domain].take("kiosk", self.configuration)
+            if answer is not None and answer.granted:
+                self.grants_ms.append(self.time.now)
+
+    @rule(domain=st.sampled_from(DOMAINS), lost=st.booleans())
+    def meter_borrows(self, domain: str, lost: bool) -> None:
+        meter = self.meters[domain]
+        asked_ms = self.time.now
+        for lender in meter.lenders_to_ask(DOMAINS):
+            borrower = f"{domain}-{self.generation[domain]}"
+            lent = self.meters[lender].lend(borrower, domain, DOMAINS)
+            if lent and not lost:
+                generation = self.generation[domain]
+                self.replies.append((domain, generation, lender, asked_ms))
+
+    @rule()
+    def reply_arrives(self) -> None:
+        if not self.replies:
+            return
+        domain, generation, lender, asked_ms = self.replies.pop(0)
+        meter = self.meters[domain]
+        if generation == self.generation[domain] and not meter.is_lent():
+            meter.borrow(lender, asked_ms)
+
+    @rule(domain=st.sampled_from(DOMAINS))
+    def meter_is_taken_over(self, domain: str) -> None:
+        self.generation[domain] += 1
+        self.meters[domain] = DomainMeter(
+            domain, 0, self.time.clock, LOAN_MS, is_first=False
+        )
+
+    @invariant()
+    def never_above_rate_and_burst(self) -> None:
+        limits = {"kiosk": (RATE_PER_S, float(BURST))}
+        check = check_rate({"kiosk": self.grants_ms}, limits, slack_ms=0.0)
+        excess = [each for each in check.broken if " 0.0 " not in each]
+        assert not excess
+
+
+TestMeters = MeterMachine.TestCase
+TestMeters.settings = settings(
+    max_examples=150,
+    stateful_step_count=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_one_meter_pools_the_shares_of_all_domains() -> None:
+    time = ManualClock()
+    found = configuration(rate_per_s=9.0, burst=9)
+    meters = {
+        domain: DomainMeter(domain, 0, time.clock, LOAN_MS, is_first=True)
+        for domain in DOMAINS
+    }
+    first = group_order(0, DOMAINS)[0]
+    for lender in meters[first].lenders_to_ask(DOMAINS):
+        assert meters[lender].lend("m", first, DOMAINS)
+        meters[first].borrow(lender, time.now)
+        assert meters[lender].take("kiosk", found).instead == first
+    meters[first].settle(found)
+    time.move(1_000)
+    granted = 0
+    while meters[first].take("kiosk", found).granted:
+        granted += 1
+    assert granted == 9
+
+
+def test_cut_off_domain_goes_on_with_its_own_share() -> None:
+    time = ManualClock()
+    found = configuration(rate_per_s=9.0, burst=9)
+    first, second, _ = group_order(0, DOMAINS)
+    meter = DomainMeter(second, 0, time.clock, LOAN_MS, is_first=False)
+    assert meter.take("kiosk", found) is None
+    time.move(LOAN_MS)
+    meter.settle(found)
+    time.move(1_000)
+    granted = 0
+    while meter.take("kiosk", found).granted:
+        granted += 1
+    assert granted == 3
+    assert not meter.lend("m", DOMAINS[2], DOMAINS)
+    assert meter.lend("m", first, DOMAINS)
--- /dev/null
+++ b/tests/test_shard_pair.py
@@ -0,0 +1,193 @@
+"""Owner and replica of a shard: each loss, repeat and takeover."""
+
+from collections.abc import Callable
+
+import pytest
+
+from celerypulley.errors import CallRefusedError
+from celerypulley.failure_domains.owner_table import ShardEntry
+from celerypulley.hosts.shard_owner import ShardOwner
+from celerypulley.hosts.shard_replica import ShardReplica
+from celerypulley.links.peer_link import LinkError
+from celerypulley.links.peer_messages import Install
+from celerypulley.programs.identifier import ShardId
+from celerypulley.programs.records import ProgramOpened
+from celerypulley.programs.shard import InvariantError, ShardState
+from tests.harness import ManualClock
+
+SHARD = ShardId("north", 0)
+
+
+class FakePeers:
+    """Replicas that are asked directly; `faults` says what goes wrong, in order."""
+
+    def __init__(self, time: ManualClock) -> None:
+        self.time = time
+        self.replicas: dict[str, ShardReplica] = {}
+        self.faults: list[str] = []
+
+    async def request(self, name: str, item: object, timeout_ms: float) -> object:
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "lose request":
+            self.time.move(timeout_ms)
+            raise LinkError("lost", sent=True)
+        replica = self.replicas[name]
+        if isinstance(item, Install):
+            reply = replica.take_part(item)
+        else:
+            reply = replica.take_record(item)
+        if fault == "lose reply":
+            self.time.move(timeout_ms)
+            raise LinkError("lost", sent=True)
+        return reply
+
+
+def opened(name: str) -> ProgramOpened:
+    return ProgramOpened(name, "kiosk", 100, 0, None)
+
+
+async def make_pair() -> tuple[ManualClock, FakePeers, ShardOwner]:
+    time = ManualClock()
+    peers = FakePeers(time)
+    peers.replicas = {
+        name: ShardReplica(SHARD, time.clock) for name in ("r1", "r2", "r3")
+    }
+    entry = ShardEntry("o1", None, epoch=1, revision=1)
+    owner = ShardOwner(ShardState(SHARD), entry, peers, time.clock, 2_500)
+
+    async def switch() -> ShardEntry:
+        return ShardEntry("o1", "r1", epoch=1, revision=2)
+
+    assert await owner.install("r1", switch)
+    return time, peers, owner
+
+
+FAULTS = [
+    ("nothing goes wrong", []),
+    ("the request is lost once", ["lose request"]),
+    ("the reply is lost once", ["lose reply"]),
+    ("reply, then request lost", ["lose reply", "lose request"]),
+    ("two replies lost", ["lose reply", "lose reply"]),
+]
+
+
+@pytest.mark.parametrize(("name", "faults"), FAULTS)
+async def test_record_is_applied_once_on_both_sides(
+    name: str, faults: list[str]
+) -> None:
+    _, peers, owner = await make_pair()
+    peers.faults = list(faults)
+    await owner.commit(opened("p"))
+    await owner.commit(opened("q"))
+    replica = peers.replicas["r1"].state
+    assert replica.sequence == owner.state.sequence == 2
+    assert list(replica.programs) == list(owner.state.programs) == ["p", "q"]
+
+
+async def test_unacknowledged_record_is_refused_and_not_acted_on() -> None:
+    _, peers, owner = await make_pair()
+    peers.faults = ["lose request"] * 9
+    with pytest.raises(CallRefusedError) as caught:
+        await owner.commit(opened("p"))
+    assert caught.value.refusal.kind.value == "replica_unreachable"
+    assert not owner.state.programs
+
+
+async def test_owner_that_was_taken_over_commits_nothing() -> None:
+    _, peers, owner = await make_pair()
+    await owner.commit(opened("p"))
+    peers.replicas["r1"].epoch = 2
+    with pytest.raises(CallRefusedError) as caught:
+        await owner.commit(opened("q"))
+    assert caught.value.refusal.kind.value == "owner_unreachable"
+    assert owner.superseded and not owner.holds_promise()
+    assert list(peers.replicas["r1"].state.programs) == ["p"]
+
+
+async def test_new_replica_gets_the_whole_state_before_it_counts() -> None:
+    _, peers, owner = await make_pair()
+    for number in range(130):
+        await owner.commit(opened(f"p{number}"))
+
+    async def switch() -> ShardEntry:
+        copy = peers.replicas["r2"].state
+        assert copy.programs == owner.state.programs
+        return ShardEntry("o1", "r2", epoch=1, revision=3)
+
+    assert await owner.install("r2", switch)
+    await owner.commit(opened("later"))
+    assert peers.replicas["r2"].state.programs == owner.state.programs
+    assert "later" not in peers.replicas["r1"].state.programs
+
+
+async def test_hand_over_stops_the_old_owner_before_the_new_one_begins() -> None:
+    _, peers, owner = await make_pair()
+    await owner.commit(opened("p"))
+
+    async def switch() -> ShardEntry:
+        return ShardEntry("o2", "r1", epoch=2, revision=3)
+
+    assert await owner.install("r3", switch)
+    with pytest.raises(CallRefusedError):
+        await owner.commit(opened("q"))
+    assert list(peers.replicas["r3"].state.programs) == ["p"]
+
+
+async def test_lost_race_for_the_entry_changes_nothing() -> None:
+    _, peers, owner = await make_pair()
+
+    async def lose() -> None:
+        return None
+
+    assert not await owner.install("r2", lose)
+    await owner.commit(opened("p"))
+    assert list(peers.replicas["r1"].state.programs) == ["p"]
+    assert owner.entry.replica == "r1"
+
+
+PROMISES: list[tuple[str, Callable[[ShardReplica], object], int, str]] = [
+    ("holds a copy", lambda replica: None, 1, "ok"),
+    ("knows a newer epoch", lambda replica: setattr(replica, "epoch", 5), 1, "stale"),
+    (
+        "has no whole copy",
+        lambda replica: setattr(replica, "complete", False),
+        1,
+        "not-holding",
+    ),
+]
+
+
+@pytest.mark.parametrize(("name", "change", "epoch", "state"), PROMISES)
+async def test_promise_is_given_only_for_a_copy_of_this_epoch(
+    name: str, change: Callable, epoch: int, state: str
+) -> None:
+    time, peers, _ = await make_pair()
+    replica = peers.replicas["r1"]
+    change(replica)
+    assert replica.promise(epoch, 1_000) == state
+    assert (replica.promised_until_ms > time.now) == (state == "ok")
+
+
+def test_state_refuses_what_breaks_a_promise_and_stays_as_it_was() -> None:
+    from celerypulley.programs import records
+
+    state = ShardState(SHARD)
+    state.apply(records.ProgramOpened("p", "kiosk", 10, 0, None))
+    bad = [
+        records.TurnBegun("p", 2, 1, "h"),
+        records.TurnBegun("p", 1, 11, "h"),
+        records.TurnBegun("q", 1, 1, "h"),
+        records.TurnDone("p", 2, "r", b"d", b"m", 1, 0),
+        records.TurnDone("p", 1, "r", b"d", b"m", 11, 0),
+        records.BudgetDrawn("p", "child", 11),
+        records.ProgramOpened("p", "other", 10, 0, None),
+        records.CallEnded("c", "ran", 200, "", b""),
+    ]
+    for record in bad:
+        with pytest.raises(InvariantError):
+            state.apply(record)
+        assert state.sequence == 1
+        assert state.programs["p"].left_tokens == 10
+    state.apply(records.CallBegun("c", b"f", 0))
+    with pytest.raises(InvariantError):
+        state.apply(records.CallBegun("c", b"f", 0))
