--- a/Makefile
+++ b/Makefile
@@ -41,4 +41,4 @@
 	$(BIN)/python -m tools.soak --deployment=$(DEPLOYMENT) --seed=$(SEED) --seconds=$(SECONDS_LONG)
 
 slopes: install
-	$(BIN)/python -m tools.slopes
+	$(BIN)/python -m benchmarks.slopes
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: costs, slopes and ratios, each within one run."""
--- /dev/null
+++ b/benchmarks/host_slopes.py
@@ -0,0 +1,159 @@
+"""Costs of real hosts: how control grows with their number, and calls' costs."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+
+import attrs
+
+from benchmarks.fit import Series
+from benchmarks.process_costs import read_cost
+from celerypulley.load.ledger import Ledger
+from celerypulley.load.workload import MIXES, plan_programs
+from tools.cluster import DEPLOYMENTS, Cluster, ClusterOptions
+from tools.demo import drive
+
+__all__ = ["measure_calls", "measure_hosts"]
+
+_IDLE_S = 12.0
+_SETTLE_S = 12.0
+_SHARDS_PER_HOST = 5
+_DOMAINS = 3
+
+
+@attrs.frozen
+class IdleCost:
+    """Per host and second: processor share, memory, bytes and platform calls."""
+
+    cpu_percent: float
+    memory_mb: float
+    peer_bytes: float
+    platform_reads: float
+    platform_writes: float
+    watch_events: float
+    start_writes: float
+
+
+async def _measure_idle(hosts: int) -> IdleCost:
+    with tempfile.TemporaryDirectory(prefix="celerypulley-slopes-") as folder:
+        options = ClusterOptions(
+            deployment=DEPLOYMENTS["aguapunto"],
+            folder=Path(folder),
+            hosts=hosts,
+            shards_per_domain=max(4, hosts * _SHARDS_PER_HOST // _DOMAINS),
+            promise_ms=3_000,
+            lease_ttl_ms=15_000,
+        )
+        cluster = Cluster(options)
+        try:
+            await cluster.start()
+            await asyncio.sleep(_SETTLE_S)
+            return await _idle_cost(cluster, hosts)
+        finally:
+            await cluster.stop()
+
+
+async def _idle_cost(cluster: Cluster, hosts: int) -> IdleCost:
+    pids = [host.popen.pid for host in cluster.hosts if host.popen is not None]
+    kv_before = await cluster.read(cluster.kv_address, "/counts")
+    bytes_before = await _peer_bytes(cluster)
+    before = [read_cost(pid) for pid in pids]
+    await asyncio.sleep(_IDLE_S)
+    after = [read_cost(pid) for pid in pids]
+    bytes_after = await _peer_bytes(cluster)
+    kv_after = await cluster.read(cluster.kv_address, "/counts")
+    per = hosts * _IDLE_S
+    cpu_s = sum(b.cpu_s - a.cpu_s for a, b in zip(before, after, strict=True))
+    return IdleCost(
+        cpu_percent=cpu_s / per * 100,
+        memory_mb=sum(each.memory_mb for each in after) / hosts,
+        peer_bytes=(bytes_after - bytes_before) / per,
+        platform_reads=(kv_after["reads"] - kv_before["reads"]) / per,
+        platform_writes=(kv_after["writes"] - kv_before["writes"]) / per,
+        watch_events=(kv_after["watch_events"] - kv_before["watch_events"]) / per,
+        start_writes=kv_before["writes"] / hosts,
+    )
+
+
+async def _peer_bytes(cluster: Cluster) -> int:
+    """Return the bytes that links sent and received, which each side counts once."""
+    total = 0
+    for host in cluster.hosts:
+        status = await cluster.read(host.admin_address, "/status")
+        total += sum(status["peer_bytes"])
+    return total
+
+
+def measure_hosts(sizes: tuple[int, ...] = (6, 12, 24, 48)) -> list[Series]:
+    """Measure idle clusters of real processes, one after the other."""
+    found = [asyncio.run(_measure_idle(size)) for size in sizes]
+
+    def series(name: str, unit: str, field: str, note: str = "") -> Series:
+        costs = tuple(getattr(each, field) for each in found)
+        return Series(name, "hosts", unit, sizes, costs, note)
+
+    return [
+        series(
+            "control, processor",
+            "% of a core a host",
+            "cpu_percent",
+            "4 engines polled twice a second by each host",
+        ),
+        series("memory of an idle host", "MB", "memory_mb"),
+        series(
+            "control, bytes between hosts",
+            "bytes/s a host",
+            "peer_bytes",
+            "sent and received",
+        ),
+        series("platform reads", "1/s a host", "platform_reads"),
+        series("platform writes", "1/s a host", "platform_writes"),
+        series("platform writes of a first start", "a host", "start_writes"),
+    ]
+
+
+async def _measure_load(programs_per_s: float) -> tuple[float, float, float]:
+    with tempfile.TemporaryDirectory(prefix="celerypulley-slopes-") as folder:
+        options = ClusterOptions(
+            deployment=DEPLOYMENTS["aguapunto"],
+            folder=Path(folder),
+            engine_speed=4.0,
+            unlimited=True,
+        )
+        cluster = Cluster(options)
+        try:
+            await cluster.start()
+            names = [each.name for each in cluster.declaration.organisations]
+            planned = plan_programs(
+                MIXES["aguapunto"], 5, names, ["agent-70b"], programs_per_s, 15_000.0
+            )
+            pids = [host.popen.pid for host in cluster.hosts if host.popen is not None]
+            before = [read_cost(pid) for pid in pids]
+            ledger = Ledger()
+            begun = asyncio.get_running_loop().time()
+            await drive(cluster, planned, ledger, show=False)
+            seconds = asyncio.get_running_loop().time() - begun
+            after = [read_cost(pid) for pid in pids]
+            cpu_s = sum(b.cpu_s - a.cpu_s for a, b in zip(before, after, strict=True))
+            calls = len(ledger.operations) / seconds
+            tokens = sum(turn.max_tokens for plan in planned for turn in plan.turns)
+            return calls, cpu_s / seconds * 100, tokens / seconds
+        finally:
+            await cluster.stop()
+
+
+def measure_calls(rates: tuple[float, ...] = (2.0, 6.0, 12.0, 20.0)) -> list[Series]:
+    """Measure the processor time of six hosts under four loads."""
+    found = [asyncio.run(_measure_load(rate)) for rate in rates]
+    calls = tuple(round(each[0], 1) for each in found)
+    tokens = ", ".join(f"{each[2]:.0f}" for each in found)
+    return [
+        Series(
+            "all six hosts under load",
+            "calls/s",
+            "% of a core",
+            calls,
+            tuple(each[1] for each in found),
+            f"relaying {tokens} tokens/s",
+        ),
+    ]
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -58,7 +58,8 @@
 class ClusterOptions:
     """How a cluster is run.
 
-    `engine_speed` divides the engines' step times.
+    `engine_speed` divides the engines' step times; `unlimited` lifts every
+    organisation's rate, for benchmarks.
     """
 
     deployment: Deployment
@@ -69,6 +70,7 @@
     lease_ttl_ms: int = 5_000
     hosts: int | None = None
     engine_flags: tuple[str, ...] = ()
+    unlimited: bool = False
 
 
 @attrs.define(eq=False)
@@ -122,6 +124,9 @@
         for server in data["backend_servers"]:
             bound = ports.setdefault(server["address"], f"127.0.0.1:{free_port()}")
             server["address"] = bound
+        if self.options.unlimited:
+            data["defaults"] |= {"rate_per_s": 1e6, "burst": 1_000_000}
+            data["exceptions"] = []
         path = self.folder / "declaration.yaml"
         path.write_text(yaml.safe_dump(data, sort_keys=False))
         return structure_declaration(data)
