Compare policies on seeded programs in virtual time

Cause: the choice of an engine had no measurement behind it. Change: an experiment runs engines' cores in virtual time under the hosts' own decisions and beliefs, every policy on the same programs.

--- /dev/null
+++ b/celerypulley/backend_servers/ordering.py
@@ -0,0 +1,64 @@
+"""Which waiting call an engine takes first: plain functions of a program's past.
+
+An engine takes the lowest number first. Each host knows the attained service of
+the programs that it owns exactly, and that of organisations from its own
+programs only, which are a random part of all.
+"""
+
+import math
+from collections.abc import Callable
+
+import attrs
+
+from celerypulley.contracts.declaration import Ordering
+
+__all__ = ["ORDERINGS", "OrderedCall", "priority_of"]
+
+_ROUTE_STEP = 1_000
+_TOKENS_PER_LEVEL = 256.0
+_MAX_LEVEL = 300
+_MAX_SHARE_LEVEL = 600
+
+
+@attrs.frozen
+class OrderedCall:
+    """What the order of a call depends on.
+
+    `attained_tokens` is what engines have done for its program so far;
+    `organisation_share` is its organisation's part of all recent service,
+    divided by its part of all weights (1: exactly its share).
+    """
+
+    route_priority: int
+    attained_tokens: int
+    organisation_share: float
+    fairness_weight: float = 1.0
+    latency_weight: float = 1.0
+
+
+def priority_of(ordering: Ordering, call: OrderedCall) -> int:
+    """Return the engine priority of a call under an ordering."""
+    return call.route_priority * _ROUTE_STEP + ORDERINGS[ordering](call)
+
+
+def _first_come(_call: OrderedCall) -> int:
+    return 0
+
+
+def _attained_service(call: OrderedCall) -> int:
+    """Return a level that doubles in width, so that long programs do not starve."""
+    level = math.log2(1.0 + call.attained_tokens / _TOKENS_PER_LEVEL)
+    return min(_MAX_LEVEL, int(level * 20))
+
+
+def _fair_attained_service(call: OrderedCall) -> int:
+    excess = max(0.0, call.organisation_share - 1.0)
+    share_level = min(_MAX_SHARE_LEVEL, int(excess * 200 * call.fairness_weight))
+    return share_level + int(_attained_service(call) * call.latency_weight)
+
+
+ORDERINGS: dict[Ordering, Callable[[OrderedCall], int]] = {
+    Ordering.FIRST_COME: _first_come,
+    Ordering.ATTAINED_SERVICE: _attained_service,
+    Ordering.FAIR_ATTAINED_SERVICE: _fair_attained_service,
+}
--- a/celerypulley/contracts/declaration.py
+++ b/celerypulley/contracts/declaration.py
@@ -15,6 +15,7 @@
     "Declaration",
     "ExceptionRule",
     "Limits",
+    "Ordering",
     "Organisation",
     "Policy",
     "Route",
@@ -49,6 +50,14 @@
     PREFIX_HASH = "prefix-hash"
 
 
+class Ordering(enum.Enum):
+    """Which waiting call an engine takes first."""
+
+    FIRST_COME = "first-come"
+    ATTAINED_SERVICE = "attained-service"
+    FAIR_ATTAINED_SERVICE = "fair-attained-service"
+
+
 def _positive(_instance: object, field: attrs.Attribute, value: float) -> None:
     if value <= 0:
         raise ValueError(f"{field.name} is {value}; it must be above zero")
@@ -89,6 +98,7 @@
     stale_after_s: float = attrs.field(default=20.0, validator=_positive)
     when_stale: WhenStale = WhenStale.SERVE
     policy: Policy = Policy.EXPECTED_FINISH
+    ordering: Ordering = Ordering.FAIR_ATTAINED_SERVICE
     latency_weight: float = attrs.field(default=1.0, validator=_positive)
     fairness_weight: float = attrs.field(default=1.0, validator=_positive)
 
--- /dev/null
+++ b/celerypulley/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: policies compared on one seeded workload in virtual time."""
--- /dev/null
+++ b/celerypulley/experiment/programs.py
@@ -0,0 +1,75 @@
+"""Seeded programs of an experiment, in tokens."""
+
+import random
+
+import attrs
+
+from celerypulley.experiment.plan import ExperimentPlan, TokenMix
+
+__all__ = ["TokenProgram", "TokenTurn", "draw_programs"]
+
+
+@attrs.frozen
+class TokenTurn:
+    """One turn: new prompt tokens, answer tokens, and the pause before it."""
+
+    prompt_tokens: int
+    answer_tokens: int
+    pause_ms: float
+
+
+@attrs.frozen
+class TokenProgram:
+    """One program: its organisation, owner host and turns."""
+
+    name: str
+    organisation: str
+    host: int
+    starts_ms: float
+    turns: tuple[TokenTurn, ...]
+
+
+def draw_programs(plan: ExperimentPlan, seed: int) -> list[TokenProgram]:
+    """Return the programs of one seed; the same for every policy."""
+    draws = random.Random(seed)
+    mix = plan.mix
+    names = [f"organisation-{number}" for number in range(mix.organisations)]
+    programs = []
+    at_ms = 0.0
+    while True:
+        at_ms += draws.expovariate(plan.programs_per_s) * 1_000
+        if at_ms >= plan.seconds * 1_000:
+            return programs
+        programs.append(
+            TokenProgram(
+                name=f"p{len(programs)}",
+                organisation=_draw_organisation(mix, names, draws),
+                host=draws.randrange(plan.hosts),
+                starts_ms=at_ms,
+                turns=_draw_turns(mix, draws),
+            )
+        )
+
+
+def _draw_organisation(mix: TokenMix, names: list[str], draws: random.Random) -> str:
+    large = names[: mix.large_organisations]
+    small = names[mix.large_organisations :]
+    if draws.random() >= mix.large_share:
+        return draws.choice(small)
+    weights = [mix.greedy_factor] + [1.0] * (len(large) - 1)
+    return draws.choices(large, weights)[0]
+
+
+def _draw_turns(mix: TokenMix, draws: random.Random) -> tuple[TokenTurn, ...]:
+    span = mix.short_turns if draws.random() < mix.short_share else mix.long_turns
+    turns = []
+    for number in range(draws.randint(*span)):
+        prompt = mix.prompt_tokens if number else mix.first_prompt_tokens
+        turns.append(
+            TokenTurn(
+                draws.randint(*prompt),
+                draws.randint(*mix.answer_tokens),
+                draws.uniform(*mix.pause_ms) if number else 0.0,
+            )
+        )
+    return tuple(turns)
--- /dev/null
+++ b/celerypulley/experiment/runner.py
@@ -0,0 +1,26 @@
+"""Running an experiment: every policy on the same programs, several seeds."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+from celerypulley.experiment.plan import ExperimentPlan
+from celerypulley.experiment.programs import draw_programs
+from celerypulley.experiment.report import PolicyFigures, figures_table, write_report
+from celerypulley.experiment.trial import Trial, TrialResult
+
+__all__ = ["run_experiment"]
+
+
+def run_experiment(
+    plan: ExperimentPlan, folder: Path, say: Callable[[str], None]
+) -> list[PolicyFigures]:
+    """Run every policy on every seed and write the report."""
+    results: dict[str, list[TrialResult]] = {each.name: [] for each in plan.policies}
+    for seed in plan.seeds:
+        programs = draw_programs(plan, seed)
+        for policy in plan.policies:
+            result = Trial(plan, policy, seed, programs).run()
+            results[policy.name].append(result)
+    figures = write_report(plan, results, folder)
+    say(figures_table(figures))
+    return figures
