Count what a call costs the others on its engine

Cause: expected finish moved programs to idle engines although prefilling there stops every running answer and pushes out others' caches. Change: shared cost adds the prefill's time for each running answer (weight 0.2) and the tokens pushed out (weight 10). Earlier policies stay selectable. Found: a call that ended in the step in which its engine was lost was forgotten; the trial then never ended. It fails now like the others.

--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -65,11 +65,13 @@
     failures: int = 0
     cached: OrderedDict[str, tuple[int, float]] = attrs.Factory(OrderedDict)
     sends: deque[Send] = attrs.Factory(deque)
+    unseen_tokens: float = 0.0
 
     def note_send(self, now_ms: float, prefill_tokens: float) -> None:
         """Count a call that the next reports do not show yet."""
         self.in_flight += 1
         self.sends.append(Send(now_ms, prefill_tokens))
+        self.unseen_tokens += prefill_tokens
 
     def note_end(self) -> None:
         """Count a call's end."""
@@ -81,7 +83,7 @@
             return
         self.report = report
         while self.sends and self.sends[0].sent_ms <= report.taken_ms:
-            self.sends.popleft()
+            self.unseen_tokens -= self.sends.popleft().prefill_tokens
 
     def note_cached(self, program: str, tokens: int, now_ms: float) -> None:
         """Believe that a program's prompt is cached up to `tokens`."""
--- a/celerypulley/backend_servers/routing.py
+++ b/celerypulley/backend_servers/routing.py
@@ -14,11 +14,14 @@
     "EngineCall",
     "choose_engine",
     "expected_finish_ms",
+    "shared_cost_ms",
     "usable_engines",
 ]
 
 _BOUNDED_LOAD_FACTOR = 1.25
 _FAR_DOMAIN_MS = 2.0
+_OTHERS_WEIGHT = 0.2
+_EVICTION_WEIGHT = 10.0
 
 
 @attrs.frozen
@@ -77,9 +80,7 @@
     traits = engine.traits
     report = engine.report
     unseen = len(engine.sends)
-    backlog_tokens = report.prefill_tokens
-    for send in engine.sends:
-        backlog_tokens += send.prefill_tokens
+    backlog_tokens = report.prefill_tokens + engine.unseen_tokens
     cached = min(engine.believed_cached(call.program, call.now_ms), call.prompt_tokens)
     fresh = call.prompt_tokens - cached
     prefill_ms = (backlog_tokens + fresh) / traits.prefill_tokens_per_s * 1000
@@ -90,6 +91,34 @@
     return prefill_ms + rounds * step_ms * call.expected_tokens + far_ms
 
 
+def shared_cost_ms(call: EngineCall, engine: EngineState) -> float:
+    """Return the estimated finish plus what the call costs the others there.
+
+    A prefill stops every running answer for its time. A prompt that no longer
+    fits pushes out as many tokens of others, who prefill them again.
+    """
+    traits = engine.traits
+    report = engine.report
+    cached = min(engine.believed_cached(call.program, call.now_ms), call.prompt_tokens)
+    fresh = call.prompt_tokens - cached
+    others = report.running + report.waiting + len(engine.sends)
+    overflow = 0.0
+    if report.memory_tokens:
+        used = report.cached_tokens + engine.unseen_tokens
+        overflow = min(fresh, max(0.0, used + fresh - report.memory_tokens))
+    burden_tokens = fresh * others * _OTHERS_WEIGHT + overflow * _EVICTION_WEIGHT
+    burden_ms = burden_tokens / traits.prefill_tokens_per_s * 1000
+    return expected_finish_ms(call, engine) + burden_ms
+
+
+def _shared_cost(call: EngineCall, engines: list[EngineState]) -> Choice:
+    best = min(engines, key=lambda engine: (shared_cost_ms(call, engine), engine.name))
+    finish_ms = expected_finish_ms(call, best)
+    cached = best.believed_cached(call.program, call.now_ms)
+    reason = f"least cost to it and others, {cached:.0f} tokens cached"
+    return Choice(best, finish_ms, reason)
+
+
 def _expected_finish(call: EngineCall, engines: list[EngineState]) -> Choice:
     best = None
     best_ms = float("inf")
@@ -141,6 +170,7 @@
 
 
 POLICIES: dict[Policy, Callable[[EngineCall, list[EngineState]], Choice]] = {
+    Policy.SHARED_COST: _shared_cost,
     Policy.EXPECTED_FINISH: _expected_finish,
     Policy.ROUND_ROBIN: _round_robin,
     Policy.LEAST_OUTSTANDING: _least_outstanding,
--- a/celerypulley/contracts/declaration.py
+++ b/celerypulley/contracts/declaration.py
@@ -44,6 +44,7 @@
 class Policy(enum.Enum):
     """How an engine is chosen for a call."""
 
+    SHARED_COST = "shared-cost"
     EXPECTED_FINISH = "expected-finish"
     ROUND_ROBIN = "round-robin"
     LEAST_OUTSTANDING = "least-outstanding"
--- a/celerypulley/experiment/trial.py
+++ b/celerypulley/experiment/trial.py
@@ -207,6 +207,7 @@
         report = engine.core.step(self.now_ms)
         engine.core.events.clear()
         engine.busy = report.duration_ms > 0
+        engine.stepping = report
         if engine.busy:
             end_ms = self.now_ms + report.duration_ms
             self._at(end_ms, lambda: self._stepped(engine, report))
@@ -303,8 +304,10 @@
         engine.lost = True
         for host in self.hosts:
             host.engines["e0"].failing_until_ms = float("inf")
-        for request in [*engine.core.running, *engine.core.waiting]:
-            self._fail(request)
+        cut_short = engine.stepping.finished if engine.stepping else ()
+        for request in (*engine.core.running, *engine.core.waiting, *cut_short):
+            if request in self._requests:
+                self._fail(request)
 
     def _fail(self, request: EngineRequest) -> None:
         run, sent_ms, name = self._requests.pop(request)
