--- a/celerypulley/contracts/declaration.py
+++ b/celerypulley/contracts/declaration.py
@@ -98,7 +98,7 @@
     queue_wait_s: float = attrs.field(default=30.0, validator=_positive)
     stale_after_s: float = attrs.field(default=20.0, validator=_positive)
     when_stale: WhenStale = WhenStale.SERVE
-    policy: Policy = Policy.EXPECTED_FINISH
+    policy: Policy = Policy.SHARED_COST
     ordering: Ordering = Ordering.FAIR_ATTAINED_SERVICE
     latency_weight: float = attrs.field(default=1.0, validator=_positive)
     fairness_weight: float = attrs.field(default=1.0, validator=_positive)
--- a/celerypulley/hosts/host.py
+++ b/celerypulley/hosts/host.py
@@ -11,6 +11,7 @@
 from celerypulley.decision_log import DecisionLog
 from celerypulley.failure_domains.member import Member
 from celerypulley.hosts.backend_servers import BackendServers
+from celerypulley.hosts.cache_release import CacheRelease
 from celerypulley.hosts.call_runner import CallRunner
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
 from celerypulley.hosts.engine_runner import EngineRunner
@@ -123,6 +124,7 @@
             self.configuration,
             self.clock,
         )
+        release = CacheRelease(self.servers, self.backend_link)
         self.engines = EngineRunner(self.servers, self.backend_link, self.clock)
         self.turns = TurnRunner(
             self.shards,
@@ -142,13 +144,20 @@
             self.clock,
         )
         self.desk = ProgramDesk(
-            self.shards, self.peers, self.configuration, locks, self.clock
+            self.shards,
+            self.peers,
+            self.configuration,
+            locks,
+            self.committer,
+            release,
+            self.clock,
         )
         self.sweeper = Sweeper(
             self.shards,
             self.peers,
             self.servers,
             self.backend_link,
+            release,
             self.configuration,
             locks,
             self.clock,
--- a/celerypulley/hosts/program_desk.py
+++ b/celerypulley/hosts/program_desk.py
@@ -5,9 +5,11 @@
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal, RunState
+from celerypulley.hosts.cache_release import CacheRelease
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
 from celerypulley.hosts.peers import Peers
 from celerypulley.hosts.program_locks import ProgramLocks
+from celerypulley.hosts.record_committer import RecordCommitter
 from celerypulley.hosts.shards import Shards
 from celerypulley.hosts.turn_runner import find_program, require_configuration
 from celerypulley.links.peer_link import LinkError
@@ -48,9 +50,13 @@
         peers: Peers,
         configuration: ConfigurationFollower,
         locks: ProgramLocks,
+        committer: RecordCommitter,
+        release: CacheRelease,
         clock: Clock,
     ) -> None:
         """Keep the programs of `shards`."""
+        self.committer = committer
+        self.release = release
         self.shards = shards
         self.peers = peers
         self.configuration = configuration
@@ -140,6 +146,9 @@
             if program.closed_ms is None:
                 await owner.commit(ProgramClosed(message.program, self.clock.wall_ms()))
                 _log.write(f"closed {name}", "its caller asked for it")
+                epoch = owner.entry.epoch
+                releasing = self.release.release_everywhere(message.program, epoch)
+                self.committer.spawn(releasing)
             return ProgramReport(report_json(program))
 
 
--- a/celerypulley/hosts/sweeper.py
+++ b/celerypulley/hosts/sweeper.py
@@ -8,6 +8,7 @@
 from celerypulley.errors import CallRefusedError
 from celerypulley.failure_domains.placement import rendezvous
 from celerypulley.hosts.backend_servers import BackendServers
+from celerypulley.hosts.cache_release import CacheRelease
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
 from celerypulley.hosts.peers import Peers
 from celerypulley.hosts.program_locks import ProgramLocks
@@ -46,6 +47,7 @@
         peers: Peers,
         servers: BackendServers,
         link: BackendLink,
+        release: CacheRelease,
         configuration: ConfigurationFollower,
         locks: ProgramLocks,
         clock: Clock,
@@ -56,10 +58,10 @@
         self.peers = peers
         self.servers = servers
         self.link = link
+        self.release = release
         self.configuration = configuration
         self.locks = locks
         self.clock = clock
-        self.released_programs = 0
 
     def live_programs(self, names: list) -> list[str]:
         """Return those programs that are open here, or whose state is not known."""
@@ -138,7 +140,7 @@
             )
             gone = await self._gone_programs(list(held))
             for name, fence in gone.items():
-                await self.release(engine, name, fence)
+                await self.release.release(engine, name, fence)
         except BackendError as error:
             _log.write("engine not swept", str(error), server=engine.name)
 
@@ -172,12 +174,3 @@
         if not isinstance(reply, LivePrograms):
             return None
         return set(reply.programs)
-
-    async def release(self, engine: EngineState, program: str, fence: int) -> None:
-        """Order an engine to drop a program's cache; raise BackendError."""
-        body = {"session_id": program, "fence": fence}
-        status = await self.link.order(engine.address, "/release", body)
-        if status == 200:
-            self.released_programs += 1
-            engine.cached.pop(program, None)
-            _log.write(f"released {program}", "no open program", server=engine.name)
--- a/celerypulley/hosts/turn_runner.py
+++ b/celerypulley/hosts/turn_runner.py
@@ -5,6 +5,8 @@
 import attrs
 import orjson
 
+from celerypulley.backend_servers.ordering import OrderedCall, priority_of
+from celerypulley.backend_servers.service_shares import ServiceShares
 from celerypulley.clock import Clock
 from celerypulley.contracts.declaration import Route
 from celerypulley.contracts.effective import Configuration
@@ -31,8 +33,6 @@
 __all__ = ["TurnRunner", "find_program"]
 
 _DONE = b"data: [DONE]\n\n"
-_PRIORITY_STEP_TOKENS = 1_000
-_PRIORITY_PER_ROUTE = 1_000
 _log = DecisionLog("turn")
 
 
@@ -92,6 +92,7 @@
         self.committer = committer
         self.clock = clock
         self.active = 0
+        self.served = ServiceShares()
         self.locks = locks
 
     async def run(self, message: RunTurn, sink: AnswerSink) -> None:
@@ -167,10 +168,7 @@
         configuration = require_configuration(self.configuration)
         route = require_route(configuration, request.model)
         history = program.messages_json()
-        attained = min(
-            program.spent_tokens // _PRIORITY_STEP_TOKENS, _PRIORITY_PER_ROUTE - 1
-        )
-        priority = route.priority * _PRIORITY_PER_ROUTE + attained
+        priority = self._priority(program, route, configuration)
         return EngineJob(
             program=program.program,
             organisation=program.organisation,
@@ -183,6 +181,26 @@
             pass_on=None,
         )
 
+    def _priority(
+        self, program: Program, route: Route, configuration: Configuration
+    ) -> int:
+        now_ms = self.clock.now_ms()
+        limits = configuration.limits(program.organisation)
+        weights = (
+            configuration.limits(name).weight for name in self.served.active(now_ms)
+        )
+        share = self.served.share(
+            program.organisation, limits.weight, sum(weights), now_ms
+        )
+        call = OrderedCall(
+            route.priority,
+            program.spent_tokens,
+            share,
+            limits.fairness_weight,
+            limits.latency_weight,
+        )
+        return priority_of(limits.ordering, call)
+
     async def _settle_former(self, owner: ShardOwner, program: Program) -> None:
         if not program.reserved_tokens:
             return
@@ -297,6 +315,9 @@
 
     async def _finish(self, reader: AnswerReader, reserve: int) -> None:
         spent = min(reader.tokens, reserve)
+        self.runner.served.note(
+            self.program.organisation, spent, self.runner.clock.now_ms()
+        )
         answer = orjson.dumps(reader.message())
         messages = self.request.messages_json + b"," + answer
         record = TurnDone(
