Write down design, promises, operations, configuration and errors

Cause: the system had no pages, and nothing showed that its proofs can fail. Change: pages for developers and operators; the table of errors is made from the code and tested against it; `make proofs` takes seventeen mechanisms out one by one and asks their tests to fail; a call that would wait longer than queue_wait_s is refused truly with Retry-After; load, experiment and the one-file binary.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 JSON ?= 0
 SECONDS_LONG ?= 60
 
-.PHONY: install demo test lint format binary bench soak slopes docs
+.PHONY: install demo test lint format binary bench soak slopes proofs
 
 install: $(VENV)/installed
 
@@ -42,3 +42,6 @@
 
 slopes: install
 	$(BIN)/python -m benchmarks.slopes
+
+proofs: install
+	$(BIN)/python -m tools.proofs
--- a/benchmarks/host_slopes.py
+++ b/benchmarks/host_slopes.py
@@ -11,7 +11,7 @@
 from celerypulley.load.ledger import Ledger
 from celerypulley.load.workload import MIXES, plan_programs
 from tools.cluster import DEPLOYMENTS, Cluster, ClusterOptions
-from tools.demo import drive
+from tools.demo import drive_cluster
 
 __all__ = ["measure_calls", "measure_hosts"]
 
@@ -131,7 +131,7 @@
             before = [read_cost(pid) for pid in pids]
             ledger = Ledger()
             begun = asyncio.get_running_loop().time()
-            await drive(cluster, planned, ledger, show=False)
+            await drive_cluster(cluster, planned, ledger, show=False)
             seconds = asyncio.get_running_loop().time() - begun
             after = [read_cost(pid) for pid in pids]
             cpu_s = sum(b.cpu_s - a.cpu_s for a, b in zip(before, after, strict=True))
--- a/celerypulley/backend_servers/routing.py
+++ b/celerypulley/backend_servers/routing.py
@@ -14,6 +14,7 @@
     "EngineCall",
     "choose_engine",
     "expected_finish_ms",
+    "expected_wait_ms",
     "shared_cost_ms",
     "usable_engines",
 ]
@@ -75,6 +76,18 @@
     return POLICIES[policy](call, usable)
 
 
+def expected_wait_ms(call: EngineCall, engine: EngineState) -> float:
+    """Return the estimated time until an engine begins with a new call."""
+    traits = engine.traits
+    report = engine.report
+    backlog_tokens = report.prefill_tokens + engine.unseen_tokens
+    sequences = report.running + report.waiting + len(engine.sends)
+    step_ms = traits.step_base_ms + traits.step_per_sequence_ms * traits.batch_limit
+    rounds = max(0.0, sequences / traits.batch_limit - 1.0)
+    backlog_ms = backlog_tokens / traits.prefill_tokens_per_s * 1000
+    return backlog_ms + rounds * step_ms * call.expected_tokens
+
+
 def expected_finish_ms(call: EngineCall, engine: EngineState) -> float:
     """Return the estimated time until an engine has answered the call."""
     traits = engine.traits
--- a/celerypulley/cli.py
+++ b/celerypulley/cli.py
@@ -1,8 +1,10 @@
 """The command line, built by fire."""
 
 import sys
+from pathlib import Path
 
 import fire
+import yaml
 from returns.result import Failure
 
 from celerypulley import __version__
@@ -127,6 +129,55 @@
         """Show hosts, owners, engines and the version in force on each host."""
         _print(platform, commands.status)
 
+    def experiment(self, file: str, out: str = "out/experiment") -> None:
+        """Compare policies on a seeded workload; the report goes to folder `out`."""
+        from celerypulley.experiment.plan import read_plan
+        from celerypulley.experiment.runner import run_experiment
+
+        try:
+            plan = read_plan(Path(file))
+        except (OSError, ValueError) as error:
+            _fail(str(error))
+        run_experiment(plan, Path(out) / plan.name, print)
+
+    def load(
+        self,
+        hosts: str,
+        keys: str,
+        model: str = "agent-70b",
+        order_path: str = "/tokens/issue",
+        mix: str = "aguapunto",
+        seed: int = 1,
+        programs_per_s: float = 2.0,
+        seconds: float = 20.0,
+        record: str = "",
+        replay: str = "",
+    ) -> None:
+        """Send bounded, seeded programs to running hosts and check their answers.
+
+        `hosts` are ip:port separated by commas; `keys` is a YAML file that gives
+        a key for each organisation; `record` writes the planned programs to a
+        file and `replay` sends those of a file.
+        """
+        from celerypulley.load.command import run_load
+
+        addresses = hosts if isinstance(hosts, tuple) else str(hosts).split(",")
+        known = yaml.safe_load(Path(keys).read_text(encoding="utf-8"))
+        text, holds = run_load(
+            list(addresses),
+            known,
+            model,
+            order_path,
+            mix,
+            seed,
+            programs_per_s,
+            seconds,
+            record,
+            replay,
+        )
+        print(text)
+        sys.exit(0 if holds else 1)
+
     def version(self) -> None:
         """Show the version of this program."""
         print(__version__)
--- a/celerypulley/hosts/engine_runner.py
+++ b/celerypulley/hosts/engine_runner.py
@@ -7,7 +7,12 @@
 import attrs
 
 from celerypulley.backend_servers.engine_state import EngineState
-from celerypulley.backend_servers.routing import Choice, EngineCall, choose_engine
+from celerypulley.backend_servers.routing import (
+    Choice,
+    EngineCall,
+    choose_engine,
+    expected_wait_ms,
+)
 from celerypulley.clock import Clock
 from celerypulley.contracts.declaration import Limits
 from celerypulley.decision_log import DecisionLog
@@ -73,11 +78,9 @@
                 ErrorKind.NO_BACKEND_SERVER,
                 f"no engine for model {call.model!r} gets new work",
             )
-        if choice.finish_ms > job.limits.turn_timeout_s * 1000:
-            raise CallRefusedError.of(
-                ErrorKind.OVERLOADED,
-                f"an answer would take {choice.finish_ms / 1000:.0f} s",
-            )
+        wait_ms = expected_wait_ms(call, choice.engine)
+        if wait_ms > job.limits.queue_wait_s * 1000:
+            raise _overloaded(job, wait_ms)
         _log.write(
             f"engine {choice.engine.name}",
             choice.reason,
@@ -144,6 +147,17 @@
             engine.note_failure(self.clock.now_ms())
 
 
+def _overloaded(job: EngineJob, wait_ms: float) -> CallRefusedError:
+    longest_s = job.limits.queue_wait_s
+    return CallRefusedError(
+        Refusal(
+            ErrorKind.OVERLOADED,
+            f"a call would wait {wait_ms / 1000:.0f} s, above {longest_s:.0f} s",
+            retry_after_s=max(1, int(wait_ms / 1000 - longest_s) + 1),
+        )
+    )
+
+
 def _failure(engine: EngineState, error: Exception, reader: AnswerReader) -> Refusal:
     sent = getattr(error, "sent", True)
     run = RunState.UNKNOWN if sent else RunState.NOT_RUN
--- a/celerypulley/hosts/entry.py
+++ b/celerypulley/hosts/entry.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from celerypulley.backend_servers.ordering import OrderedCall, priority_of
 from celerypulley.clock import Clock
 from celerypulley.contracts.declaration import Limits, Route, WhenStale
 from celerypulley.contracts.effective import Configuration
@@ -291,6 +292,7 @@
         limits = configuration.limits(caller.organisation)
         request = read_chat_request(message.body)
         max_tokens = request.max_tokens or limits.max_tokens
+        priority = priority_of(limits.ordering, OrderedCall(route.priority, 0, 1.0))
         headers = {"X-Celerypulley-Run": RunState.RAN.value}
         head_sent = False
 
@@ -305,7 +307,7 @@
             program="",
             organisation=caller.organisation,
             request=request,
-            body=request.engine_body(b"", max_tokens, route.priority * 1_000, ""),
+            body=request.engine_body(b"", max_tokens, priority, ""),
             prompt_tokens=request.prompt_tokens(0),
             max_tokens=max_tokens,
             request_id=message.request_id,
--- /dev/null
+++ b/celerypulley/load/runner.py
@@ -0,0 +1,67 @@
+"""Driving planned programs against hosts, and recording plans."""
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+
+import cattrs
+import orjson
+
+from celerypulley.clock import Clock
+from celerypulley.load.client import Balancer, ProgramClient
+from celerypulley.load.ledger import Ledger
+from celerypulley.load.workload import PlannedProgram
+
+__all__ = ["drive", "load_plan", "save_plan"]
+
+_DRAIN_S = 90.0
+
+
+async def drive(
+    planned: Sequence[PlannedProgram],
+    keys: Mapping[str, str],
+    balancer: Balancer,
+    ledger: Ledger,
+    order_path: str,
+    on_end: Callable[[], object],
+) -> None:
+    """Start each program at its time and wait until all have ended.
+
+    `keys` gives a key for each organisation; `on_end` is called once for each
+    program. A program that has not ended in time counts as unfinished.
+    """
+    clock = Clock()
+    begun_ms = clock.now_ms()
+
+    async def follow(plan: PlannedProgram) -> None:
+        key = keys[plan.organisation]
+        client = ProgramClient(plan, key, balancer, ledger, clock, order_path)
+        try:
+            await client.run()
+        finally:
+            on_end()
+
+    tasks = []
+    for plan in planned:
+        wait_ms = begun_ms + plan.starts_ms - clock.now_ms()
+        if wait_ms > 0:
+            await asyncio.sleep(wait_ms / 1_000)
+        tasks.append(asyncio.create_task(follow(plan)))
+    if not tasks:
+        return
+    done, late = await asyncio.wait(tasks, timeout=_DRAIN_S)
+    for task in late:
+        task.cancel()
+        ledger.unfinished_programs += 1
+    for task in done:
+        task.result()
+
+
+def save_plan(planned: Sequence[PlannedProgram], path: Path) -> None:
+    """Write planned programs to a file."""
+    path.write_bytes(orjson.dumps(cattrs.unstructure(planned)))
+
+
+def load_plan(path: Path) -> list[PlannedProgram]:
+    """Return the planned programs of a file."""
+    return cattrs.structure(orjson.loads(path.read_bytes()), list[PlannedProgram])
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -11,6 +11,7 @@
     EngineCall,
     choose_engine,
     expected_finish_ms,
+    expected_wait_ms,
 )
 from celerypulley.contracts.declaration import Policy
 from celerypulley.failure_domains.member import Member
@@ -159,6 +160,20 @@
     assert not one.sends
 
 
+WAITS = [
+    (busy(0), 0.0),
+    (busy(10, 14_000), 1_000.0),
+    (busy(256, 28_000), 2_000.0),
+    (busy(512), (18.0 + 0.12 * 256) * 100),
+]
+
+
+@pytest.mark.parametrize(("report", "wait_ms"), WAITS)
+def test_expected_wait(report: EngineReport, wait_ms: float) -> None:
+    one = engine("e1", report=report)
+    assert expected_wait_ms(engine_call(), one) == pytest.approx(wait_ms)
+
+
 def test_belief_of_a_cache_fades_and_follows_evictions() -> None:
     one = with_cache("e1", 9_000)
     assert one.believed_cached("p", 1_000.0) == 9_000
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,27 @@
+"""Pages that repeat what the code says."""
+
+from pathlib import Path
+
+import attrs
+import pytest
+
+from celerypulley.contracts.declaration import Limits
+from celerypulley.errors import ANSWERS, ErrorKind
+from tools.error_table import error_page
+from tools.import_rules import broken_rules
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def test_page_of_errors_is_that_of_the_code() -> None:
+    assert set(ANSWERS) == set(ErrorKind)
+    assert (ROOT / "docs/ERRORS.md").read_text() == error_page()
+
+
+@pytest.mark.parametrize("name", [field.name for field in attrs.fields(Limits)])
+def test_page_of_configuration_names_every_value(name: str) -> None:
+    assert f"`{name}`" in (ROOT / "docs/CONFIGURATION.md").read_text()
+
+
+def test_decisions_stay_apart_from_encodings() -> None:
+    assert broken_rules(ROOT) == []
--- /dev/null
+++ b/tools/binary.py
@@ -0,0 +1,32 @@
+"""Build the one file that runs everything: `dist/celerypulley`.
+
+shiv packs the program and its libraries into one file that unpacks itself once
+and then runs in the same process. PyInstaller's one-file mode was weighed and
+left: its starter forks a child, and no process of the system may start another.
+"""
+
+import subprocess
+import sys
+from pathlib import Path
+
+__all__ = ["main"]
+
+_ROOT = Path(__file__).resolve().parent.parent
+_TARGET = _ROOT / "dist/celerypulley"
+
+
+def main() -> None:
+    """Build the file and ask it for its version."""
+    _TARGET.parent.mkdir(exist_ok=True)
+    shiv = Path(sys.executable).parent / "shiv"
+    requirements = str(_ROOT / "requirements.txt")
+    interpreter = f"/usr/bin/env {Path(sys.executable).resolve().name}"
+    command = [str(shiv), "-c", "celerypulley", "-o", str(_TARGET)]
+    command += ["-p", interpreter, "-r", requirements, str(_ROOT)]
+    subprocess.run(command, check=True)
+    subprocess.run([sys.executable, str(_TARGET), "version"], check=True)
+    print(f"{_TARGET.relative_to(_ROOT)}: {_TARGET.stat().st_size // 2**20} MB")
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -11,57 +11,26 @@
 from absl import logging
 from tqdm import tqdm
 
-from celerypulley.clock import Clock
 from celerypulley.load.checks import check_history, check_orders, check_secrecy
-from celerypulley.load.client import Balancer, ProgramClient
+from celerypulley.load.client import Balancer
 from celerypulley.load.ledger import Ledger
+from celerypulley.load.runner import drive
 from celerypulley.load.summary import Summary, summarize, table
 from celerypulley.load.workload import MIXES, PlannedProgram, plan_programs
 from tools.cluster import DEPLOYMENTS, Cluster, ClusterOptions
 
-__all__ = ["drive", "judge", "main"]
+__all__ = ["drive_cluster", "judge", "main"]
 
-_DRAIN_S = 60.0
 
-
-async def drive(
+async def drive_cluster(
     cluster: Cluster, planned: list[PlannedProgram], ledger: Ledger, show: bool
 ) -> None:
-    """Start each program at its time and wait until all have ended."""
+    """Drive planned programs against a cluster's hosts."""
     assert cluster.session is not None, "the cluster has not been started"
-    clock = Clock()
     balancer = Balancer(cluster.caller_addresses(), cluster.session, seed=1)
-    begun_ms = clock.now_ms()
-    bar = tqdm(total=len(planned), unit="program", disable=not show)
-
-    async def follow(plan: PlannedProgram) -> None:
-        client = ProgramClient(
-            plan,
-            cluster.keys[plan.organisation],
-            balancer,
-            ledger,
-            clock,
-            cluster.options.deployment.order_path,
-        )
-        try:
-            await client.run()
-        finally:
-            bar.update()
-
-    tasks = []
-    for plan in planned:
-        wait_ms = begun_ms + plan.starts_ms - clock.now_ms()
-        if wait_ms > 0:
-            await asyncio.sleep(wait_ms / 1_000)
-        tasks.append(asyncio.create_task(follow(plan)))
-    _, late = await asyncio.wait(tasks, timeout=_DRAIN_S)
-    bar.close()
-    for task in late:
-        task.cancel()
-        ledger.unfinished_programs += 1
-    for task in tasks:
-        if task.done() and not task.cancelled():
-            task.result()
+    path = cluster.options.deployment.order_path
+    with tqdm(total=len(planned), unit="program", disable=not show) as bar:
+        await drive(planned, cluster.keys, balancer, ledger, path, bar.update)
 
 
 async def judge(cluster: Cluster, ledger: Ledger) -> Summary:
@@ -108,7 +77,7 @@
                 seconds * 1_000,
             )
             ledger = Ledger()
-            await drive(cluster, planned, ledger, show)
+            await drive_cluster(cluster, planned, ledger, show)
             return await judge(cluster, ledger)
         finally:
             await cluster.stop()
--- /dev/null
+++ b/tools/error_table.py
@@ -0,0 +1,45 @@
+"""The table of error kinds on docs/ERRORS.md, made from the code."""
+
+from pathlib import Path
+
+from celerypulley.errors import ANSWERS, ErrorKind
+
+__all__ = ["error_page", "main"]
+
+_PAGE = Path(__file__).resolve().parent.parent / "docs/ERRORS.md"
+_HEAD = """# Errors
+
+Every refusal is JSON: `{"error": {"type", "message", "run", "request_id"}}`, with
+the kind in `X-Celerypulley-Error` and the run state in `X-Celerypulley-Run`:
+
+- `ran`: the work has run
+- `not-run`: it has not run and will not; sending it again is safe
+- `unknown`: it may have run; a call that may not be repeated is never sent again
+
+A refusal of one request may state another run state than the table, where more is
+known. This table is made from the code by `python -m tools.error_table`.
+
+| kind | HTTP status | run | Retry-After |
+| --- | --- | --- | --- |
+"""
+
+
+def error_page() -> str:
+    """Return the whole page."""
+    lines = []
+    for kind in ErrorKind:
+        answer = ANSWERS[kind]
+        retry = f"{answer.retry_after_s} s" if answer.retry_after_s else "-"
+        lines.append(
+            f"| {kind.value} | {answer.status} | {answer.run.value} | {retry} |"
+        )
+    return _HEAD + "\n".join(lines) + "\n"
+
+
+def main() -> None:
+    """Write the page."""
+    _PAGE.write_text(error_page())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/proofs.py
@@ -0,0 +1,196 @@
+"""Proofs that can fail: each mechanism is taken out, and its test must notice.
+
+Every removal is made in a copy of the tree. A test that still passes there proves
+nothing.
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import attrs
+
+__all__ = ["Removal", "main"]
+
+_ROOT = Path(__file__).resolve().parent.parent
+_TIMEOUT_S = 240
+_TESTS_FAILED = 1
+
+
+@attrs.frozen
+class Removal:
+    """One mechanism: the text that is taken out, what stands instead, the test."""
+
+    promise: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+_HOSTS = "celerypulley/hosts/"
+
+REMOVALS = (
+    Removal(
+        "rate: a new meter waits for its predecessor's loans",
+        _HOSTS + "domain_meter.py",
+        "clock.now_ms() + (0 if is_first else loan_ms)",
+        "clock.now_ms()",
+        "tests/test_rates.py",
+    ),
+    Removal(
+        "rate: a loan is counted from its request",
+        _HOSTS + "domain_meter.py",
+        "self.borrowed[domain] = asked_ms + self.loan_ms",
+        "self.borrowed[domain] = self.clock.now_ms() + self.loan_ms",
+        "tests/test_rates.py",
+    ),
+    Removal(
+        "rate: a share is lent to one meter at a time",
+        _HOSTS + "domain_meter.py",
+        "        if taken:\n            return False\n",
+        "",
+        "tests/test_rates.py",
+    ),
+    Removal(
+        "ownership: a replica refuses an older epoch",
+        _HOSTS + "shard_replica.py",
+        "        if message.epoch < self.epoch:\n"
+        '            return Acknowledged("stale", self.epoch)\n'
+        "        if not self.complete",
+        "        if not self.complete",
+        "tests/test_shard_pair.py",
+    ),
+    Removal(
+        "history: a repeated record is applied once",
+        _HOSTS + "shard_replica.py",
+        "        if message.sequence == self.state.sequence:\n"
+        '            return Acknowledged("ok", self.epoch)\n',
+        "",
+        "tests/test_shard_pair.py",
+    ),
+    Removal(
+        "history: an owner hands over only after it stopped",
+        _HOSTS + "shard_owner.py",
+        '            self.supersede(f"handed over to {entry.owner}")\n',
+        "            self.set_entry(entry)\n",
+        "tests/test_shard_pair.py",
+    ),
+    Removal(
+        "budget: a turn reserves its worst case",
+        "celerypulley/programs/shard.py",
+        "    if record.reserve_tokens > program.left_tokens:\n"
+        '        raise InvariantError(f"{record.program} would exceed its budget")\n',
+        "",
+        "tests/test_shard_pair.py",
+    ),
+    Removal(
+        "budget: an engine that overruns is cut",
+        "celerypulley/programs/chat.py",
+        "if self.tokens >= self.max_tokens and _has_content(chunk):",
+        "if False:",
+        "tests/test_links.py",
+    ),
+    Removal(
+        "order: turns of a program run one after the other",
+        _HOSTS + "turn_runner.py",
+        "async with self.locks.lock(message.program):",
+        "async with asyncio.Lock():",
+        "tests/test_whole_path.py::test_turns_keep_their_order_and_numbers",
+    ),
+    Removal(
+        "at most once: a known call is not sent again",
+        _HOSTS + "call_runner.py",
+        "        if known is not None:\n"
+        "            return self._replay(known, fingerprint), True\n",
+        "",
+        "tests/test_at_most_once.py",
+    ),
+    Removal(
+        "at most once: a reset is not 'not run'",
+        _HOSTS + "call_runner.py",
+        "                if error.sent:\n",
+        "                if False:\n",
+        "tests/test_at_most_once.py",
+    ),
+    Removal(
+        "keys: a withdrawn key ends what runs with it",
+        _HOSTS + "host.py",
+        "        self.configuration.on_change.append(self.callers.drop_withdrawn)\n",
+        "",
+        "tests/test_whole_path.py::"
+        "test_withdrawn_key_stops_at_every_host_and_ends_streams",
+    ),
+    Removal(
+        "keys: a peer proves the secret",
+        "celerypulley/links/peer_server.py",
+        "        verify_proof(expected, hello.proof)\n",
+        "",
+        "tests/test_links.py",
+    ),
+    Removal(
+        "organisations: another's program does not exist",
+        _HOSTS + "turn_runner.py",
+        "if program is not None and program.organisation == organisation:",
+        "if program is not None:",
+        "tests/test_whole_path.py::test_another_organisations_program_does_not_exist",
+    ),
+    Removal(
+        "configuration: a version is written where none came between",
+        "celerypulley/operators/configuration_store.py",
+        "        if found != head and not await self._is_kept(head):\n"
+        "            raise ChangeRefusedError(_what_changed(found))\n",
+        "",
+        "tests/test_configuration.py",
+    ),
+    Removal(
+        "configuration: nothing irreversible on a stale one",
+        _HOSTS + "entry.py",
+        "self.check_fresh(limits, irreversible=not route.repeatable)",
+        "pass",
+        "tests/test_configuration.py",
+    ),
+    Removal(
+        "leaving servers get no new work",
+        "celerypulley/backend_servers/routing.py",
+        "if engine.state is ServerState.LEAVING or engine.name in avoid:",
+        "if engine.name in avoid:",
+        "tests/test_decisions.py",
+    ),
+)
+
+
+def _notices(removal: Removal, folder: Path) -> bool:
+    """Return whether the test fails without the mechanism."""
+    copy = folder / "copy"
+    ignore = shutil.ignore_patterns(".git", ".venv", "dist", "out", "build")
+    shutil.copytree(_ROOT, copy, ignore=ignore)
+    path = copy / removal.file
+    text = path.read_text()
+    if removal.old not in text:
+        raise ValueError(f"{removal.file} has no {removal.old!r}")
+    path.write_text(text.replace(removal.old, removal.new, 1))
+    command = [sys.executable, "-m", "pytest", "-x", "-q", removal.test]
+    done = subprocess.run(
+        command, cwd=copy, capture_output=True, timeout=_TIMEOUT_S, check=False
+    )
+    return done.returncode == _TESTS_FAILED
+
+
+def main() -> None:
+    """Print a line for each mechanism; exit with 1 if a test did not notice."""
+    blind = 0
+    for removal in REMOVALS:
+        with tempfile.TemporaryDirectory(prefix="celerypulley-proofs-") as folder:
+            noticed = _notices(removal, Path(folder))
+        blind += not noticed
+        print(f"{'noticed' if noticed else 'NOT NOTICED'}: {removal.promise}")
+        sys.stdout.flush()
+    print(f"{len(REMOVALS) - blind} of {len(REMOVALS)} removals noticed")
+    sys.exit(1 if blind else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -23,7 +23,7 @@
 from celerypulley.operators import commands
 from celerypulley.operators.configuration_store import ChangeRefusedError
 from tools.cluster import DEPLOYMENTS, Cluster, ClusterOptions, Process
-from tools.demo import drive, judge
+from tools.demo import drive_cluster, judge
 
 __all__ = ["FaultPlan", "Soak", "main", "plan_faults"]
 
@@ -111,7 +111,7 @@
         ledger = Ledger()
         watching = asyncio.create_task(self._watch_versions())
         faults = asyncio.create_task(self._run_faults(seconds))
-        await drive(cluster, planned, ledger, show=False)
+        await drive_cluster(cluster, planned, ledger, show=False)
         await faults
         await asyncio.sleep(_QUIET_END_S)
         watching.cancel()
