Refuse a request that took two engines down

Cause: a request that crashes each engine that runs it was tried again and again. A request with a strike is tried alone on its engine by its host, so that those nearby get no second strike from it. Ruled out: identifiers or whole bodies as the mark, since callers change both. Limit: hosts do not see each other's tries, so a neighbour from another host can be struck twice.

--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -50,7 +50,10 @@
 
 @attrs.define(eq=False)
 class EngineState:
-    """One engine, as this host sees it."""
+    """One engine, as this host sees it.
+
+    `probing` says that a request with a strike runs there before its first token.
+    """
 
     name: str
     domain: str
@@ -63,6 +66,7 @@
     in_flight: int = 0
     failing_until_ms: float = 0.0
     failures: int = 0
+    probing: bool = False
     cached: OrderedDict[str, tuple[int, float]] = attrs.Factory(OrderedDict)
     sends: deque[Send] = attrs.Factory(deque)
     unseen_tokens: float = 0.0
--- a/celerypulley/hosts/engine_runner.py
+++ b/celerypulley/hosts/engine_runner.py
@@ -1,5 +1,6 @@
 """Running one chat completion on an engine, with retries before the first byte."""
 
+import asyncio
 import itertools
 from collections.abc import Awaitable, Callable
 from contextlib import aclosing
@@ -18,6 +19,7 @@
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal, RunState
 from celerypulley.hosts.backend_servers import BackendServers
+from celerypulley.hosts.quarantine import Quarantine
 from celerypulley.hosts.retry_budget import RetryBudget
 from celerypulley.links.backend_link import BackendError, BackendLink
 from celerypulley.programs.chat import AnswerReader, ChatRequest
@@ -26,6 +28,7 @@
 
 _ATTEMPTS = 3
 _DEFAULT_EXPECTED_TOKENS = 128
+_PROBE_PAUSE_S = 0.1
 _log = DecisionLog("routing")
 
 
@@ -44,6 +47,7 @@
     max_tokens: int
     request_id: str
     limits: Limits
+    fingerprint: str
     pass_on: Callable[[bytes], Awaitable[None]] | None
 
 
@@ -51,12 +55,17 @@
     """Choose engines, send jobs and read their answers."""
 
     def __init__(
-        self, servers: BackendServers, link: BackendLink, clock: Clock
+        self,
+        servers: BackendServers,
+        link: BackendLink,
+        quarantine: Quarantine,
+        clock: Clock,
     ) -> None:
         """Send over `link` to the engines of `servers`."""
         self.servers = servers
         self.link = link
         self.clock = clock
+        self.quarantine = quarantine
         self.retries = RetryBudget(clock)
         self._numbers = itertools.count()
 
@@ -72,6 +81,8 @@
             number=next(self._numbers),
         )
         engines = self.servers.nearby_engines(call.model)
+        quiet = [each for each in engines if not each.probing]
+        engines = quiet or engines
         choice = choose_engine(job.limits.policy, call, engines, avoid)
         if choice is None:
             raise CallRefusedError.of(
@@ -99,14 +110,14 @@
         avoid: frozenset[str] = frozenset()
         self.retries.note_request()
         for attempt in range(_ATTEMPTS):
-            choice = self.choose(job, avoid)
-            engine = choice.engine
+            self.quarantine.check(job.fingerprint)
+            engine = (await self._choose_patiently(job, avoid)).engine
             reader = AnswerReader(job.max_tokens)
             try:
                 await self._run_on(engine, job, reader)
                 return reader
             except (BackendError, ValueError) as error:
-                self._note_error(engine, error)
+                await self._note_error(engine, job, error, reader)
                 may_retry = job.pass_on is None or not reader.tokens
                 last = attempt == _ATTEMPTS - 1
                 if last or not may_retry or not self.retries.take():
@@ -121,6 +132,8 @@
         now_ms = self.clock.now_ms()
         fresh = job.prompt_tokens - engine.believed_cached(job.program, now_ms)
         engine.note_send(now_ms, max(0.0, fresh))
+        probes = self.quarantine.strikes(job.fingerprint) > 0
+        engine.probing = engine.probing or probes
         try:
             stream = self.link.stream_chat(
                 engine.address, job.body, job.request_id, job.limits.turn_timeout_s
@@ -128,6 +141,8 @@
             async with aclosing(stream):
                 async for data in stream:
                     ready = reader.feed(data)
+                    if probes and reader.tokens:
+                        engine.probing = False
                     if ready and job.pass_on is not None:
                         await job.pass_on(ready)
                     if reader.done:
@@ -136,15 +151,39 @@
                 raise BackendError("the stream ended early", sent=True)
         finally:
             engine.note_end()
+            if probes:
+                engine.probing = False
         engine.note_success()
         tokens = job.prompt_tokens + reader.tokens
         if job.program:
             engine.note_cached(job.program, tokens, self.clock.now_ms())
 
-    def _note_error(self, engine: EngineState, error: Exception) -> None:
+    async def _choose_patiently(self, job: EngineJob, avoid: frozenset[str]) -> Choice:
+        """Return the choice; a request with a strike waits for an engine alone."""
+        waits = int(job.limits.queue_wait_s / _PROBE_PAUSE_S)
+        for _ in range(waits):
+            choice = self.choose(job, avoid)
+            suspect = self.quarantine.strikes(job.fingerprint) > 0
+            if not (suspect and choice.engine.probing):
+                return choice
+            await asyncio.sleep(_PROBE_PAUSE_S)
+        raise CallRefusedError.of(
+            ErrorKind.OVERLOADED, "no engine was free to try this request alone"
+        )
+
+    async def _note_error(
+        self,
+        engine: EngineState,
+        job: EngineJob,
+        error: Exception,
+        reader: AnswerReader,
+    ) -> None:
         status = getattr(error, "status", None)
         if status is None or status >= 500:
             engine.note_failure(self.clock.now_ms())
+        lost = status is None and getattr(error, "sent", False)
+        if lost and not reader.tokens:
+            await self.quarantine.strike(job.fingerprint, engine.name)
 
 
 def _overloaded(job: EngineJob, wait_ms: float) -> CallRefusedError:
--- a/celerypulley/hosts/entry.py
+++ b/celerypulley/hosts/entry.py
@@ -20,6 +20,7 @@
 from celerypulley.hosts.meters import Meters
 from celerypulley.hosts.peers import Peers
 from celerypulley.hosts.program_desk import ProgramDesk, refusal_of
+from celerypulley.hosts.quarantine import fingerprint_of
 from celerypulley.hosts.shards import Shards
 from celerypulley.hosts.turn_runner import (
     TurnRunner,
@@ -312,6 +313,7 @@
             max_tokens=max_tokens,
             request_id=message.request_id,
             limits=limits,
+            fingerprint=fingerprint_of(b"", request.messages_json),
             pass_on=pass_on if request.stream else None,
         )
         reader = await self.engines.run(job)
--- a/celerypulley/hosts/host.py
+++ b/celerypulley/hosts/host.py
@@ -26,6 +26,7 @@
 from celerypulley.hosts.program_desk import ProgramDesk
 from celerypulley.hosts.program_locks import ProgramLocks
 from celerypulley.hosts.promise_keeper import PromiseKeeper
+from celerypulley.hosts.quarantine import Quarantine
 from celerypulley.hosts.record_committer import RecordCommitter
 from celerypulley.hosts.returned_shards import ReturnedShards
 from celerypulley.hosts.running_turns import RunningTurns
@@ -125,7 +126,10 @@
             self.clock,
         )
         release = CacheRelease(self.servers, self.backend_link)
-        self.engines = EngineRunner(self.servers, self.backend_link, self.clock)
+        quarantine = Quarantine(self.platform, self.view, self.clock)
+        self.engines = EngineRunner(
+            self.servers, self.backend_link, quarantine, self.clock
+        )
         self.turns = TurnRunner(
             self.shards,
             self.configuration,
--- a/celerypulley/hosts/platform_view.py
+++ b/celerypulley/hosts/platform_view.py
@@ -21,9 +21,10 @@
 )
 from celerypulley.programs.identifier import ShardId
 
-__all__ = ["HEAD_KEY", "PlatformView"]
+__all__ = ["HEAD_KEY", "QUARANTINE_PREFIX", "PlatformView"]
 
 HEAD_KEY = "celerypulley/configuration/head"
+QUARANTINE_PREFIX = "celerypulley/quarantine/"
 _WATCHED_PREFIX = "celerypulley/"
 _RETRY_MIN_S = 0.2
 _RETRY_MAX_S = 3.0
@@ -50,6 +51,7 @@
         self.missing_since_ms: dict[str, float] = {}
         self.entries: dict[ShardId, ShardEntry] = {}
         self.head: KeyValue | None = None
+        self.quarantine: dict[str, KeyValue] = {}
         self.confirmed_ms = float("-inf")
         self.connected_since_ms: float | None = None
         self.changed = asyncio.Event()
@@ -161,6 +163,9 @@
             if known is None or item.revision > known.revision:
                 self.entries[shard] = ShardEntry.decode(item.value, item.revision)
             return
+        if item.key.startswith(QUARANTINE_PREFIX):
+            self.quarantine[item.key.removeprefix(QUARANTINE_PREFIX)] = item
+            return
         if item.key != HEAD_KEY or item.value is None:
             return
         if self.head is None or item.revision > self.head.revision:
--- a/celerypulley/hosts/turn_runner.py
+++ b/celerypulley/hosts/turn_runner.py
@@ -15,6 +15,7 @@
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
 from celerypulley.hosts.engine_runner import EngineJob, EngineRunner
 from celerypulley.hosts.program_locks import ProgramLocks
+from celerypulley.hosts.quarantine import fingerprint_of
 from celerypulley.hosts.record_committer import RecordCommitter
 from celerypulley.hosts.shard_owner import ShardOwner
 from celerypulley.hosts.shards import Shards
@@ -178,6 +179,7 @@
             max_tokens=reserve,
             request_id=message.request_id,
             limits=configuration.limits(program.organisation),
+            fingerprint=fingerprint_of(history, request.messages_json),
             pass_on=None,
         )
 
--- a/celerypulley/stand_ins/engine.py
+++ b/celerypulley/stand_ins/engine.py
@@ -81,6 +81,8 @@
         self.event_number = 0
         self.requests = 0
         self.seen_headers: set[str] = set()
+        self.dead = False
+        self.transports: set[asyncio.Transport] = set()
 
     async def run(self, _app: web.Application) -> object:
         """Step the core while the server runs."""
@@ -92,13 +94,15 @@
     async def chat(self, request: web.Request) -> web.StreamResponse:
         """Answer one chat completion, streamed or whole."""
         raw = await request.read()
-        if _POISON in raw and self.options.dies_on_poison:
-            raise SystemExit("engine crashed on a poison request")
+        if self.dead or (_POISON in raw and self.options.dies_on_poison):
+            return self._die(request)
         body = orjson.loads(raw)
         if body.get("model") not in self.options.models:
             return web.json_response({"error": "no such model"}, status=404)
         self.seen_headers.update(name.lower() for name in request.headers)
         stream = self._submit(body)
+        transport = request.transport
+        self.transports.add(transport)
         try:
             if body.get("stream"):
                 return await self._answer_stream(request, body, stream)
@@ -106,6 +110,16 @@
         finally:
             self.core.cancel(stream.request)
             self.streams.pop(stream.request, None)
+            self.transports.discard(transport)
+
+    def _die(self, request: web.Request) -> web.Response:
+        """Lose every connection, now and later, as a crashed process does."""
+        self.dead = True
+        for transport in self.transports:
+            transport.abort()
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=500)
 
     def _submit(self, body: dict) -> Stream:
         self.requests += 1
@@ -244,6 +258,7 @@
             "cached_tokens": core.cached_tokens,
             "memory_tokens": core.limits.memory_tokens,
             "models": list(self.options.models),
+            "dead": self.dead,
         }
 
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -214,27 +214,32 @@
 
 @asynccontextmanager
 async def deployment(
-    hosts: int = 3, engine_options: EngineOptions | None = None, **limits: object
+    hosts: int = 3,
+    engine_options: EngineOptions | None = None,
+    engines: int = 2,
+    **limits: object,
 ) -> AsyncIterator[Deployment]:
-    """Run hosts, two engines, a plain service and the key-value service."""
+    """Run hosts, engines, a plain service and the key-value service."""
     options = engine_options or EngineOptions(models=("m",), speed=20.0, load_lag_ms=0)
     clock = Clock()
     runners = []
     kv_runner, platform = await serve(make_kv_app(clock))
     runners.append(kv_runner)
-    engines = []
-    for _ in range(2):
+    engine_addresses = []
+    for _ in range(engines):
         runner, address = await serve(make_engine_app(EngineLimits(), options, clock))
         runners.append(runner)
-        engines.append(address)
+        engine_addresses.append(address)
     plain_runner, plain = await serve(make_plain_app())
     runners.append(plain_runner)
     async with aiohttp.ClientSession() as session:
         link = PlatformLink(f"http://{platform}", session, CutTable())
         store = ConfigurationStore(link, clock)
-        declaration = declare(engines, plain, **limits)
+        declaration = declare(engine_addresses, plain, **limits)
         await commands.apply_file(store, declaration, "for a test")
-        made = Deployment(session, platform, engines, plain, declaration, store)
+        made = Deployment(
+            session, platform, engine_addresses, plain, declaration, store
+        )
         for name in ("kiosk", "other"):
             made.keys[name] = (await commands.give(store, name))[-1]
         try:
