--- a/celerypulley/hosts/call_runner.py
+++ b/celerypulley/hosts/call_runner.py
@@ -12,10 +12,10 @@
 from celerypulley.hosts.backend_servers import BackendServers
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
 from celerypulley.hosts.program_locks import ProgramLocks
+from celerypulley.hosts.program_rules import find_program, require_configuration
 from celerypulley.hosts.record_committer import RecordCommitter
 from celerypulley.hosts.shard_owner import ShardOwner
 from celerypulley.hosts.shards import Shards
-from celerypulley.hosts.turn_runner import find_program, require_configuration
 from celerypulley.links.answer_sink import AnswerSink
 from celerypulley.links.backend_link import BackendError, BackendLink, PlainAnswer
 from celerypulley.links.peer_messages import RunCall
--- a/celerypulley/hosts/entry.py
+++ b/celerypulley/hosts/entry.py
@@ -20,13 +20,14 @@
 from celerypulley.hosts.meters import Meters
 from celerypulley.hosts.peers import Peers
 from celerypulley.hosts.program_desk import ProgramDesk, refusal_of
-from celerypulley.hosts.quarantine import fingerprint_of
-from celerypulley.hosts.shards import Shards
-from celerypulley.hosts.turn_runner import (
-    TurnRunner,
+from celerypulley.hosts.program_rules import (
+    parse_program,
     require_configuration,
     require_route,
 )
+from celerypulley.hosts.quarantine import fingerprint_of
+from celerypulley.hosts.shards import Shards
+from celerypulley.hosts.turn_runner import TurnRunner
 from celerypulley.links.answer_sink import AnswerSink
 from celerypulley.links.backend_link import BackendError, BackendLink, PlainAnswer
 from celerypulley.links.peer_link import LinkError
@@ -43,7 +44,7 @@
     RunTurn,
 )
 from celerypulley.programs.chat import completion_json, read_chat_request
-from celerypulley.programs.identifier import ProgramId, ShardId, shard_of_key
+from celerypulley.programs.identifier import ShardId, shard_of_key
 
 __all__ = ["Caller", "Entry"]
 
@@ -121,7 +122,7 @@
         request = read_chat_request(message.body)
         route = require_route(configuration, request.model)
         self.check_fresh(configuration.limits(caller.organisation), False)
-        shard = _shard_of_program(message.program) if message.program else None
+        shard = parse_program(message.program).shard if message.program else None
         await self.meters.take(caller.organisation)
         if shard is None:
             await self._chat_alone(caller, message, route, sink)
@@ -161,7 +162,7 @@
         key: str,
     ) -> ShardId:
         if message.program:
-            return _shard_of_program(message.program)
+            return parse_program(message.program).shard
         return shard_of_key(
             call_name(caller.organisation, route.name, "", key),
             configuration.domains,
@@ -173,7 +174,7 @@
         configuration = require_configuration(self.configuration)
         self.check_fresh(configuration.limits(caller.organisation), False)
         if message.parent:
-            _shard_of_program(message.parent)
+            parse_program(message.parent)
         await self.meters.take(caller.organisation)
         try:
             return (await self.desk.open(message)).report
@@ -209,7 +210,7 @@
     async def _report_at_owner(
         self, program: str, message: object, run_here: Callable
     ) -> bytes:
-        shard = _shard_of_program(program)
+        shard = parse_program(program).shard
         sink = _ReportSink()
 
         async def run(_message: object, _sink: AnswerSink) -> None:
@@ -391,10 +392,3 @@
     raise CallRefusedError.of(
         ErrorKind.OUTCOME_UNKNOWN, f"unexpected reply {type(reply).__name__}"
     )
-
-
-def _shard_of_program(text: str) -> ShardId:
-    try:
-        return ProgramId.parse(text).shard
-    except ValueError as error:
-        raise CallRefusedError.of(ErrorKind.UNKNOWN_PROGRAM, str(error)) from None
--- a/celerypulley/hosts/program_desk.py
+++ b/celerypulley/hosts/program_desk.py
@@ -9,9 +9,13 @@
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
 from celerypulley.hosts.peers import Peers
 from celerypulley.hosts.program_locks import ProgramLocks
+from celerypulley.hosts.program_rules import (
+    find_program,
+    parse_program,
+    require_configuration,
+)
 from celerypulley.hosts.record_committer import RecordCommitter
 from celerypulley.hosts.shards import Shards
-from celerypulley.hosts.turn_runner import find_program, require_configuration
 from celerypulley.links.peer_link import LinkError
 from celerypulley.links.peer_messages import (
     CloseProgram,
@@ -118,7 +122,7 @@
 
     async def draw(self, message: DrawBudget) -> ProgramReport:
         """Take a sub-agent's budget from a program; raise CallRefusedError."""
-        name = _parse(message.program)
+        name = parse_program(message.program)
         owner = self.shards.require_owned(name.shard)
         owner.require_promise()
         program = find_program(owner, name, message.organisation)
@@ -131,7 +135,7 @@
 
     async def read(self, message: ReadProgram) -> ProgramReport:
         """Return a program's history; raise CallRefusedError."""
-        name = _parse(message.program)
+        name = parse_program(message.program)
         owner = self.shards.require_owned(name.shard)
         owner.require_promise()
         program = find_program(owner, name, message.organisation)
@@ -139,7 +143,7 @@
 
     async def close(self, message: CloseProgram) -> ProgramReport:
         """Close a program once its turn under way has ended."""
-        name = _parse(message.program)
+        name = parse_program(message.program)
         async with self.locks.lock(message.program):
             owner = self.shards.require_owned(name.shard)
             program = find_program(owner, name, message.organisation)
@@ -179,10 +183,3 @@
     if not with_messages:
         return head
     return head[:-1] + b',"messages":[' + program.messages_json() + b"]}"
-
-
-def _parse(text: str) -> ProgramId:
-    try:
-        return ProgramId.parse(text)
-    except ValueError as error:
-        raise CallRefusedError.of(ErrorKind.UNKNOWN_PROGRAM, str(error)) from None
--- /dev/null
+++ b/celerypulley/hosts/program_rules.py
@@ -0,0 +1,81 @@
+"""Rules that every call of a program is checked against at its owner."""
+
+from celerypulley.contracts.declaration import Route
+from celerypulley.contracts.effective import Configuration
+from celerypulley.errors import CallRefusedError, ErrorKind
+from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.hosts.shard_owner import ShardOwner
+from celerypulley.programs.identifier import ProgramId
+from celerypulley.programs.program import Program
+
+__all__ = [
+    "check_receipt",
+    "find_program",
+    "parse_program",
+    "require_configuration",
+    "require_route",
+]
+
+
+def find_program(owner: ShardOwner, name: ProgramId, organisation: str) -> Program:
+    """Return an organisation's program; raise CallRefusedError.
+
+    Another organisation's program is answered as one that does not exist.
+    """
+    program = owner.state.programs.get(str(name))
+    if program is not None and program.organisation == organisation:
+        return program
+    lost_epoch = owner.entry.lost_epoch
+    if program is None and name.epoch < lost_epoch:
+        raise CallRefusedError.of(
+            ErrorKind.HISTORY_LOST, f"all holders of {name} are gone"
+        )
+    raise CallRefusedError.of(ErrorKind.UNKNOWN_PROGRAM, f"no program {name}")
+
+
+def check_receipt(program: Program, receipt: str) -> None:
+    """Raise CallRefusedError where the caller has seen a history that is not here.
+
+    A receipt is `turns.digest`, as an earlier answer gave it.
+    """
+    if not receipt:
+        return
+    turns, _, digest = receipt.partition(".")
+    if not turns.isdigit():
+        raise CallRefusedError.of(
+            ErrorKind.BAD_REQUEST, f"receipt {receipt!r} is not turns.digest"
+        )
+    behind = int(turns) > program.turn_count
+    forked = int(turns) == program.turn_count and digest != program.digest
+    if behind or forked:
+        raise CallRefusedError.of(
+            ErrorKind.HISTORY_BEHIND,
+            f"receipt {receipt} is not part of {program.receipt}",
+        )
+
+
+def require_configuration(follower: ConfigurationFollower) -> Configuration:
+    """Return the configuration in force; raise CallRefusedError without one."""
+    if follower.current is None:
+        raise CallRefusedError.of(
+            ErrorKind.CONFIGURATION_STALE, "no configuration is in force yet"
+        )
+    return follower.current
+
+
+def require_route(configuration: Configuration, model: str) -> Route:
+    """Return the route of a model; raise CallRefusedError without one."""
+    route = configuration.route_of_model(model)
+    if route is None:
+        raise CallRefusedError.of(
+            ErrorKind.UNKNOWN_MODEL, f"no route serves model {model!r}"
+        )
+    return route
+
+
+def parse_program(text: str) -> ProgramId:
+    """Return a program's identifier; raise CallRefusedError where it is not one."""
+    try:
+        return ProgramId.parse(text)
+    except ValueError as error:
+        raise CallRefusedError.of(ErrorKind.UNKNOWN_PROGRAM, str(error)) from None
--- a/celerypulley/links/caller_server.py
+++ b/celerypulley/links/caller_server.py
@@ -15,7 +15,7 @@
 from celerypulley.errors import ANSWERS, CallRefusedError, ErrorKind, Refusal
 from celerypulley.hosts.entry import Caller, Entry
 from celerypulley.hosts.metrics import HostMetrics
-from celerypulley.hosts.turn_runner import require_configuration
+from celerypulley.hosts.program_rules import require_configuration
 from celerypulley.links.answer_sink import CallerGoneError
 from celerypulley.links.peer_messages import OpenProgram, RunCall, RunTurn
 from celerypulley.settings import Address
--- a/tools/proofs.py
+++ b/tools/proofs.py
@@ -132,7 +132,7 @@
     ),
     Removal(
         "organisations: another's program does not exist",
-        _HOSTS + "turn_runner.py",
+        _HOSTS + "program_rules.py",
         "if program is not None and program.organisation == organisation:",
         "if program is not None:",
         "tests/test_whole_path.py::test_another_organisations_program_does_not_exist",
