Let a host's work follow its own shards, not the fleet's

Each tick went through every owner entry three times. Change: entries are adopted as they change; lost shards are looked for only while a member is missing; balance is computed only after something changed. The shared cost of an engine is computed in one pass. Also proved: a shard whose holders nobody knows is begun anew, and says so.

--- a/benchmarks/state_slopes.py
+++ b/benchmarks/state_slopes.py
@@ -92,7 +92,7 @@
         call = EngineCall("p", "m", 20_000, 128, "a", 1_000.0)
 
         def choose(call: EngineCall = call, engines: list = engines) -> object:
-            return choose_engine(Policy.EXPECTED_FINISH, call, engines)
+            return choose_engine(Policy.SHARED_COST, call, engines)
 
         costs.append(cpu_per_call(choose) * _MS)
     return [Series("choice of an engine", "engines", "ms", sizes, tuple(costs))]
--- a/celerypulley/backend_servers/routing.py
+++ b/celerypulley/backend_servers/routing.py
@@ -112,20 +112,27 @@
     """
     traits = engine.traits
     report = engine.report
-    cached = min(engine.believed_cached(call.program, call.now_ms), call.prompt_tokens)
-    fresh = call.prompt_tokens - cached
+    fresh = call.prompt_tokens
+    if call.program in engine.cached:
+        fresh -= min(fresh, engine.believed_cached(call.program, call.now_ms))
     others = report.running + report.waiting + len(engine.sends)
-    overflow = 0.0
-    if report.memory_tokens:
-        used = report.cached_tokens + engine.unseen_tokens
-        overflow = min(fresh, max(0.0, used + fresh - report.memory_tokens))
-    burden_tokens = fresh * others * _OTHERS_WEIGHT + overflow * _EVICTION_WEIGHT
-    burden_ms = burden_tokens / traits.prefill_tokens_per_s * 1000
-    return expected_finish_ms(call, engine) + burden_ms
+    used = report.cached_tokens + engine.unseen_tokens
+    overflow = used + fresh - report.memory_tokens if report.memory_tokens else 0.0
+    tokens = report.prefill_tokens + engine.unseen_tokens
+    tokens += fresh * (1.0 + others * _OTHERS_WEIGHT)
+    if overflow > 0.0:
+        tokens += min(fresh, overflow) * _EVICTION_WEIGHT
+    sequences = others + 1
+    step_ms = traits.step_base_ms + traits.step_per_sequence_ms * sequences
+    if sequences > traits.batch_limit:
+        step_ms *= sequences / traits.batch_limit
+    far_ms = 0.0 if engine.domain == call.domain else _FAR_DOMAIN_MS
+    prefill_ms = tokens / traits.prefill_tokens_per_s * 1000
+    return prefill_ms + step_ms * call.expected_tokens + far_ms
 
 
 def _shared_cost(call: EngineCall, engines: list[EngineState]) -> Choice:
-    best = min(engines, key=lambda engine: (shared_cost_ms(call, engine), engine.name))
+    best = min(engines, key=lambda engine: shared_cost_ms(call, engine))
     finish_ms = expected_finish_ms(call, best)
     cached = best.believed_cached(call.program, call.now_ms)
     reason = f"least cost to it and others, {cached:.0f} tokens cached"
--- a/celerypulley/hosts/platform_view.py
+++ b/celerypulley/hosts/platform_view.py
@@ -55,6 +55,8 @@
         self.confirmed_ms = float("-inf")
         self.connected_since_ms: float | None = None
         self.changed = asyncio.Event()
+        self.generation = 0
+        self.changed_shards: set[ShardId] = set()
         self._seen_revision = 0
         self._watching: asyncio.Task | None = None
         self._random = random.Random()
@@ -77,6 +79,7 @@
         known = self.entries.get(shard)
         if known is None or entry.revision > known.revision:
             self.entries[shard] = entry
+            self.changed_shards.add(shard)
             self._notify()
 
     @Service.task
@@ -148,7 +151,9 @@
         self.members.clear()
         for item in items:
             self._apply(item)
-        for name in before - set(self.members):
+        holders = {entry.owner for entry in self.entries.values()}
+        holders |= {entry.replica for entry in self.entries.values() if entry.replica}
+        for name in (before | holders) - set(self.members):
             self._mark_missing(name)
         self.confirmed_ms = self.clock.now_ms()
         self._notify()
@@ -162,6 +167,7 @@
             known = self.entries.get(shard)
             if known is None or item.revision > known.revision:
                 self.entries[shard] = ShardEntry.decode(item.value, item.revision)
+                self.changed_shards.add(shard)
             return
         if item.key.startswith(QUARANTINE_PREFIX):
             self.quarantine[item.key.removeprefix(QUARANTINE_PREFIX)] = item
@@ -195,6 +201,21 @@
         since_ms = self.missing_since_ms.setdefault(name, self.clock.now_ms())
         return self.clock.now_ms() - max(since_ms, self.connected_since_ms)
 
+    def take_changed_shards(self) -> dict[ShardId, ShardEntry]:
+        """Return the entries that changed since the last call."""
+        changed = {shard: self.entries[shard] for shard in self.changed_shards}
+        self.changed_shards.clear()
+        return changed
+
+    def missing_members(self, longer_than_ms: float) -> set[str]:
+        """Return the members that have been missing for longer than a time."""
+        return {
+            name
+            for name in self.missing_since_ms
+            if self.missing_for_ms(name) >= longer_than_ms
+        }
+
     def _notify(self) -> None:
+        self.generation += 1
         self.changed.set()
         self.changed = asyncio.Event()
--- a/celerypulley/hosts/shard_keeper.py
+++ b/celerypulley/hosts/shard_keeper.py
@@ -54,6 +54,7 @@
         self.writer = writer
         self.clock = clock
         self.leaving = False
+        self._balanced_generation = -1
         self._random = random.Random()
 
     @property
@@ -103,12 +104,13 @@
             await self.writer.write(shard, entry, None, "the shard is new")
 
     async def _claim_lost_shards(self) -> None:
-        grace_ms = self._lost_grace_ms()
+        missing = self.view.missing_members(self._lost_grace_ms())
+        if not missing:
+            return
         for shard, entry in list(self.view.entries.items()):
-            if self.view.missing_for_ms(entry.owner) < grace_ms:
+            if entry.owner not in missing:
                 continue
-            replica = entry.replica
-            if replica and self.view.missing_for_ms(replica) < grace_ms:
+            if entry.replica and entry.replica not in missing:
                 continue
             names = takeover_candidates(shard, self.view.members, self._is_local(shard))
             if rendezvous(str(shard), names) != self._me:
@@ -197,9 +199,12 @@
     async def _move_shards(self) -> None:
         if self.leaving or not self._view_has_settled():
             return
+        if self.view.generation == self._balanced_generation:
+            return
         for _ in range(_MOVES_PER_TICK):
             move = choose_move(self.shards.me, self.view.members, self.view.entries)
             if move is None:
+                self._balanced_generation = self.view.generation
                 return
             if not await self.hand_over(move.shard, move.to, "balance"):
                 return
--- a/celerypulley/hosts/shards.py
+++ b/celerypulley/hosts/shards.py
@@ -125,8 +125,12 @@
     @Service.task
     async def _follow_owner_table(self) -> None:
         while not self.should_stop:
-            for shard, entry in list(self.view.entries.items()):
+            for shard, entry in self.view.take_changed_shards().items():
                 self.adopt(shard, entry)
+            for shard in [*self.owned, *self.replicas]:
+                entry = self.view.entries.get(shard)
+                if entry is not None:
+                    self.adopt(shard, entry)
             await self.view.wait_for_change(timeout_ms=1_000)
 
     def adopt(self, shard: ShardId, entry: ShardEntry) -> None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -104,3 +104,36 @@
     for wrong in (given.text[:-1] + "!", given.text[:-1], "", "cp__", given.text + "a"):
         assert ring.find(wrong) is None
     assert KeyRing(()).find(given.text) is None
+
+
+async def test_shard_whose_holders_nobody_knows_is_begun_anew() -> None:
+    from celerypulley.failure_domains.owner_table import ShardEntry, entry_key
+    from celerypulley.programs.identifier import ShardId
+
+    async with deployment() as made:
+        shard = ShardId("north", 0)
+        key = entry_key(shard)
+        item = await made.store.platform.read(key)
+        gone = ShardEntry("h8+00000000", "h9+00000000", epoch=7)
+        assert await made.store.platform.write_if(key, gone.encode(), item.revision)
+        for host in made.hosts:
+            host.view._give_up_watch()
+        await until(
+            lambda: all(
+                host.view.entries[shard].lost_epoch == 8 for host in made.hosts
+            ),
+            "a new epoch that says what was lost",
+        )
+        await made.settle()
+        status, _, answer = await made.turn(
+            made.hosts[0], "north.0.3.0123456789abcdef", "still there?"
+        )
+        assert (status, answer["error"]["type"]) == (410, "history_lost")
+        status, headers, answer = await made.post(
+            made.hosts[0],
+            "/tokens/a",
+            {"id": "x"},
+            Idempotency_Key="x",
+            X_Celerypulley_Program="north.0.3.0123456789abcdef",
+        )
+        assert (status, answer["error"]["type"]) == (410, "history_lost")
