Let the soak's callers close programs that they give up

The trace: a sub-agent with a budget of one turn lost its engine; the turn's reserve was charged, as its outcome was unknown, and the next try was refused (budget_exhausted, 40 times). The caller gave up without closing, so both programs were open, and their caches were rightly held. Change: a caller that gives up closes its program; an exhausted budget is final. The check stays as it was.

--- a/celerypulley/load/client.py
+++ b/celerypulley/load/client.py
@@ -84,6 +84,7 @@
         finished = await self._run_all()
         if not finished:
             self.ledger.unfinished_programs += 1
+            await self._give_up()
             return
         self.ledger.finished_programs += 1
         took_ms = self.clock.now_ms() - begun_ms - self.waited_ms
@@ -191,6 +192,7 @@
             return False
         single = attrs.evolve(turn, order="", stream=False)
         if not await child._turn(1, single):
+            await child._give_up()
             return False
         self.spent_tokens += turn.max_tokens
         return await child._check_and_close()
@@ -212,6 +214,12 @@
             )
         return True
 
+    async def _give_up(self) -> None:
+        """Close a program that cannot go on, so that nothing is held for it."""
+        if self.program:
+            path = f"/v1/programs/{self.program}"
+            await self._until_done("close", "", "DELETE", path, {})
+
     async def _until_done(
         self,
         kind: str,
@@ -244,6 +252,8 @@
                 return answer
             if kind == "open" and answer.outcome is Outcome.UNKNOWN:
                 return None
+            if answer.error == "budget_exhausted":
+                return None
             if answer.error in ("history_lost", "unknown_program", "turn_out_of_order"):
                 self.ledger.violate("history", f"{self.program}: {answer.detail}")
                 return None
