Let one host of a failure domain read each engine for the others

Change: from 16 engines a domain on, each is read by one of its hosts, who tells the others once a second without a reply. Weighed: slower reading by all (six seconds old at 50 engines), reports piggybacked on answers (none from engines not used). Limit: evictions and failures of engines are known to the reader and to those that meet them.

--- a/celerypulley/hosts/backend_servers.py
+++ b/celerypulley/hosts/backend_servers.py
@@ -14,13 +14,18 @@
 from celerypulley.contracts.declaration import BackendServer, RouteKind
 from celerypulley.contracts.effective import Configuration
 from celerypulley.decision_log import DecisionLog
+from celerypulley.failure_domains.placement import rendezvous
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.hosts.peers import Peers
 from celerypulley.links.backend_link import BackendError, BackendLink
+from celerypulley.links.peer_messages import LoadReports
 
 __all__ = ["BackendServers"]
 
 _LIST_PERIOD_S = 2.0
 _LOAD_PERIOD_S = 0.5
+_SHARED_PERIOD_S = 1.0
+_OLDEST_SHARED_MS = 5_000.0
 _READ_TIMEOUT_S = 1.0
 _MIN_ENGINES_IN_DOMAIN = 16
 _log = DecisionLog("backend-servers")
@@ -35,6 +40,7 @@
         link: BackendLink,
         platform_address: str,
         configuration: ConfigurationFollower,
+        peers: Peers,
         clock: Clock,
     ) -> None:
         """Know nothing until a configuration is in force."""
@@ -42,6 +48,7 @@
         self.domain = domain
         self.link = link
         self.platform_address = platform_address
+        self.peers = peers
         self.clock = clock
         self.engines: dict[str, EngineState] = {}
         self.plain: dict[str, list[BackendServer]] = {}
@@ -99,11 +106,23 @@
         ]
         return near if len(near) >= _MIN_ENGINES_IN_DOMAIN else having
 
-    def _watched(self) -> list[EngineState]:
+    def _neighbours(self) -> list[str]:
+        """Return the members of this failure domain, this host among them."""
+        members = self.peers.view.members.values()
+        return [each.name for each in members if each.domain == self.domain]
+
+    def _engines_to_read(self) -> tuple[list[EngineState], bool]:
+        """Return the engines that this host reads, and whether it shares them.
+
+        Where a domain has many engines, each is read by one of its hosts.
+        """
         near = [e for e in self.engines.values() if e.domain == self.domain]
-        if len(near) >= _MIN_ENGINES_IN_DOMAIN:
-            return near
-        return list(self.engines.values())
+        if len(near) < _MIN_ENGINES_IN_DOMAIN:
+            return list(self.engines.values()), False
+        names = self._neighbours()
+        me = self.peers.identity.member
+        mine = [each for each in near if rendezvous(each.name, names) == me]
+        return mine, True
 
     @Service.task
     async def _read_list(self) -> None:
@@ -133,9 +152,41 @@
     @Service.task
     async def _read_loads(self) -> None:
         while not self.should_stop:
-            watched = self._watched()
-            await asyncio.gather(*(self._read_load(engine) for engine in watched))
-            await self.sleep(self._random.uniform(0.8, 1.2) * _LOAD_PERIOD_S)
+            engines, shared = self._engines_to_read()
+            await asyncio.gather(*(self._read_load(engine) for engine in engines))
+            if shared:
+                await self._share(engines)
+            period_s = _SHARED_PERIOD_S if shared else _LOAD_PERIOD_S
+            await self.sleep(self._random.uniform(0.8, 1.2) * period_s)
+
+    async def _share(self, engines: list[EngineState]) -> None:
+        now_ms = self.clock.now_ms()
+        items = [
+            [
+                engine.name,
+                round(now_ms - engine.report.taken_ms),
+                engine.report.running,
+                engine.report.waiting,
+                engine.report.prefill_tokens,
+                engine.report.cached_tokens,
+                engine.report.memory_tokens,
+            ]
+            for engine in engines
+            if engine.report.taken_ms > now_ms - _OLDEST_SHARED_MS
+        ]
+        if not items:
+            return
+        for name in self._neighbours():
+            if name != self.peers.identity.member:
+                await self.peers.tell(name, LoadReports(items))
+
+    def take_reports(self, message: LoadReports) -> None:
+        """Take in what another host of the domain read."""
+        now_ms = self.clock.now_ms()
+        for name, age_ms, *figures in message.items:
+            engine = self.engines.get(name)
+            if engine is not None:
+                engine.note_report(EngineReport(now_ms - age_ms, *figures))
 
     async def _read_load(self, engine: EngineState) -> None:
         asked_ms = self.clock.now_ms()
--- a/celerypulley/hosts/host.py
+++ b/celerypulley/hosts/host.py
@@ -123,6 +123,7 @@
             self.backend_link,
             str(self.settings.platform_address),
             self.configuration,
+            self.peers,
             self.clock,
         )
         release = CacheRelease(self.servers, self.backend_link)
@@ -201,6 +202,7 @@
             self.committer,
             self.sweeper,
             self.returned,
+            self.servers,
         )
         self.peer_server = PeerServer(
             self.identity, settings.peer_address, self.conditions, peer_desk.answer
--- a/celerypulley/hosts/peer_desk.py
+++ b/celerypulley/hosts/peer_desk.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 from celerypulley.errors import CallRefusedError, ErrorKind
+from celerypulley.hosts.backend_servers import BackendServers
 from celerypulley.hosts.call_runner import CallRunner
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
 from celerypulley.hosts.meters import Meters
@@ -55,6 +56,7 @@
         committer: RecordCommitter,
         sweeper: Sweeper,
         returned: ReturnedShards,
+        servers: BackendServers,
     ) -> None:
         """Answer with the parts of this host."""
         self.shards = shards
@@ -66,6 +68,7 @@
         self.committer = committer
         self.sweeper = sweeper
         self.returned = returned
+        self.servers = servers
         self._answers: dict[type, Callable[[PeerCall], Awaitable[None]]] = {
             messages.RunTurn: self._run_turn,
             messages.RunCall: self._run_call,
@@ -83,6 +86,7 @@
             messages.AskPrograms: self._ask_programs,
             messages.AskTurn: self._ask_turn,
             messages.FetchConfiguration: self._fetch_configuration,
+            messages.LoadReports: self._take_reports,
         }
 
     async def answer(self, call: PeerCall) -> None:
@@ -155,5 +159,8 @@
         live = self.sweeper.live_programs(call.message.programs)
         await call.reply(messages.LivePrograms(live))
 
+    async def _take_reports(self, call: PeerCall) -> None:
+        self.servers.take_reports(call.message)
+
     async def _fetch_configuration(self, call: PeerCall) -> None:
         await call.reply(self.configuration.answer_fetch(call.message))
--- a/celerypulley/hosts/peers.py
+++ b/celerypulley/hosts/peers.py
@@ -33,6 +33,14 @@
         link = await self._link(name)
         return await link.request(item, timeout_ms)
 
+    async def tell(self, name: str, item: object) -> None:
+        """Send a message that has no reply; it is lost where no link stands."""
+        try:
+            link = await self._link(name)
+        except LinkError:
+            return
+        link.tell(item)
+
     async def stream(
         self, name: str, item: object, timeout_ms: float
     ) -> AsyncIterator[object]:
--- a/celerypulley/links/peer_link.py
+++ b/celerypulley/links/peer_link.py
@@ -97,6 +97,11 @@
         """Return whether the connection stands."""
         return self._stream is not None
 
+    def tell(self, item: object) -> None:
+        """Send a message that has no reply, if the connection stands."""
+        if self._stream is not None:
+            self._stream.send(next(self._numbers), item)
+
     async def request(self, item: object, timeout_ms: float) -> object:
         """Send a request and return its only reply; raise LinkError."""
         replies = self._replies_to(item, timeout_ms, cancels=False)
--- a/celerypulley/links/peer_messages.py
+++ b/celerypulley/links/peer_messages.py
@@ -23,6 +23,7 @@
     "Lend",
     "Lent",
     "LivePrograms",
+    "LoadReports",
     "OpenProgram",
     "Ping",
     "Pong",
@@ -271,6 +272,17 @@
     version: int
 
 
+@message(19)
+class LoadReports:
+    """Reports of engines that the sender read for its failure domain.
+
+    `items` holds [engine, age_ms, running, waiting, prefill_tokens,
+    cached_tokens, memory_tokens] lists. No reply is due.
+    """
+
+    items: list
+
+
 @message(30)
 class Head:
     """The start of an answer."""
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -5,6 +5,7 @@
 import openai
 import pytest
 
+from celerypulley.hosts import backend_servers
 from celerypulley.stand_ins.engine import conversation_digest
 from tests.harness import deployment, until
 
@@ -260,3 +261,25 @@
         )
         status, headers, answer = await made.turn(owner, program, "healed")
         assert status == 200 and headers["X-Celerypulley-Turn"] == "5"
+
+
+async def test_many_engines_are_read_by_one_host_of_their_domain(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(backend_servers, "_MIN_ENGINES_IN_DOMAIN", 1)
+    async with deployment(hosts=5) as made:
+        for name, domain in (("engine-0", "north"), ("engine-1", "south")):
+            near = [host for host in made.hosts if host.me.domain == domain]
+            readers = [
+                host
+                for host in near
+                if name in {e.name for e in host.servers._engines_to_read()[0]}
+            ]
+            assert len(near) == 2 and len(readers) == 1
+            for host in near:
+                engine = host.servers.engines[name]
+                taken_ms = engine.report.taken_ms
+                await until(
+                    lambda e=engine, t=taken_ms: e.report.taken_ms > max(t, 0.0),
+                    "a report",
+                )
