--- a/benchmarks/host_slopes.py
+++ b/benchmarks/host_slopes.py
@@ -2,23 +2,27 @@
 
 import asyncio
 import tempfile
+import time
 from pathlib import Path
 
 import attrs
+import yaml
 
 from benchmarks.fit import Series
 from benchmarks.process_costs import read_cost
 from celerypulley.load.ledger import Ledger
 from celerypulley.load.workload import MIXES, plan_programs
-from tools.cluster import DEPLOYMENTS, Cluster, ClusterOptions
+from celerypulley.operators import commands
+from tools.cluster import DEPLOYMENTS, Cluster, ClusterOptions, Deployment
 from tools.demo import drive_cluster
 
-__all__ = ["measure_calls", "measure_hosts"]
+__all__ = ["measure_calls", "measure_engine_reports", "measure_hosts"]
 
 _IDLE_S = 12.0
 _SETTLE_S = 12.0
 _SHARDS_PER_HOST = 5
 _DOMAINS = 3
+_ENGINES_IN_DOMAIN = 20
 
 
 @attrs.frozen
@@ -32,12 +36,36 @@
     platform_writes: float
     watch_events: float
     start_writes: float
+    in_force_s: float
+
+
+def _one_domain(folder: Path) -> Deployment:
+    """Return a deployment of one failure domain with 20 engines."""
+    data = yaml.safe_load(DEPLOYMENTS["aguapunto"].file.read_text())
+    data["failure_domains"] = data["failure_domains"][:1]
+    domain = data["failure_domains"][0]
+    plain = [s for s in data["backend_servers"] if s["route"] != "assistant"]
+    data["backend_servers"] = [
+        {
+            "name": f"engine-{number}",
+            "route": "assistant",
+            "domain": domain,
+            "address": f"127.0.0.1:{number + 1}",
+        }
+        for number in range(_ENGINES_IN_DOMAIN)
+    ]
+    data["backend_servers"] += [{**server, "domain": domain} for server in plain]
+    path = folder / "one-domain.yaml"
+    path.write_text(yaml.safe_dump(data, sort_keys=False))
+    return attrs.evolve(DEPLOYMENTS["aguapunto"], file=path)
 
 
-async def _measure_idle(hosts: int) -> IdleCost:
+async def _measure_idle(hosts: int, one_domain: bool = False) -> IdleCost:
     with tempfile.TemporaryDirectory(prefix="celerypulley-slopes-") as folder:
         options = ClusterOptions(
-            deployment=DEPLOYMENTS["aguapunto"],
+            deployment=(
+                _one_domain(Path(folder)) if one_domain else DEPLOYMENTS["aguapunto"]
+            ),
             folder=Path(folder),
             hosts=hosts,
             shards_per_domain=max(4, hosts * _SHARDS_PER_HOST // _DOMAINS),
@@ -63,6 +91,7 @@
     bytes_after = await _peer_bytes(cluster)
     kv_after = await cluster.read(cluster.kv_address, "/counts")
     per = hosts * _IDLE_S
+    in_force_s = await _time_in_force(cluster)
     cpu_s = sum(b.cpu_s - a.cpu_s for a, b in zip(before, after, strict=True))
     return IdleCost(
         cpu_percent=cpu_s / per * 100,
@@ -72,9 +101,24 @@
         platform_writes=(kv_after["writes"] - kv_before["writes"]) / per,
         watch_events=(kv_after["watch_events"] - kv_before["watch_events"]) / per,
         start_writes=kv_before["writes"] / hosts,
+        in_force_s=in_force_s,
     )
 
 
+async def _time_in_force(cluster: Cluster) -> float:
+    """Return the s from an operator's change until the last host has it."""
+    lines = await commands.give(cluster.store(), next(iter(cluster.keys)))
+    version = int(lines[0].split()[1])
+    begun = time.monotonic()
+    for host in cluster.hosts:
+        while True:
+            status = await cluster.read(host.admin_address, "/status")
+            if status["configuration_version"] >= version:
+                break
+            await asyncio.sleep(0.01)
+    return time.monotonic() - begun
+
+
 async def _peer_bytes(cluster: Cluster) -> int:
     """Return the bytes that links sent and received, which each side counts once."""
     total = 0
@@ -109,6 +153,21 @@
         series("platform reads", "1/s a host", "platform_reads"),
         series("platform writes", "1/s a host", "platform_writes"),
         series("platform writes of a first start", "a host", "start_writes"),
+        series("a changed key in force on every host", "s", "in_force_s"),
+    ]
+
+
+def measure_engine_reports(sizes: tuple[int, ...] = (3, 6, 12, 24)) -> list[Series]:
+    """Measure hosts of one domain that share the reports of its 20 engines."""
+    found = [asyncio.run(_measure_idle(size, one_domain=True)) for size in sizes]
+
+    def series(name: str, unit: str, field: str) -> Series:
+        costs = tuple(getattr(each, field) for each in found)
+        return Series(name, "hosts of a domain", unit, sizes, costs, "20 engines")
+
+    return [
+        series("shared engine reports, processor", "% of a core a host", "cpu_percent"),
+        series("shared engine reports, bytes", "bytes/s a host", "peer_bytes"),
     ]
 
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -9,13 +9,18 @@
 from absl import logging
 
 from benchmarks.fit import Slope, fit
-from benchmarks.host_slopes import measure_calls, measure_hosts
+from benchmarks.host_slopes import (
+    measure_calls,
+    measure_engine_reports,
+    measure_hosts,
+)
 from benchmarks.state_slopes import measure_state
 
 __all__ = ["main", "run_slopes"]
 
 _DESIGN_SIZES = {
     "hosts": 330.0,
+    "hosts of a domain": 27.5,
     "engines": 600.0,
     "organisations": 2_300.0,
     "programs": 1_212.0,
@@ -63,7 +68,8 @@
     logging.set_verbosity(logging.WARNING)
     series = measure_state()
     if not state_only:
-        series = [*measure_hosts(), *measure_calls(), *series]
+        hosts = [*measure_hosts(), *measure_engine_reports()]
+        series = [*hosts, *measure_calls(), *series]
     slopes = [fit(each) for each in series]
     folder = Path(out)
     folder.mkdir(parents=True, exist_ok=True)
--- a/celerypulley/hosts/host_lease.py
+++ b/celerypulley/hosts/host_lease.py
@@ -13,7 +13,7 @@
 
 _RENEWALS_PER_TTL = 3
 _JITTER = 0.1
-_RETRY_S = 1.0
+_RETRY_S = 3.0
 _log = DecisionLog("lease")
 
 
@@ -42,7 +42,7 @@
                 await self._keep()
             except PlatformUnavailableError as error:
                 _log.write("lease not renewed", str(error))
-                await self.sleep(self._random.uniform(_RETRY_S / 2, _RETRY_S))
+                await self.sleep(self._random.uniform(_RETRY_S / 10, _RETRY_S))
                 continue
             wait_s = self.ttl_ms / 1000 / _RENEWALS_PER_TTL
             jitter = self._random.uniform(1 - _JITTER, 1 + _JITTER)
