--- a/celerypulley/hosts/entry.py
+++ b/celerypulley/hosts/entry.py
@@ -1,6 +1,5 @@
 """The host that answers a caller: keys, rates, and the way to the owner."""
 
-import asyncio
 import random
 from collections.abc import Callable
 
@@ -18,8 +17,9 @@
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
 from celerypulley.hosts.engine_runner import EngineJob, EngineRunner
 from celerypulley.hosts.meters import Meters
+from celerypulley.hosts.owner_calls import OwnerCalls
 from celerypulley.hosts.peers import Peers
-from celerypulley.hosts.program_desk import ProgramDesk, refusal_of
+from celerypulley.hosts.program_desk import ProgramDesk
 from celerypulley.hosts.program_rules import (
     parse_program,
     require_configuration,
@@ -32,14 +32,10 @@
 from celerypulley.links.backend_link import BackendError, BackendLink, PlainAnswer
 from celerypulley.links.peer_link import LinkError
 from celerypulley.links.peer_messages import (
-    Chunk,
     CloseProgram,
-    End,
-    Head,
     OpenProgram,
     ProgramReport,
     ReadProgram,
-    Refused,
     RunCall,
     RunTurn,
 )
@@ -48,9 +44,7 @@
 
 __all__ = ["Caller", "Entry"]
 
-_OWNER_WAIT_MS = 15_000.0
-_OWNER_POLL_S = 0.15
-_STREAM_IDLE_MS = 150_000.0
+
 _OPEN_TRIES = 4
 _PLAIN_TRIES = 3
 _DONE = b"data: [DONE]\n\n"
@@ -85,6 +79,7 @@
         """Use the parts of this host."""
         self.shards = shards
         self.peers = peers
+        self.owners = OwnerCalls(shards, peers, configuration, clock)
         self.configuration = configuration
         self.meters = meters
         self.turns = turns
@@ -127,7 +122,7 @@
         if shard is None:
             await self._chat_alone(caller, message, route, sink)
             return
-        await self._at_owner(shard, message, sink, self.turns.run)
+        await self.owners.run(shard, message, sink, self.turns.run)
 
     async def call_plain(
         self, caller: Caller, route: Route, key: str, message: RunCall, sink: AnswerSink
@@ -151,7 +146,7 @@
             shard=str(shard),
             call=call_name(caller.organisation, route.name, message.program, key),
         )
-        await self._at_owner(shard, named, sink, self.calls.run)
+        await self.owners.run(shard, named, sink, self.calls.run)
 
     def _shard_of_call(
         self,
@@ -211,81 +206,7 @@
         self, program: str, message: object, run_here: Callable
     ) -> bytes:
         shard = parse_program(program).shard
-        sink = _ReportSink()
-
-        async def run(_message: object, _sink: AnswerSink) -> None:
-            report = await run_here(message)
-            await sink.chunk(report.report)
-
-        await self._at_owner(shard, message, sink, run)
-        return b"".join(sink.parts)
-
-    async def _at_owner(
-        self,
-        shard: ShardId,
-        message: object,
-        sink: AnswerSink,
-        run_here: Callable,
-    ) -> None:
-        """Run a message at the owner of its shard, wherever that is.
-
-        While the shard has no owner that answers, wait for one. A message may
-        reach two owners; each kind of message is recognised when it comes again.
-        """
-        deadline_ms = self.clock.now_ms() + _OWNER_WAIT_MS
-        while True:
-            try:
-                await self._once_at_owner(shard, message, sink, run_here)
-                return
-            except CallRefusedError as error:
-                refusal = error.refusal
-                waits = refusal.kind is ErrorKind.OWNER_UNREACHABLE
-                if not waits or refusal.run is not RunState.NOT_RUN:
-                    raise
-                failure: CallRefusedError = error
-            except LinkError as error:
-                run = RunState.UNKNOWN if error.sent else RunState.NOT_RUN
-                failure = CallRefusedError.of(
-                    ErrorKind.OWNER_UNREACHABLE, f"owner of {shard}: {error}", run
-                )
-            if self.clock.now_ms() > deadline_ms:
-                raise failure
-            await asyncio.sleep(_OWNER_POLL_S * self._random.uniform(0.7, 1.3))
-
-    async def _once_at_owner(
-        self, shard: ShardId, message: object, sink: AnswerSink, run_here: Callable
-    ) -> None:
-        owner = self.shards.owner_of(shard)
-        if owner is None:
-            if not self._shard_may_exist(shard):
-                raise CallRefusedError.of(
-                    ErrorKind.UNKNOWN_PROGRAM, f"there is no shard {shard}"
-                )
-            raise CallRefusedError.of(
-                ErrorKind.OWNER_UNREACHABLE, f"nobody owns shard {shard}"
-            )
-        if owner == self.shards.me.name:
-            await run_here(message, sink)
-            return
-        passed = False
-        try:
-            async for reply in self.peers.stream(owner, message, _STREAM_IDLE_MS):
-                if isinstance(reply, Refused):
-                    raise CallRefusedError(refusal_of(reply))
-                if isinstance(reply, End):
-                    return
-                await _pass_on(reply, sink)
-                passed = True
-        except LinkError as error:
-            if not passed:
-                raise
-            raise CallRefusedError.of(
-                ErrorKind.OUTCOME_UNKNOWN, f"the owner's answer broke off: {error}"
-            ) from None
-
-    def _shard_may_exist(self, shard: ShardId) -> bool:
-        configuration = self.configuration.current
-        return configuration is None or shard.domain in configuration.domains
+        return await self.owners.report(shard, message, run_here)
 
     async def _chat_alone(
         self, caller: Caller, message: RunTurn, route: Route, sink: AnswerSink
@@ -365,30 +286,3 @@
             except BackendError as error:
                 detail = f"{server.name}: {error}"
         raise CallRefusedError.of(ErrorKind.NO_BACKEND_SERVER, detail[:300])
-
-
-class _ReportSink:
-    def __init__(self) -> None:
-        self.parts: list[bytes] = []
-
-    async def head(self, status: int, headers: dict[str, str]) -> None:
-        """Ignore the head: a report has none."""
-
-    async def chunk(self, data: bytes) -> None:
-        """Keep a part."""
-        self.parts.append(data)
-
-
-async def _pass_on(reply: object, sink: AnswerSink) -> None:
-    if isinstance(reply, Chunk):
-        await sink.chunk(reply.data)
-        return
-    if isinstance(reply, Head):
-        await sink.head(reply.status, reply.headers)
-        return
-    if isinstance(reply, ProgramReport):
-        await sink.chunk(reply.report)
-        return
-    raise CallRefusedError.of(
-        ErrorKind.OUTCOME_UNKNOWN, f"unexpected reply {type(reply).__name__}"
-    )
--- /dev/null
+++ b/celerypulley/hosts/owner_calls.py
@@ -0,0 +1,147 @@
+"""Calls that run at the owner of their shard, here or at a peer."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from celerypulley.clock import Clock
+from celerypulley.errors import CallRefusedError, ErrorKind, RunState
+from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.program_desk import refusal_of
+from celerypulley.hosts.shards import Shards
+from celerypulley.links.answer_sink import AnswerSink
+from celerypulley.links.peer_link import LinkError
+from celerypulley.links.peer_messages import Chunk, End, Head, ProgramReport, Refused
+from celerypulley.programs.identifier import ShardId
+
+__all__ = ["OwnerCalls"]
+
+_OWNER_WAIT_MS = 15_000.0
+_OWNER_POLL_S = 0.15
+_STREAM_IDLE_MS = 150_000.0
+
+
+class OwnerCalls:
+    """Find the owner of a shard, wait for one, and carry calls to it."""
+
+    def __init__(
+        self,
+        shards: Shards,
+        peers: Peers,
+        configuration: ConfigurationFollower,
+        clock: Clock,
+    ) -> None:
+        """Find owners in `shards` and reach them over `peers`."""
+        self.shards = shards
+        self.peers = peers
+        self.configuration = configuration
+        self.clock = clock
+        self._random = random.Random()
+
+    async def report(
+        self, shard: ShardId, message: object, run_here: Callable
+    ) -> bytes:
+        """Return the report that a message asks its owner for."""
+        sink = _ReportSink()
+
+        async def run(_message: object, _sink: AnswerSink) -> None:
+            report = await run_here(message)
+            await sink.chunk(report.report)
+
+        await self.run(shard, message, sink, run)
+        return b"".join(sink.parts)
+
+    async def run(
+        self,
+        shard: ShardId,
+        message: object,
+        sink: AnswerSink,
+        run_here: Callable,
+    ) -> None:
+        """Run a message at the owner of its shard, wherever that is.
+
+        While the shard has no owner that answers, wait for one. A message may
+        reach two owners; each kind of message is recognised when it comes again.
+        """
+        deadline_ms = self.clock.now_ms() + _OWNER_WAIT_MS
+        while True:
+            try:
+                await self._run_once(shard, message, sink, run_here)
+                return
+            except CallRefusedError as error:
+                refusal = error.refusal
+                waits = refusal.kind is ErrorKind.OWNER_UNREACHABLE
+                if not waits or refusal.run is not RunState.NOT_RUN:
+                    raise
+                failure: CallRefusedError = error
+            except LinkError as error:
+                run = RunState.UNKNOWN if error.sent else RunState.NOT_RUN
+                failure = CallRefusedError.of(
+                    ErrorKind.OWNER_UNREACHABLE, f"owner of {shard}: {error}", run
+                )
+            if self.clock.now_ms() > deadline_ms:
+                raise failure
+            await asyncio.sleep(_OWNER_POLL_S * self._random.uniform(0.7, 1.3))
+
+    async def _run_once(
+        self, shard: ShardId, message: object, sink: AnswerSink, run_here: Callable
+    ) -> None:
+        owner = self.shards.owner_of(shard)
+        if owner is None:
+            if not self._shard_may_exist(shard):
+                raise CallRefusedError.of(
+                    ErrorKind.UNKNOWN_PROGRAM, f"there is no shard {shard}"
+                )
+            raise CallRefusedError.of(
+                ErrorKind.OWNER_UNREACHABLE, f"nobody owns shard {shard}"
+            )
+        if owner == self.shards.me.name:
+            await run_here(message, sink)
+            return
+        passed = False
+        try:
+            async for reply in self.peers.stream(owner, message, _STREAM_IDLE_MS):
+                if isinstance(reply, Refused):
+                    raise CallRefusedError(refusal_of(reply))
+                if isinstance(reply, End):
+                    return
+                await _pass_on(reply, sink)
+                passed = True
+        except LinkError as error:
+            if not passed:
+                raise
+            raise CallRefusedError.of(
+                ErrorKind.OUTCOME_UNKNOWN, f"the owner's answer broke off: {error}"
+            ) from None
+
+    def _shard_may_exist(self, shard: ShardId) -> bool:
+        configuration = self.configuration.current
+        return configuration is None or shard.domain in configuration.domains
+
+
+class _ReportSink:
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+
+    async def head(self, status: int, headers: dict[str, str]) -> None:
+        """Ignore the head: a report has none."""
+
+    async def chunk(self, data: bytes) -> None:
+        """Keep a part."""
+        self.parts.append(data)
+
+
+async def _pass_on(reply: object, sink: AnswerSink) -> None:
+    if isinstance(reply, Chunk):
+        await sink.chunk(reply.data)
+        return
+    if isinstance(reply, Head):
+        await sink.head(reply.status, reply.headers)
+        return
+    if isinstance(reply, ProgramReport):
+        await sink.chunk(reply.report)
+        return
+    raise CallRefusedError.of(
+        ErrorKind.OUTCOME_UNKNOWN, f"unexpected reply {type(reply).__name__}"
+    )
