Let a former owner go on when its successor dies without a replica

The shard was begun anew though host-3 held all of it: it had dropped its state when the table named host-2. Change: the entry keeps the former owner until the new one has a replica. An owner without one commits nothing, so the former owner's state is the newest that was acknowledged, and it takes the shard back when its successor's lease ends. A host that took no copy is not asked again for five seconds. Ruled out: promising reads without a replica, and waiting longer before a shard is begun anew. After: a test brings the three hosts into that order. Before the change it failed (the former owner never went on), now it passes.

--- a/celerypulley/failure_domains/owner_table.py
+++ b/celerypulley/failure_domains/owner_table.py
@@ -19,7 +19,9 @@
 
     Every change of owner raises `epoch`. `lost_epoch` is the epoch that began
     with nothing because both holders were gone (0: never), at `lost_ms` wall
-    time. `revision` is the key's revision (0: not written yet).
+    time. `former` is the owner before a takeover, until the new owner has a
+    replica: it still holds all that was acknowledged. `revision` is the key's
+    revision (0: not written yet).
     """
 
     owner: str
@@ -27,6 +29,7 @@
     epoch: int
     lost_epoch: int = 0
     lost_ms: int = 0
+    former: str | None = None
     revision: int = attrs.field(default=0, eq=False)
 
     def encode(self) -> bytes:
--- a/celerypulley/hosts/shard_keeper.py
+++ b/celerypulley/hosts/shard_keeper.py
@@ -32,6 +32,8 @@
 _MOVES_PER_TICK = 4
 _SUSPICION_MS = 1_500.0
 _LOST_MARGIN_MS = 5_000.0
+_FORMER_GRACES = 3
+_COPY_PAUSE_MS = 5_000.0
 _log = DecisionLog("keeper")
 
 
@@ -55,6 +57,7 @@
         self.clock = clock
         self.leaving = False
         self._balanced_generation = -1
+        self._no_copy_ms: dict[str, float] = {}
         self._random = random.Random()
 
     @property
@@ -112,11 +115,18 @@
                 continue
             if entry.replica and entry.replica not in missing:
                 continue
+            if entry.former in self.view.members and not self._is_overdue(entry):
+                continue
             names = takeover_candidates(shard, self.view.members, self._is_local(shard))
             if rendezvous(str(shard), names) != self._me:
                 continue
             await self._claim_lost(shard, entry)
 
+    def _is_overdue(self, entry: ShardEntry) -> bool:
+        """Return whether a former owner had its time to go on."""
+        gone_ms = self.view.missing_for_ms(entry.owner)
+        return gone_ms > _FORMER_GRACES * self._lost_grace_ms()
+
     def _lost_grace_ms(self) -> float:
         return self.settings.promise_ms + _LOST_MARGIN_MS
 
@@ -130,7 +140,12 @@
     async def _take_over(self) -> None:
         for shard, replica in list(self.shards.replicas.items()):
             entry = self.view.entries.get(shard)
-            if entry is None or entry.replica != self._me or not replica.complete:
+            if entry is None or not replica.complete:
+                continue
+            if self._is_left_to_former_owner(entry):
+                await self._become_owner(shard, entry, "the owner had no replica yet")
+                continue
+            if entry.replica != self._me:
                 continue
             if self.clock.now_ms() < replica.promised_until_ms:
                 continue
@@ -138,6 +153,16 @@
                 continue
             await self._become_owner(shard, entry, "the owner is silent")
 
+    def _is_left_to_former_owner(self, entry: ShardEntry) -> bool:
+        """Return whether this host's state is the newest that was acknowledged.
+
+        An owner without a replica commits nothing, so when it dies its
+        predecessor may go on.
+        """
+        if entry.replica is not None or entry.former != self._me:
+            return False
+        return self.view.missing_for_ms(entry.owner) > self.settings.promise_ms
+
     def _takeover_after_ms(self, entry: ShardEntry) -> float:
         missing = entry.owner not in self.view.members
         if missing:
@@ -145,7 +170,13 @@
         return self.settings.promise_ms + 2 * _SUSPICION_MS
 
     async def _become_owner(self, shard: ShardId, entry: ShardEntry, why: str) -> None:
-        taken = attrs.evolve(entry, owner=self._me, replica=None, epoch=entry.epoch + 1)
+        taken = attrs.evolve(
+            entry,
+            owner=self._me,
+            replica=None,
+            former=entry.owner,
+            epoch=entry.epoch + 1,
+        )
         written = await self.writer.write(shard, taken, entry, why)
         if written is not None:
             self.shards.adopt(shard, written)
@@ -177,13 +208,17 @@
             return set()
         return {owner.entry.replica}
 
+    def _hosts_that_took_no_copy(self) -> set[str]:
+        oldest_ms = self.clock.now_ms() - _COPY_PAUSE_MS
+        return {name for name, at_ms in self._no_copy_ms.items() if at_ms > oldest_ms}
+
     async def _install_replica(self, owner: ShardOwner) -> None:
         shard = owner.state.shard
         chosen = choose_replica(
             shard,
             self.shards.me,
             self.view.members,
-            self._suspects(owner),
+            self._suspects(owner) | self._hosts_that_took_no_copy(),
             self._is_local(shard),
         )
         if chosen is None or chosen.name == owner.entry.replica:
@@ -191,7 +226,7 @@
         entry = owner.entry
 
         async def switch() -> ShardEntry | None:
-            changed = attrs.evolve(entry, replica=chosen.name)
+            changed = attrs.evolve(entry, replica=chosen.name, former=None)
             return await self.writer.write(shard, changed, entry, "new replica")
 
         await self._install(owner, chosen.name, switch)
@@ -219,7 +254,7 @@
 
         async def switch() -> ShardEntry | None:
             changed = attrs.evolve(
-                entry, owner=to, replica=replica, epoch=entry.epoch + 1
+                entry, owner=to, replica=replica, former=None, epoch=entry.epoch + 1
             )
             return await self.writer.write(shard, changed, entry, why)
 
@@ -244,6 +279,7 @@
             return await owner.install(member, switch)
         except LinkError as error:
             _log.write("copy failed", str(error), shard=owner.shard, to=member)
+            self._no_copy_ms[member] = self.clock.now_ms()
             return False
         except PlatformUnavailableError:
             owner.set_entry(attrs.evolve(owner.entry, replica=None))
--- a/celerypulley/hosts/shards.py
+++ b/celerypulley/hosts/shards.py
@@ -141,7 +141,7 @@
             return
         if owned is not None:
             self._stop_owning(shard, entry, owned)
-        if entry.replica == self.me.name:
+        if self.me.name in (entry.replica, entry.former):
             return
         replica = self.replicas.get(shard)
         if replica is None or entry.epoch < replica.epoch:
@@ -195,7 +195,7 @@
         if entry.lost_epoch > owned.entry.epoch:
             self.returning[shard] = owned.state
             return
-        if entry.replica == self.me.name:
+        if self.me.name in (entry.replica, entry.former):
             self._keep_as_replica(shard, entry, owned)
 
     def _keep_as_replica(
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -6,6 +6,7 @@
 import pytest
 
 from celerypulley.hosts import backend_servers
+from celerypulley.programs.identifier import ProgramId
 from celerypulley.stand_ins.engine import conversation_digest
 from tests.harness import deployment, until
 
@@ -283,3 +284,39 @@
                     lambda e=engine, t=taken_ms: e.report.taken_ms > max(t, 0.0),
                     "a report",
                 )
+
+
+async def test_former_owner_goes_on_when_its_successor_dies_without_a_replica(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with deployment() as made:
+        program = await made.open(made.hosts[0])
+        status, headers, _ = await made.turn(made.hosts[0], program, "first")
+        assert status == 200
+        owner = made.owner_of(program)
+        shard = ProgramId.parse(program).shard
+        entry = owner.view.entries[shard]
+        names = {host.me.name: host for host in made.hosts}
+        successor = names[entry.replica]
+
+        async def take_no_replica() -> None:
+            return None
+
+        monkeypatch.setattr(successor.keeper, "_fill_replicas", take_no_replica)
+        made.isolate(owner)
+        await until(
+            lambda: successor.view.entries[shard].owner == successor.me.name,
+            "the takeover",
+        )
+        made.isolate(successor)
+        made.heal(owner)
+        asking = next(host for host in made.hosts if host is not successor)
+        await until(lambda: made.owner_of(program) is owner, "the former owner")
+        status, _, answer = await made.turn(
+            asking,
+            program,
+            "second",
+            X_Celerypulley_Receipt=headers["X-Celerypulley-Receipt"],
+        )
+        assert status == 200, answer
+        assert answer["choices"][0]["message"]["content"].startswith("n=3 ")
