--- a/celerypulley/hosts/engine_runner.py
+++ b/celerypulley/hosts/engine_runner.py
@@ -179,10 +179,11 @@
         reader: AnswerReader,
     ) -> None:
         status = getattr(error, "status", None)
+        was_healthy = engine.failures == 0
         if status is None or status >= 500:
             engine.note_failure(self.clock.now_ms())
         lost = status is None and getattr(error, "sent", False)
-        if lost and not reader.tokens:
+        if lost and was_healthy and not reader.tokens:
             await self.quarantine.strike(job.fingerprint, engine.name)
 
 
--- a/celerypulley/stand_ins/engine.py
+++ b/celerypulley/stand_ins/engine.py
@@ -178,8 +178,10 @@
         }
         return web.json_response(answer)
 
-    async def load(self, _request: web.Request) -> web.Response:
+    async def load(self, request: web.Request) -> web.Response:
         """Report the load as it was `load_lag_ms` ago."""
+        if self.dead:
+            return self._die(request)
         limit_ms = self.clock.now_ms() - self.options.load_lag_ms
         report = self._measure()
         for taken_ms, older in reversed(self.reports):
@@ -216,6 +218,7 @@
             "reused_tokens": self.core.reused_tokens,
             "repeated_tokens": self.core.repeated_tokens,
             "headers": sorted(self.seen_headers),
+            "dead": self.dead,
         }
         return web.json_response(counts)
 
@@ -258,7 +261,6 @@
             "cached_tokens": core.cached_tokens,
             "memory_tokens": core.limits.memory_tokens,
             "models": list(self.options.models),
-            "dead": self.dead,
         }
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -46,5 +46,5 @@
             assert (status, answer["error"]["type"]) == (422, "quarantined"), answer
             status, _, answer = await made.turn(host, again, "an ordinary request")
             assert status == 200, answer
-        loads = [await made.read_json(address, "/load") for address in made.engines]
+        loads = [await made.read_json(address, "/counts") for address in made.engines]
         assert sum(load["dead"] for load in loads) == 2
