Ask for the replica's promise wherever a program is looked up

Cause: of four callers of find_program, closing a program alone did not require the promise. Change: find_program itself requires the promise; its callers' own checks go. Before: two of four cases of the new table failed. After: they pass, as do the tests of the whole path and of at-most-once (38).

--- a/celerypulley/hosts/program_desk.py
+++ b/celerypulley/hosts/program_desk.py
@@ -124,7 +124,6 @@
         """Take a sub-agent's budget from a program; raise CallRefusedError."""
         name = parse_program(message.program)
         owner = self.shards.require_owned(name.shard)
-        owner.require_promise()
         program = find_program(owner, name, message.organisation)
         if program.closed_ms is not None:
             raise CallRefusedError.of(ErrorKind.PROGRAM_CLOSED, f"{name} is closed")
@@ -137,7 +136,6 @@
         """Return a program's history; raise CallRefusedError."""
         name = parse_program(message.program)
         owner = self.shards.require_owned(name.shard)
-        owner.require_promise()
         program = find_program(owner, name, message.organisation)
         return ProgramReport(report_json(program, with_messages=True))
 
--- a/celerypulley/hosts/program_rules.py
+++ b/celerypulley/hosts/program_rules.py
@@ -20,8 +20,10 @@
 def find_program(owner: ShardOwner, name: ProgramId, organisation: str) -> Program:
     """Return an organisation's program; raise CallRefusedError.
 
-    Another organisation's program is answered as one that does not exist.
+    Another organisation's program is answered as one that does not exist. An
+    owner that may have been taken over says nothing about any program.
     """
+    owner.require_promise()
     program = owner.state.programs.get(str(name))
     if program is not None and program.organisation == organisation:
         return program
--- a/celerypulley/hosts/turn_runner.py
+++ b/celerypulley/hosts/turn_runner.py
@@ -120,7 +120,6 @@
         presence: CallerPresence,
     ) -> None:
         owner = self.shards.require_owned(name.shard)
-        owner.require_promise()
         program = find_program(owner, name, message.organisation)
         await self._settle_former(owner, program)
         configuration = require_configuration(self.configuration)
--- a/tests/test_shard_pair.py
+++ b/tests/test_shard_pair.py
@@ -6,11 +6,12 @@
 
 from celerypulley.errors import CallRefusedError
 from celerypulley.failure_domains.owner_table import ShardEntry
+from celerypulley.hosts.program_rules import find_program
 from celerypulley.hosts.shard_owner import ShardOwner
 from celerypulley.hosts.shard_replica import ShardReplica
 from celerypulley.links.peer_link import LinkError
 from celerypulley.links.peer_messages import Install
-from celerypulley.programs.identifier import ShardId
+from celerypulley.programs.identifier import ProgramId, ShardId
 from celerypulley.programs.records import ProgramOpened
 from celerypulley.programs.shard import InvariantError, ShardState
 from tests.harness import ManualClock
@@ -191,3 +192,28 @@
     state.apply(records.CallBegun("c", b"f", 0))
     with pytest.raises(InvariantError):
         state.apply(records.CallBegun("c", b"f", 0))
+
+
+# Whether the owner holds its replica's promise, the program asked for, the answer.
+LOOKUPS = [
+    (True, "north.0.1.0000000000000001", ""),
+    (True, "north.0.1.0000000000000002", "unknown_program"),
+    (False, "north.0.1.0000000000000001", "owner_unreachable"),
+    (False, "north.0.1.0000000000000002", "owner_unreachable"),
+]
+
+
+@pytest.mark.parametrize(("promised", "name", "kind"), LOOKUPS)
+async def test_owner_without_promise_says_nothing_about_a_program(
+    promised: bool, name: str, kind: str
+) -> None:
+    time, _, owner = await make_pair()
+    await owner.commit(opened("north.0.1.0000000000000001"))
+    if promised:
+        owner.promise_until_ms = time.now + 1_000
+    try:
+        find_program(owner, ProgramId.parse(name), "kiosk")
+        found = ""
+    except CallRefusedError as error:
+        found = error.refusal.kind.value
+    assert found == kind
