--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 install: $(VENV)/installed
 
-$(VENV)/installed: requirements.txt requirements-dev.txt pyproject.toml
+$(VENV)/installed: requirements.txt requirements-reports.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements-dev.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e . || $(BIN)/pip install --quiet --no-deps -e .
--- /dev/null
+++ b/celerypulley/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m celerypulley`."""
+
+from celerypulley.cli import main
+
+if __name__ == "__main__":
+    main()
--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -9,6 +9,12 @@
 
 _BELIEFS_KEPT = 50_000
 _CACHE_HALF_LIFE_MS = 120_000.0
+# A server that lost one answer is asked again; one that loses several in a row
+# rests for a few calls' time, and at most for the time that a restart takes.
+_LOST_PAUSE_MS = 50.0
+_MAX_LOST_PAUSE_MS = 1_000.0
+_UNREACHABLE_PAUSE_MS = 250.0
+_MAX_UNREACHABLE_PAUSE_MS = 2_000.0
 
 
 class ServerState(enum.Enum):
@@ -50,9 +56,12 @@
 
 @attrs.define(eq=False)
 class EngineState:
-    """One engine, as this host sees it.
+    """One engine or plain server, as this host sees it.
 
+    `models` names the services instead where the body of requests is not read.
     `probing` says that a request with a strike runs there before its first token.
+    `elsewhere` counts the calls that other hosts say they have under way there; a
+    report counts for `report_life_ms` after it was taken.
     """
 
     name: str
@@ -63,7 +72,9 @@
     traits: EngineTraits = EngineTraits()
     state: ServerState = ServerState.LIVE
     report: EngineReport = EngineReport()
+    report_life_ms: float = float("inf")
     in_flight: int = 0
+    elsewhere: int = 0
     failing_until_ms: float = 0.0
     failures: int = 0
     probing: bool = False
@@ -89,6 +100,14 @@
         while self.sends and self.sends[0].sent_ms <= report.taken_ms:
             self.unseen_tokens -= self.sends.popleft().prefill_tokens
 
+    def sequences(self, now_ms: float) -> int:
+        """Return the calls that run or wait there, by the newest of what is known."""
+        counted = self.in_flight + self.elsewhere
+        report = self.report
+        if now_ms - report.taken_ms > self.report_life_ms:
+            return counted
+        return max(counted, report.running + report.waiting + len(self.sends))
+
     def note_cached(self, program: str, tokens: int, now_ms: float) -> None:
         """Believe that a program's prompt is cached up to `tokens`."""
         self.cached[program] = (tokens, now_ms)
@@ -125,3 +144,16 @@
         """Trust the server again."""
         self.failures = 0
         self.failing_until_ms = 0.0
+
+    def note_lost_answer(self, now_ms: float) -> None:
+        """Rest a server that breaks off answers one after the other."""
+        self.failures += 1
+        if self.failures > 1:
+            pause_ms = min(_LOST_PAUSE_MS * 2**self.failures, _MAX_LOST_PAUSE_MS)
+            self.failing_until_ms = now_ms + pause_ms
+
+    def note_unreachable(self, now_ms: float) -> None:
+        """Avoid a server to which no connection opens."""
+        self.failures += 1
+        pause_ms = _UNREACHABLE_PAUSE_MS * 2 ** min(self.failures, 8)
+        self.failing_until_ms = now_ms + min(pause_ms, _MAX_UNREACHABLE_PAUSE_MS)
--- a/celerypulley/backend_servers/ordering.py
+++ b/celerypulley/backend_servers/ordering.py
@@ -11,13 +11,16 @@
 import attrs
 
 from celerypulley.contracts.declaration import Ordering
+from celerypulley.contracts.desired_state import OrganisationRule
 
-__all__ = ["ORDERINGS", "OrderedCall", "priority_of"]
+__all__ = ["ORDERINGS", "OrderedCall", "forward_priority", "priority_of"]
 
 _ROUTE_STEP = 1_000
 _TOKENS_PER_LEVEL = 256.0
 _MAX_LEVEL = 300
 _MAX_SHARE_LEVEL = 600
+_LOWEST_RANK = 9  # engines of platforms know the ranks 0 to 9, 0 first
+_RANK_STEP = 2
 
 
 @attrs.frozen
@@ -62,3 +65,11 @@
     Ordering.ATTAINED_SERVICE: _attained_service,
     Ordering.FAIR_ATTAINED_SERVICE: _fair_attained_service,
 }
+
+
+def forward_priority(route_priority: int, organisation: OrganisationRule | None) -> int:
+    """Return the rank of a forwarded call, 0 first; an organisation's goes first."""
+    rank = route_priority
+    if organisation is not None and organisation.priority is not None:
+        rank = organisation.priority
+    return min(_LOWEST_RANK, max(0, rank) * _RANK_STEP)
--- a/celerypulley/backend_servers/routing.py
+++ b/celerypulley/backend_servers/routing.py
@@ -7,12 +7,15 @@
 
 from celerypulley.backend_servers.engine_state import EngineState, ServerState
 from celerypulley.contracts.declaration import Policy
+from celerypulley.programs.opaque_request import PrefixPart
 
 __all__ = [
     "POLICIES",
     "Choice",
     "EngineCall",
+    "cached_tokens",
     "choose_engine",
+    "choose_plain",
     "expected_finish_ms",
     "expected_wait_ms",
     "shared_cost_ms",
@@ -23,6 +26,7 @@
 _FAR_DOMAIN_MS = 2.0
 _OTHERS_WEIGHT = 0.2
 _EVICTION_WEIGHT = 10.0
+_PLAIN_WORK_MS = 20.0  # mean work of plain services (site sheets: 14 to 78 ms)
 
 
 @attrs.frozen
@@ -36,6 +40,7 @@
     domain: str
     now_ms: float
     number: int = 0
+    prefix: tuple[PrefixPart, ...] = ()
 
 
 @attrs.frozen
@@ -63,6 +68,41 @@
     return usable
 
 
+def cached_tokens(call: EngineCall, engine: EngineState) -> float:
+    """Return the tokens of a call's prompt that are probably cached there.
+
+    Parts of a prefix count up to the first that is not.
+    """
+    if not call.prefix:
+        cached = engine.believed_cached(call.program, call.now_ms)
+        return min(cached, call.prompt_tokens)
+    tokens = 0.0
+    for part in call.prefix:
+        if part.name not in engine.cached:
+            break
+        tokens += engine.believed_cached(part.name, call.now_ms)
+    return min(tokens, call.prompt_tokens)
+
+
+def choose_plain(
+    call: EngineCall, servers: Sequence[EngineState], avoid: frozenset[str]
+) -> Choice | None:
+    """Return the plain server with the least load, a near one where equal."""
+    best = None
+    best_ms = float("inf")
+    for server in usable_engines(call, servers, avoid):
+        waiting = server.sequences(call.now_ms) / max(1, server.traits.batch_limit)
+        far_ms = 0.0 if server.domain == call.domain else _FAR_DOMAIN_MS
+        cost_ms = waiting * _PLAIN_WORK_MS + far_ms
+        if cost_ms >= best_ms:
+            continue
+        best = server
+        best_ms = cost_ms
+    if best is None:
+        return None
+    return Choice(best, best_ms, "least load")
+
+
 def choose_engine(
     policy: Policy,
     call: EngineCall,
@@ -92,12 +132,10 @@
     """Return the estimated time until an engine has answered the call."""
     traits = engine.traits
     report = engine.report
-    unseen = len(engine.sends)
     backlog_tokens = report.prefill_tokens + engine.unseen_tokens
-    cached = min(engine.believed_cached(call.program, call.now_ms), call.prompt_tokens)
-    fresh = call.prompt_tokens - cached
+    fresh = call.prompt_tokens - cached_tokens(call, engine)
     prefill_ms = (backlog_tokens + fresh) / traits.prefill_tokens_per_s * 1000
-    sequences = report.running + report.waiting + unseen + 1
+    sequences = engine.sequences(call.now_ms) + 1
     step_ms = traits.step_base_ms + traits.step_per_sequence_ms * sequences
     rounds = max(1.0, sequences / traits.batch_limit)
     far_ms = 0.0 if engine.domain == call.domain else _FAR_DOMAIN_MS
@@ -112,10 +150,8 @@
     """
     traits = engine.traits
     report = engine.report
-    fresh = call.prompt_tokens
-    if call.program in engine.cached:
-        fresh -= min(fresh, engine.believed_cached(call.program, call.now_ms))
-    others = report.running + report.waiting + len(engine.sends)
+    fresh = call.prompt_tokens - cached_tokens(call, engine)
+    others = engine.sequences(call.now_ms)
     used = report.cached_tokens + engine.unseen_tokens
     overflow = used + fresh - report.memory_tokens if report.memory_tokens else 0.0
     tokens = report.prefill_tokens + engine.unseen_tokens
@@ -134,7 +170,7 @@
 def _shared_cost(call: EngineCall, engines: list[EngineState]) -> Choice:
     best = min(engines, key=lambda engine: shared_cost_ms(call, engine))
     finish_ms = expected_finish_ms(call, best)
-    cached = best.believed_cached(call.program, call.now_ms)
+    cached = cached_tokens(call, best)
     reason = f"least cost to it and others, {cached:.0f} tokens cached"
     return Choice(best, finish_ms, reason)
 
@@ -149,7 +185,7 @@
         best = engine
         best_ms = finish_ms
     assert best is not None
-    cached = best.believed_cached(call.program, call.now_ms)
+    cached = cached_tokens(call, best)
     reason = f"earliest expected finish, {cached:.0f} tokens cached"
     return Choice(best, best_ms, reason)
 
--- a/celerypulley/cli.py
+++ b/celerypulley/cli.py
@@ -57,6 +57,22 @@
         run_app(make_plain_app, Address.parse(address))
 
 
+class Platform:
+    """Programs on the machines of a platform, which lays out their settings."""
+
+    def edge(self) -> None:
+        """Serve callers as one host of the fleet."""
+        from celerypulley.platform.roles import run_edge
+
+        run_edge()
+
+    def store(self) -> None:
+        """Answer for a machine with a disk."""
+        from celerypulley.platform.roles import run_store
+
+        run_store()
+
+
 class Keys:
     """Keys of organisations; `platform` is the key-value service, ip:port."""
 
@@ -80,6 +96,7 @@
         """Offer every command."""
         self.stand_in = StandIns()
         self.keys = Keys()
+        self.platform = Platform()
 
     def serve(self, **settings: object) -> None:
         """Run one host; `celerypulley settings` lists flags, units and defaults."""
--- /dev/null
+++ b/celerypulley/contracts/desired_state.py
@@ -0,0 +1,129 @@
+"""What operators want of opaque traffic: routes, services, organisations, limits."""
+
+import attrs
+
+__all__ = [
+    "CallerLimits",
+    "DesiredState",
+    "ForwardRoute",
+    "OrganisationRule",
+    "ServiceRule",
+    "ServiceShare",
+]
+
+
+@attrs.frozen
+class ServiceShare:
+    """A service that a route leads to, and its weight among the route's services."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen(kw_only=True)
+class ForwardRoute:
+    """A way from a host name and path prefix to services.
+
+    `attempts` bounds the servers to which one request is sent. `resumable` streams
+    may go on at another server after the last event that was passed on.
+    `keeps_history` says that the product prepends the earlier turns of a chain;
+    `retain_ms` is above zero where the requests are turns of programs.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    services: tuple[ServiceShare, ...]
+    repeatable: bool = False
+    streams: bool = False
+    resumable: bool = False
+    keeps_history: bool = False
+    retain_ms: float = 0.0
+    timeout_ms: float = 30_000.0
+    latency_target_ms: float = 1_000.0
+    attempts: int = 1
+    priority: int = 0
+    is_open: bool = False
+
+    @property
+    def may_run_again(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.repeatable or (self.streams and self.resumable)
+
+    @property
+    def is_turn(self) -> bool:
+        """Return whether its requests are turns of programs."""
+        return self.streams and self.retain_ms > 0
+
+
+@attrs.frozen(kw_only=True)
+class ServiceRule:
+    """What operators say of one service.
+
+    `tokens_per_event` is what each event of a stream counts against a budget.
+    """
+
+    name: str
+    tokens_per_event: int = 1
+    memory_tokens: int = 0
+    slots: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class OrganisationRule:
+    """One organisation: its keys, rank and rate. A rate of 0 is no limit."""
+
+    name: str
+    keys: tuple[str, ...] = attrs.field(default=(), repr=False)
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class DesiredState:
+    """One version, indexed for use. An empty list of organisations opens all routes."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: tuple[ForwardRoute, ...],
+        services: tuple[ServiceRule, ...],
+        organisations: tuple[OrganisationRule, ...],
+        limits: CallerLimits,
+    ) -> None:
+        """Index routes by host and keys by text."""
+        self.version = version
+        self.routes = routes
+        self.services = {service.name: service for service in services}
+        self.organisations = {each.name: each for each in organisations}
+        self.limits = limits
+        self._routes_of_host: dict[str, list[ForwardRoute]] = {}
+        for route in routes:
+            self._routes_of_host.setdefault(route.host, []).append(route)
+        for listed in self._routes_of_host.values():
+            listed.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self._organisation_of_key: dict[str, OrganisationRule] = {}
+        for organisation in organisations:
+            for key in organisation.keys:
+                self._organisation_of_key[key] = organisation
+
+    def find_route(self, host: str, path: str) -> ForwardRoute | None:
+        """Return the route of `host` with the longest prefix of `path`."""
+        for route in self._routes_of_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def find_organisation(self, key: str) -> OrganisationRule | None:
+        """Return whose key `key` is."""
+        return self._organisation_of_key.get(key)
--- a/celerypulley/decision_log.py
+++ b/celerypulley/decision_log.py
@@ -6,6 +6,7 @@
 from absl import logging
 
 from celerypulley.clock import Clock
+from celerypulley.log_stream import LogStream
 
 __all__ = ["DecisionLog", "LogFormat"]
 
@@ -20,12 +21,14 @@
 class DecisionLog:
     """Write the decisions of one part under a fixed prefix.
 
-    Fields that are never passed in cannot leak: callers hand over names and
+    Lines go to `stream` where it is set, and else to absl's log. Fields that are
+    never passed in cannot leak: callers hand over names and
     reasons, never keys.
     """
 
     format = LogFormat.TEXT
     host_id = "-"
+    stream: LogStream | None = None
 
     def __init__(self, part: str, clock: Clock | None = None) -> None:
         """Name the part; every line starts with it."""
@@ -34,6 +37,9 @@
 
     def write(self, decision: str, reason: str, **fields: object) -> None:
         """Log `decision` with its `reason` and any further fields."""
+        if self.stream is not None:
+            self.stream.write(self._json_line(decision, reason, fields).encode())
+            return
         if self.format is LogFormat.JSON:
             logging.info("%s", self._json_line(decision, reason, fields))
             return
@@ -47,6 +53,12 @@
             "part": self.part,
             "decision": decision,
             "reason": reason,
-            **{name: str(value) for name, value in fields.items()},
+            **{name: _plain(value) for name, value in fields.items()},
         }
         return orjson.dumps(line).decode()
+
+
+def _plain(value: object) -> object:
+    if value is None or isinstance(value, str | int | float):
+        return value
+    return str(value)
--- a/celerypulley/errors.py
+++ b/celerypulley/errors.py
@@ -43,6 +43,10 @@
     QUARANTINED = "quarantined"
     SHUTTING_DOWN = "shutting_down"
     CONFIGURATION_STALE = "configuration_stale"
+    UNKNOWN_TURN = "unknown_turn"
+    STATE_UNREACHABLE = "state_unreachable"
+    DEADLINE_PASSED = "deadline_passed"
+    INTERNAL = "internal"
 
 
 @attrs.frozen
@@ -51,7 +55,7 @@
 
     status: int
     run: RunState
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
 
 
 _NOT = RunState.NOT_RUN
@@ -81,7 +85,11 @@
     ErrorKind.OVERLOADED: Answer(503, _NOT, 2),
     ErrorKind.QUARANTINED: Answer(422, _NOT),
     ErrorKind.SHUTTING_DOWN: Answer(503, _NOT, 1),
-    ErrorKind.CONFIGURATION_STALE: Answer(503, _NOT, 5),
+    ErrorKind.CONFIGURATION_STALE: Answer(503, _NOT, 1),
+    ErrorKind.UNKNOWN_TURN: Answer(404, _NOT),
+    ErrorKind.STATE_UNREACHABLE: Answer(503, _NOT, 0.5),
+    ErrorKind.DEADLINE_PASSED: Answer(504, RunState.UNKNOWN),
+    ErrorKind.INTERNAL: Answer(500, RunState.UNKNOWN),
 }
 
 
@@ -95,14 +103,14 @@
     kind: ErrorKind
     detail: str
     run: RunState = attrs.field()
-    retry_after_s: int | None = attrs.field()
+    retry_after_s: float | None = attrs.field()
 
     @run.default
     def _default_run(self) -> RunState:
         return ANSWERS[self.kind].run
 
     @retry_after_s.default
-    def _default_retry_after_s(self) -> int | None:
+    def _default_retry_after_s(self) -> float | None:
         return ANSWERS[self.kind].retry_after_s
 
 
--- /dev/null
+++ b/celerypulley/fleet_settings.py
@@ -0,0 +1,32 @@
+"""Settings of a process that runs on a platform, whatever file they came from."""
+
+import attrs
+
+from celerypulley.settings import Address
+
+__all__ = ["FleetSettings"]
+
+
+@attrs.frozen(kw_only=True)
+class FleetSettings:
+    """Addresses and bounds of one process.
+
+    `fleet_port` is where hosts tell each other their counts; `metrics_port` serves
+    the metrics. `revoke_ms` is the age above which what a host believes of keys is
+    no longer used, where `strict_revoke` holds. `grace_ms` is the time between
+    SIGTERM and SIGKILL.
+    """
+
+    host_id: str
+    domain: str
+    ip: str
+    caller_address: Address | None
+    ready_address: Address | None
+    fleet_port: int
+    metrics_port: int
+    store_address: str
+    revoke_ms: float
+    strict_revoke: bool
+    grace_ms: float
+    contact_ms: float
+    quota_window_ms: float
--- /dev/null
+++ b/celerypulley/hosts/admission.py
@@ -0,0 +1,115 @@
+"""Whether a request may run: its route, its organisation, its rate, its past."""
+
+import attrs
+
+from celerypulley.clock import Clock
+from celerypulley.contracts.desired_state import (
+    DesiredState,
+    ForwardRoute,
+    OrganisationRule,
+)
+from celerypulley.errors import CallRefusedError, ErrorKind
+from celerypulley.hosts.crash_strikes import CrashStrikes, request_fingerprint
+from celerypulley.hosts.desired_state_holder import DesiredStateHolder
+from celerypulley.hosts.fleet_meter import FleetMeter
+from celerypulley.programs.opaque_request import OpaqueRequest
+
+__all__ = ["Admission", "Admitted", "Trail"]
+
+# A key is refused when what is known of keys is older than the bound less the
+# second in which a service that drops its history tells watches nothing, and a
+# margin for the way.
+_REVOKE_MARGIN_MS = 1_200.0
+# A name that is not known here may have been added since: twice the watch's wait.
+_UNSURE_AFTER_MS = 2_000.0
+
+
+@attrs.define(eq=False)
+class Trail:
+    """Where a request was sent so far."""
+
+    servers: list[str] = attrs.Factory(list)
+
+
+@attrs.frozen
+class Admitted:
+    """A request that may run, and under which rules.
+
+    `deadline_ms` is the earlier of the caller's and the route's, on this host's
+    monotonic clock.
+    """
+
+    request: OpaqueRequest
+    route: ForwardRoute
+    organisation: OrganisationRule | None
+    state: DesiredState
+    deadline_ms: float
+    fingerprint: str
+    trail: Trail = attrs.Factory(Trail)
+
+    @property
+    def organisation_name(self) -> str:
+        """Return the organisation's name, empty on an open route."""
+        return self.organisation.name if self.organisation else ""
+
+
+class Admission:
+    """The checks before a request is sent anywhere."""
+
+    def __init__(
+        self,
+        holder: DesiredStateHolder,
+        meter: FleetMeter,
+        strikes: CrashStrikes,
+        revoke_ms: float,
+        clock: Clock,
+    ) -> None:
+        """Check against the version that `holder` has in force."""
+        self.holder = holder
+        self.meter = meter
+        self.strikes = strikes
+        self.stale_after_ms = revoke_ms - _REVOKE_MARGIN_MS
+        self.clock = clock
+
+    def admit(self, request: OpaqueRequest) -> Admitted:
+        """Return what the request may do; raise CallRefusedError."""
+        state = self.holder.state
+        if state is None:
+            raise CallRefusedError.of(
+                ErrorKind.CONFIGURATION_STALE, "no desired state is known yet"
+            )
+        route = state.find_route(request.host, request.path)
+        if route is None:
+            self._refuse_unknown(ErrorKind.UNKNOWN_ROUTE, "no route has this path")
+        organisation = None
+        if state.organisations and not route.is_open:
+            organisation = self._organisation(state, request)
+        fingerprint = request_fingerprint(request)
+        self.strikes.check(fingerprint)
+        if organisation is not None:
+            self.meter.take(organisation)
+        deadline_ms = min(request.deadline_ms, request.received_ms + route.timeout_ms)
+        return Admitted(request, route, organisation, state, deadline_ms, fingerprint)
+
+    def _organisation(
+        self, state: DesiredState, request: OpaqueRequest
+    ) -> OrganisationRule:
+        age_ms = self.holder.age_ms()
+        if age_ms > self.stale_after_ms:
+            raise CallRefusedError.of(
+                ErrorKind.CONFIGURATION_STALE,
+                f"keys were confirmed {age_ms:.0f} ms ago",
+            )
+        organisation = state.find_organisation(request.key)
+        if organisation is None:
+            self._refuse_unknown(ErrorKind.KEY_REFUSED, "no organisation has this key")
+        return organisation
+
+    def _refuse_unknown(self, kind: ErrorKind, detail: str) -> None:
+        age_ms = self.holder.age_ms()
+        if age_ms > _UNSURE_AFTER_MS:
+            raise CallRefusedError.of(
+                ErrorKind.CONFIGURATION_STALE,
+                f"{detail} as of {age_ms:.0f} ms ago; it may have been added since",
+            )
+        raise CallRefusedError.of(kind, detail)
--- /dev/null
+++ b/celerypulley/hosts/desired_state_holder.py
@@ -0,0 +1,70 @@
+"""The desired state in force on this host, and how old it is."""
+
+from collections.abc import Callable
+
+from celerypulley.clock import Clock
+from celerypulley.contracts.desired_state import DesiredState
+from celerypulley.decision_log import DecisionLog
+from celerypulley.links.key_value import Item, KeyValueStore
+from celerypulley.links.prefix_follower import PrefixFollower
+
+__all__ = ["DesiredStateHolder"]
+
+# Two answers within a third of the shortest bound on withdrawn keys, 5 s.
+_WATCH_WAIT_MS = 1_000
+_log = DecisionLog("desired-state")
+
+
+class DesiredStateHolder:
+    """Put each newer version into force; never go back."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        prefix: str,
+        key: str,
+        decode: Callable[[bytes], DesiredState],
+        clock: Clock,
+    ) -> None:
+        """Follow `key` below `prefix`."""
+        self.key = key
+        self.decode = decode
+        self.state: DesiredState | None = None
+        self.on_change: list[Callable[[DesiredState], None]] = []
+        self.follower = PrefixFollower(
+            "desired-state",
+            store,
+            prefix,
+            _WATCH_WAIT_MS,
+            clock,
+            self._take_snapshot,
+            self._take_item,
+        )
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        return self.state.version if self.state else 0
+
+    def age_ms(self) -> float:
+        """Return how long ago the version in force was confirmed as the newest."""
+        return self.follower.age_ms()
+
+    def _take_snapshot(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            self._take_item(item)
+
+    def _take_item(self, item: Item) -> None:
+        if item.key != self.key or item.value is None:
+            return
+        try:
+            state = self.decode(item.value)
+        except ValueError as error:
+            _log.write("left out", str(error), revision=item.revision)
+            return
+        if self.state is not None and state.version <= self.state.version:
+            return
+        self.state = state
+        _log.write("in force", "newer version", version=state.version)
+        for listener in self.on_change:
+            listener(state)
--- /dev/null
+++ b/celerypulley/hosts/fleet_host.py
@@ -0,0 +1,226 @@
+"""One host on a platform: its parts, and the order in which they start and stop."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+from mode import Service
+
+from celerypulley import __version__
+from celerypulley.backend_servers.server_entry import ServerEntry
+from celerypulley.clock import Clock
+from celerypulley.contracts.desired_state import DesiredState
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import Refusal
+from celerypulley.fleet_settings import FleetSettings
+from celerypulley.hosts.admission import Admission
+from celerypulley.hosts.budget_escrow import BudgetEscrow
+from celerypulley.hosts.crash_strikes import CrashStrikes
+from celerypulley.hosts.desired_state_holder import DesiredStateHolder
+from celerypulley.hosts.fleet_gossip import FleetGossip
+from celerypulley.hosts.fleet_members import FleetMembers
+from celerypulley.hosts.fleet_meter import FleetMeter
+from celerypulley.hosts.forward_context import ForwardContext
+from celerypulley.hosts.forward_metrics import ForwardMetrics
+from celerypulley.hosts.forwarder import Forwarder
+from celerypulley.hosts.plain_forwarder import PlainForwarder
+from celerypulley.hosts.server_directory import ServerDirectory
+from celerypulley.hosts.stream_forwarder import StreamForwarder
+from celerypulley.hosts.turn_archive import TurnArchive
+from celerypulley.links.forward_dialect import Dialect
+from celerypulley.links.forward_server import ForwardServer, ForwardSink
+from celerypulley.links.key_value import KeyValueStore, StoreUnavailableError
+from celerypulley.links.probe_server import ProbeServer
+from celerypulley.links.server_connection import ServerLinks
+from celerypulley.programs.opaque_request import OpaqueRequest
+
+__all__ = ["FleetHost", "PlatformNames"]
+
+METRICS_PORT = 9464  # the usual port of exporters of metrics
+# A host without a sound way to the store earns nothing on routes with keys after
+# 0.6 of the bound on withdrawn keys.
+_READY_PART = 0.6
+# The balancer asks each second and takes a host out after two misses.
+_LEAVE_BALANCER_MS = 2_500.0
+_STOP_MARGIN_MS = 1_000.0  # between the last answer and the kill
+_SECURE_PERIOD_S = 0.5
+_log = DecisionLog("host")
+
+
+@attrs.frozen
+class PlatformNames:
+    """Where a platform keeps what hosts follow, and how it is decoded."""
+
+    desired_state_prefix: str
+    desired_state_key: str
+    decode_desired_state: Callable[[bytes], DesiredState]
+    server_prefix: str
+    decode_server: Callable[[str, bytes], ServerEntry]
+    dialect: Dialect
+
+
+class FleetHost(Service):
+    """Everything that one entry host runs on a platform."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        store: KeyValueStore,
+        names: PlatformNames,
+        clock: Clock,
+    ) -> None:
+        """Prepare a host; nothing opens before it starts."""
+        super().__init__()
+        self.settings = settings
+        self.store = store
+        self.clock = clock
+        self.metrics = ForwardMetrics()
+        self.links = ServerLinks(clock)
+        self.holder = DesiredStateHolder(
+            store,
+            names.desired_state_prefix,
+            names.desired_state_key,
+            names.decode_desired_state,
+            clock,
+        )
+        self.directory = ServerDirectory(
+            store,
+            names.server_prefix,
+            names.decode_server,
+            self.links,
+            settings.domain,
+            clock,
+        )
+        self.meter = FleetMeter(clock)
+        self.strikes = CrashStrikes(self._strikes_elsewhere)
+        self.members = FleetMembers(
+            settings.host_id, settings.ip, settings.fleet_port, store, clock
+        )
+        self.gossip = FleetGossip(
+            settings.host_id,
+            settings.ip,
+            settings.fleet_port,
+            self.members,
+            self._own_counts,
+            clock,
+        )
+        self.meter.gossip = self.gossip
+        self.gossip.on_message += [self.meter.take_peer, self.directory.take_peer]
+        self.holder.on_change.append(self.meter.take_desired_state)
+        self.escrow = BudgetEscrow(store, clock)
+        self.forwarder = self._make_forwarder(names.dialect)
+        self.server = ForwardServer(
+            settings.caller_address, names.dialect, self._run, clock
+        )
+        self.probes = ProbeServer(
+            settings.ready_address.ip,
+            settings.ready_address.port,
+            {"/readyz": self._readiness},
+        )
+        self.metrics_server = ProbeServer(
+            settings.ip, METRICS_PORT, {"/metrics": lambda: (200, self.metrics.text())}
+        )
+        self._was_ready = False
+        self._add_gauges()
+
+    def _make_forwarder(self, dialect: Dialect) -> Forwarder:
+        context = ForwardContext(
+            self.directory, self.links, dialect, self.strikes, self.clock
+        )
+        admission = Admission(
+            self.holder, self.meter, self.strikes, self.settings.revoke_ms, self.clock
+        )
+        streams = StreamForwarder(
+            context, TurnArchive(self.store, self.clock), self.escrow
+        )
+        return Forwarder(
+            admission, PlainForwarder(context), streams, self.metrics, self.clock
+        )
+
+    def _add_gauges(self) -> None:
+        gauges = self.metrics.gauges
+        gauges["desired_state_version"] = lambda: self.holder.version
+        gauges["desired_state_age_ms"] = lambda: self.holder.age_ms()
+        gauges["servers_known"] = lambda: len(self.directory.servers)
+        gauges["server_connections_opened"] = lambda: self.links.opened
+        gauges["members_known"] = lambda: len(self.members.addresses)
+        gauges["fleet_heard_part"] = lambda: self.meter.heard_part()
+        gauges["rate_refusals"] = lambda: self.meter.refused
+        gauges["requests_active"] = lambda: self.server.active
+
+    async def on_start(self) -> None:
+        """Start every part, callers last."""
+        for part in (
+            self.metrics_server,
+            self.probes,
+            self.members,
+            self.members.follower,
+            self.gossip,
+            self.holder.follower,
+            self.directory.follower,
+            self.server,
+        ):
+            await self.add_runtime_dependency(part)
+        _log.write(
+            "started",
+            f"version {__version__}",
+            domain=self.settings.domain,
+            store=self.settings.store_address,
+        )
+
+    def _strikes_elsewhere(self) -> list[dict[str, int]]:
+        return [peer.strikes for peer in self.gossip.peers.values()]
+
+    def _own_counts(self) -> tuple[dict, dict, dict]:
+        return (
+            self.meter.admitted,
+            self.directory.in_flight(),
+            dict(self.strikes.own),
+        )
+
+    async def _run(self, request: OpaqueRequest, sink: ForwardSink) -> Refusal | None:
+        return await self.forwarder.run(request, sink)
+
+    def is_ready(self) -> bool:
+        """Return whether new connections should come to this host."""
+        if self.server.draining or self.holder.state is None:
+            return False
+        if not self.directory.servers:
+            return False
+        return self.holder.age_ms() < self.settings.revoke_ms * _READY_PART
+
+    def _readiness(self) -> tuple[int, str]:
+        ready = self.is_ready()
+        if ready is not self._was_ready:
+            self._was_ready = ready
+            _log.write(
+                "ready" if ready else "not ready",
+                "asked by the balancer",
+                version=self.holder.version,
+                version_age_ms=str(round(min(self.holder.age_ms(), 1e9))),
+                servers=len(self.directory.servers),
+                draining=self.server.draining,
+            )
+        return (200, "ready\n") if ready else (503, "not ready\n")
+
+    @Service.task
+    async def _secure_budgets(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_SECURE_PERIOD_S)
+            try:
+                await self.escrow.secure()
+            except StoreUnavailableError as error:
+                _log.write("budgets not secured", str(error))
+
+    async def leave(self) -> None:
+        """Leave the balancer, then wait for the requests under way."""
+        _log.write("leaving", "asked to stop", active=self.server.active)
+        self.server.draining = True
+        await asyncio.sleep(_LEAVE_BALANCER_MS / 1000)
+        wait_ms = self.settings.grace_ms - _LEAVE_BALANCER_MS - _STOP_MARGIN_MS
+        await self.server.drain(wait_ms)
+        _log.write("left", "requests have ended", active=self.server.active)
+
+    async def on_shutdown(self) -> None:
+        """Close the connections to servers."""
+        self.links.close()
--- /dev/null
+++ b/celerypulley/hosts/forward_context.py
@@ -0,0 +1,199 @@
+"""What forwarding needs of this host: servers, links, the front end's dialect."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import attrs
+
+from celerypulley.backend_servers.engine_state import EngineReport, EngineState
+from celerypulley.backend_servers.routing import Choice, EngineCall
+from celerypulley.clock import Clock
+from celerypulley.contracts.desired_state import ForwardRoute
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import CallRefusedError, ErrorKind, Refusal, RunState
+from celerypulley.hosts.admission import Admitted
+from celerypulley.hosts.crash_strikes import CrashStrikes
+from celerypulley.hosts.server_directory import ServerDirectory
+from celerypulley.links.forward_dialect import Dialect, ForwardedCall, ServerSays
+from celerypulley.links.server_connection import (
+    AnswerHead,
+    ServerCall,
+    ServerLinkError,
+    ServerLinks,
+)
+
+__all__ = ["Chooser", "ForwardContext", "pick_service"]
+
+Chooser = Callable[[EngineCall, list[EngineState], frozenset[str]], Choice | None]
+
+_SHED_RETRY_S = 0.1  # about a turn's time on an engine: a place is free by then
+_MIN_REMAINING_MS = 5.0  # below one way there and back nothing can be answered
+_log = DecisionLog("forward")
+
+
+def pick_service(route: ForwardRoute, draw: float) -> str:
+    """Return a service of a route by weight; `draw` is from 0 to 1."""
+    total = sum(share.weight for share in route.services)
+    left = draw * total
+    for share in route.services:
+        left -= share.weight
+        if left < 0:
+            return share.service
+    return route.services[-1].service
+
+
+@attrs.frozen
+class ForwardContext:
+    """One host's means of forwarding."""
+
+    directory: ServerDirectory
+    links: ServerLinks
+    dialect: Dialect
+    strikes: CrashStrikes
+    clock: Clock
+
+    def call_of(self, admitted: Admitted) -> EngineCall:
+        """Return what the choice of a server depends on."""
+        request = admitted.request
+        return EngineCall(
+            program=request.program,
+            model="",
+            prompt_tokens=request.prompt_tokens,
+            expected_tokens=request.expected_tokens or request.most_tokens // 3,
+            domain=self.directory.domain,
+            now_ms=self.clock.now_ms(),
+            prefix=request.prefix,
+        )
+
+    def choose(
+        self,
+        admitted: Admitted,
+        service: str,
+        avoid: frozenset[str],
+        chooser: Chooser,
+    ) -> EngineState | None:
+        """Return the server for a request, one that failed lately as a last resort."""
+        call = attrs.evolve(self.call_of(admitted), model=service)
+        servers = self.directory.of_service(service)
+        choice = chooser(call, servers, avoid)
+        if choice is None:
+            resting = [attrs.evolve(each) for each in servers]
+            for each in resting:
+                each.failing_until_ms = 0.0
+            choice = chooser(call, resting, avoid)
+        if choice is None:
+            return None
+        server = self.directory.servers.get(choice.engine.name)
+        if server is not None:
+            _log.write(
+                f"server {server.name}",
+                choice.reason,
+                request=admitted.request.request_id,
+                load=server.sequences(call.now_ms),
+                load_age_ms=_age(call.now_ms, server.report.taken_ms),
+                cost_ms=round(choice.finish_ms, 1),
+                avoided=len(avoid),
+            )
+        return server
+
+    def remaining_ms(self, admitted: Admitted) -> float:
+        """Return the time left; raise CallRefusedError where nothing can be done."""
+        remaining_ms = admitted.deadline_ms - self.clock.now_ms()
+        if remaining_ms < _MIN_REMAINING_MS:
+            raise CallRefusedError.of(
+                ErrorKind.OVERLOADED, "the deadline has passed", RunState.NOT_RUN
+            )
+        return remaining_ms
+
+    async def begin(self, server: EngineState, repeatable: bool) -> ServerCall:
+        """Return a connection to a server; raise ServerLinkError."""
+        return await self.links.begin(server.address, repeatable)
+
+    def send(
+        self,
+        call: ServerCall,
+        server: EngineState,
+        admitted: Admitted,
+        body: bytes | None = None,
+        last_event_id: str = "",
+        priority: int | None = None,
+    ) -> None:
+        """Write the request; `body` stands in for the caller's where it is given."""
+        request = admitted.request
+        forwarded = ForwardedCall(
+            server=server.name,
+            remaining_ms=self.remaining_ms(admitted),
+            organisation=admitted.organisation_name,
+            priority=priority,
+            last_event_id=last_event_id,
+            body=request.body if body is None else body,
+        )
+        call.send(self.dialect.encode(request, forwarded))
+        admitted.trail.servers.append(server.name)
+
+    async def head(
+        self, call: ServerCall, server: EngineState, admitted: Admitted
+    ) -> tuple[AnswerHead, ServerSays]:
+        """Return the answer's head and what it says; raise ServerLinkError."""
+        head = await call.head(self.dialect.answers(admitted.request.request_id))
+        says = self.dialect.says(head)
+        now_ms = self.clock.now_ms()
+        running = server.in_flight if says.running is None else says.running
+        server.note_report(EngineReport(now_ms, running, says.waiting or 0))
+        if 200 <= head.status < 300 and not says.is_sealed:
+            raise ServerLinkError("a success without the server's seal", True)
+        return head, says
+
+    @contextmanager
+    def counted(self, server: EngineState, fresh_tokens: float = 0.0) -> Iterator[None]:
+        """Count a call while it is under way at a server."""
+        server.note_send(self.clock.now_ms(), fresh_tokens)
+        try:
+            yield
+        finally:
+            server.note_end()
+
+    def note_failure(
+        self, admitted: Admitted, server: EngineState, error: ServerLinkError
+    ) -> None:
+        """Believe less in a server that gave no whole answer."""
+        now_ms = self.clock.now_ms()
+        if error.sent:
+            server.note_lost_answer(now_ms)
+            self.strikes.strike(admitted.fingerprint, server.name)
+        else:
+            server.note_unreachable(now_ms)
+        _log.write(
+            "no answer",
+            str(error),
+            request=admitted.request.request_id,
+            server=server.name,
+            sent=error.sent,
+            failures=server.failures,
+        )
+
+    def note_error_answer(
+        self, admitted: Admitted, server: EngineState, head: AnswerHead
+    ) -> None:
+        """Try elsewhere after a server's own failure."""
+        _log.write(
+            "retry elsewhere",
+            f"the server answered {head.status}",
+            request=admitted.request.request_id,
+            server=server.name,
+        )
+
+    def failure(self, server: EngineState, error: ServerLinkError) -> Refusal:
+        """Return the refusal for a server that gave no whole answer."""
+        if not error.sent:
+            return Refusal(ErrorKind.NO_BACKEND_SERVER, f"{server.name}: {error}")
+        return Refusal(ErrorKind.BACKEND_SERVER_FAILED, f"{server.name}: {error}")
+
+    def shed(self, server: EngineState, head: AnswerHead) -> Refusal:
+        """Return the refusal for a server that did not run the request."""
+        detail = f"{server.name} answered {head.status} without running it"
+        return Refusal(ErrorKind.OVERLOADED, detail, retry_after_s=_SHED_RETRY_S)
+
+
+def _age(now_ms: float, then_ms: float) -> int | None:
+    return None if then_ms == float("-inf") else round(now_ms - then_ms)
--- /dev/null
+++ b/celerypulley/hosts/server_directory.py
@@ -0,0 +1,170 @@
+"""The backend servers that the platform registers, as this host sees them."""
+
+from collections.abc import Callable
+
+import attrs
+
+from celerypulley.backend_servers.engine_state import (
+    EngineState,
+    EngineTraits,
+    ServerState,
+)
+from celerypulley.backend_servers.server_entry import ServerEntry
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
+from celerypulley.hosts.fleet_gossip import PeerCounts
+from celerypulley.links.key_value import Item, KeyValueStore
+from celerypulley.links.prefix_follower import PrefixFollower
+from celerypulley.links.server_connection import ServerLinks
+
+__all__ = ["ServerDirectory"]
+
+_WATCH_WAIT_MS = 2_000  # changes come at once; the wait only bounds a silent link
+# Entries that lapsed during an outage are back within this time of its end.
+_LAPSE_GRACE_MS = 2_000.0
+# Figures of the site sheets: one step of a batch, its growth and prefill.
+_STEP_MS_PER_TOKEN = 2.18
+_STEP_MS_PER_SEQUENCE = 0.0548
+_PREFILL_TOKENS_PER_S = 187_000.0
+_REPORT_LIFE_MS = 300.0  # about one turn's time: what ran then has ended
+_log = DecisionLog("servers")
+
+
+class ServerDirectory:
+    """Entries and beliefs by server name."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        prefix: str,
+        decode: Callable[[str, bytes], ServerEntry],
+        links: ServerLinks,
+        domain: str,
+        clock: Clock,
+    ) -> None:
+        """Follow the register below `prefix`."""
+        self.decode = decode
+        self.links = links
+        self.domain = domain
+        self.clock = clock
+        self.servers: dict[str, EngineState] = {}
+        self._entries: dict[str, ServerEntry] = {}
+        self._lapsed_ms: dict[str, float] = {}
+        self.follower = PrefixFollower(
+            "servers",
+            store,
+            prefix,
+            _WATCH_WAIT_MS,
+            clock,
+            self._take_snapshot,
+            self._take_item,
+        )
+
+    def take_peer(self, peer: PeerCounts, known: PeerCounts | None) -> None:
+        """Take the calls that another host has under way."""
+        before = known.in_flight if known else {}
+        for name in before.keys() | peer.in_flight.keys():
+            server = self.servers.get(name)
+            if server is not None:
+                change = peer.in_flight.get(name, 0) - before.get(name, 0)
+                server.elsewhere = max(0, server.elsewhere + change)
+
+    def in_flight(self) -> dict[str, int]:
+        """Return this host's calls under way by server."""
+        return {
+            name: server.in_flight
+            for name, server in self.servers.items()
+            if server.in_flight
+        }
+
+    def of_service(self, service: str) -> list[EngineState]:
+        """Return the servers of a service that may get new work."""
+        self._drop_lapsed()
+        return [
+            server
+            for server in self.servers.values()
+            if service in server.models and server.state is ServerState.LIVE
+        ]
+
+    def _take_snapshot(self, items: tuple[Item, ...]) -> None:
+        listed = {item.key for item in items}
+        for key in [key for key in self._entries if key not in listed]:
+            self._remove(key)
+        for item in items:
+            self._take_item(item)
+
+    def _take_item(self, item: Item) -> None:
+        if item.value is None:
+            self._remove(item.key)
+            return
+        try:
+            entry = self.decode(item.key, item.value)
+        except ValueError as error:
+            _log.write("left out", str(error), key=item.key, revision=item.revision)
+            return
+        self._lapsed_ms.pop(item.key, None)
+        known = self._entries.get(item.key)
+        self._entries[item.key] = entry
+        server = self.servers.get(entry.name)
+        if server is None or known is None or _is_new_start(known, entry):
+            server = self._add(entry)
+        server.models = frozenset((entry.service,))
+        state = ServerState.LEAVING if entry.leaving else ServerState.LIVE
+        if state is not server.state:
+            server.state = state
+            _log.write(state.value, "its entry says so", server=entry.name)
+
+    def _add(self, entry: ServerEntry) -> EngineState:
+        traits = EngineTraits(
+            step_base_ms=_STEP_MS_PER_TOKEN,
+            step_per_sequence_ms=_STEP_MS_PER_SEQUENCE,
+            prefill_tokens_per_s=_PREFILL_TOKENS_PER_S,
+            batch_limit=entry.slots,
+        )
+        server = EngineState(
+            entry.name,
+            entry.domain,
+            entry.address,
+            frozenset((entry.service,)),
+            traits=traits,
+            report_life_ms=_REPORT_LIFE_MS,
+        )
+        self.servers[entry.name] = server
+        _log.write(
+            "registered", "a new start", server=entry.name, address=entry.address
+        )
+        return server
+
+    def _remove(self, key: str) -> None:
+        """Take an entry's removal in; one that lapsed in an outage may come back."""
+        entry = self._entries.get(key)
+        if entry is None:
+            return
+        now_ms = self.clock.now_ms()
+        back_ms = self.follower.returned_ms + _LAPSE_GRACE_MS
+        if self.follower.is_away:
+            back_ms = now_ms + _LAPSE_GRACE_MS
+        if now_ms < back_ms and not entry.leaving:
+            self._lapsed_ms[key] = back_ms
+            _log.write("lapsed", "kept after an outage", server=entry.name)
+            return
+        self._drop(key, "its entry is gone")
+
+    def _drop_lapsed(self) -> None:
+        if not self._lapsed_ms:
+            return
+        now_ms = self.clock.now_ms()
+        for key in [k for k, until in self._lapsed_ms.items() if until <= now_ms]:
+            self._drop(key, "its entry did not come back after an outage")
+
+    def _drop(self, key: str, reason: str) -> None:
+        self._lapsed_ms.pop(key, None)
+        entry = self._entries.pop(key)
+        self.servers.pop(entry.name, None)
+        self.links.forget(entry.address)
+        _log.write("gone", reason, server=entry.name)
+
+
+def _is_new_start(known: ServerEntry, entry: ServerEntry) -> bool:
+    same = attrs.evolve(known, leaving=entry.leaving, slots=entry.slots)
+    return same != entry
--- /dev/null
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -0,0 +1,241 @@
+"""Forwarding of streams: turns of programs, histories, budgets, resumption."""
+
+import random
+
+import attrs
+
+from celerypulley.backend_servers.engine_state import EngineState
+from celerypulley.backend_servers.ordering import forward_priority
+from celerypulley.backend_servers.routing import (
+    Choice,
+    EngineCall,
+    cached_tokens,
+    choose_engine,
+)
+from celerypulley.contracts.declaration import Policy
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
+from celerypulley.hosts.admission import Admitted
+from celerypulley.hosts.budget_escrow import BudgetEscrow, Reservation
+from celerypulley.hosts.forward_context import ForwardContext, pick_service
+from celerypulley.hosts.turn_archive import TurnArchive
+from celerypulley.links.forward_server import ForwardSink
+from celerypulley.links.key_value import StoreUnavailableError
+from celerypulley.links.server_connection import ServerCall, ServerLinkError
+from celerypulley.programs.event_stream import Event, EventReader
+
+__all__ = ["StreamForwarder"]
+
+_log = DecisionLog("streams")
+
+
+@attrs.define(eq=False)
+class _Turn:
+    """One stream on its way to a caller.
+
+    `body` is what servers get: history and new input. `output` is the data of the
+    events that were passed on.
+    """
+
+    admitted: Admitted
+    service: str
+    body: bytes
+    tokens_per_event: int
+    reservation: Reservation | None
+    last_event_id: str
+    output: list[bytes] = attrs.Factory(list)
+    head_sent: bool = False
+
+    @property
+    def event_count(self) -> int:
+        """Return how many events were passed on."""
+        return len(self.output)
+
+
+def _choose(
+    call: EngineCall, servers: list[EngineState], avoid: frozenset[str]
+) -> Choice | None:
+    return choose_engine(Policy.SHARED_COST, call, servers, avoid)
+
+
+class StreamForwarder:
+    """Run streams on model engines and pass their events on as they come."""
+
+    def __init__(
+        self, context: ForwardContext, archive: TurnArchive, escrow: BudgetEscrow
+    ) -> None:
+        """Keep histories in `archive` and budgets in `escrow`."""
+        self.context = context
+        self.archive = archive
+        self.escrow = escrow
+
+    async def run(self, admitted: Admitted, sink: ForwardSink) -> str:
+        """Pass a stream on; return the server's name, raise CallRefusedError."""
+        history = await self._history(admitted)
+        reservation = await self._reserve(admitted)
+        service = pick_service(admitted.route, random.random())
+        rule = admitted.state.services.get(service)
+        turn = _Turn(
+            admitted,
+            service,
+            history + admitted.request.body,
+            rule.tokens_per_event if rule else 1,
+            reservation,
+            admitted.request.last_event_id,
+        )
+        try:
+            return await self._run_turn(turn, sink)
+        finally:
+            if reservation is not None:
+                reservation.settle()
+
+    async def _history(self, admitted: Admitted) -> bytes:
+        request = admitted.request
+        if not admitted.route.keeps_history or not request.previous_turn:
+            return b""
+        organisation = admitted.organisation_name
+        try:
+            history = await self.archive.load(organisation, request.previous_turn)
+        except StoreUnavailableError as error:
+            raise CallRefusedError.of(
+                ErrorKind.STATE_UNREACHABLE, f"the turn before is not known: {error}"
+            ) from error
+        if history is None:
+            raise CallRefusedError.of(
+                ErrorKind.UNKNOWN_TURN, f"no turn {request.previous_turn[:100]}"
+            )
+        return history
+
+    async def _reserve(self, admitted: Admitted) -> Reservation | None:
+        request = admitted.request
+        if not admitted.route.is_turn or not request.program:
+            return None
+        if request.token_budget <= 0:
+            return None
+        return await self.escrow.reserve(
+            admitted.organisation_name,
+            request.program,
+            request.token_budget,
+            request.most_tokens,
+        )
+
+    async def _run_turn(self, turn: _Turn, sink: ForwardSink) -> str:
+        context = self.context
+        admitted = turn.admitted
+        route = admitted.route
+        avoid: frozenset[str] = frozenset()
+        sends = 0
+        failure = Refusal(ErrorKind.NO_BACKEND_SERVER, f"no server of {turn.service}")
+        while sends < route.attempts:
+            server = context.choose(admitted, turn.service, avoid, _choose)
+            if server is None:
+                break
+            avoid = avoid | {server.name}
+            call = None
+            try:
+                fresh = admitted.request.prompt_tokens - cached_tokens(
+                    context.call_of(admitted), server
+                )
+                with context.counted(server, fresh):
+                    call = await context.begin(server, route.may_run_again)
+                    sends += 1
+                    refused = await self._attempt(turn, server, call, sink)
+            except ServerLinkError as error:
+                context.note_failure(admitted, server, error)
+                if error.sent and not route.may_run_again:
+                    raise CallRefusedError(context.failure(server, error)) from error
+                failure = context.failure(server, error)
+                continue
+            finally:
+                if call is not None and not call.is_finished:
+                    call.abort()
+            if refused is not None:
+                sends -= int(refused.wrong_server)
+                failure = refused.refusal
+                continue
+            return server.name
+        raise CallRefusedError(failure)
+
+    async def _attempt(
+        self, turn: _Turn, server: EngineState, call: ServerCall, sink: ForwardSink
+    ) -> "_NotRun | None":
+        """Run the turn on one server; return why it did not run there."""
+        context = self.context
+        admitted = turn.admitted
+        context.send(
+            call,
+            server,
+            admitted,
+            turn.body,
+            turn.last_event_id,
+            forward_priority(admitted.route.priority, admitted.organisation),
+        )
+        head, says = await context.head(call, server, admitted)
+        if says.not_run:
+            await call.body()
+            call.finish()
+            return _NotRun(context.shed(server, head), says.wrong_server)
+        if head.status != 200:
+            body = await call.body()
+            call.finish()
+            if turn.head_sent:
+                raise ServerLinkError(f"resumption was answered {head.status}", True)
+            await sink.whole(head.status, head.reason, says.headers, body)
+            return None
+        reader = EventReader()
+        async for piece in call.pieces():
+            events = _whole_events(reader, piece)
+            if not events:
+                continue
+            if not turn.head_sent:
+                turn.head_sent = True
+                await sink.head(head.status, head.reason, says.headers)
+            self._note(turn, events)
+            await sink.chunk(b"".join(event.raw for event in events))
+        if reader.held:
+            raise ServerLinkError("the stream ended within an event", True)
+        call.finish()
+        server.note_success()
+        self._note_cached(turn, server)
+        if not turn.head_sent:
+            await sink.head(head.status, head.reason, says.headers)
+        await self._keep(turn)
+        return None
+
+    def _note(self, turn: _Turn, events: list[Event]) -> None:
+        for event in events:
+            turn.output.append(event.data)
+            turn.last_event_id = event.event_id or turn.last_event_id
+        if turn.reservation is not None:
+            turn.reservation.note(len(events) * turn.tokens_per_event)
+
+    def _note_cached(self, turn: _Turn, server: EngineState) -> None:
+        now_ms = self.context.clock.now_ms()
+        for part in turn.admitted.request.prefix:
+            server.note_cached(part.name, part.tokens, now_ms)
+
+    async def _keep(self, turn: _Turn) -> None:
+        """Keep the turn before its answer ends; the caller's deadline bounds it."""
+        route = turn.admitted.route
+        if not route.keeps_history:
+            return
+        output = b"".join(data + b"\n" for data in turn.output)
+        await self.archive.save(
+            turn.admitted.organisation_name,
+            turn.admitted.request.request_id,
+            turn.body + output,
+            route.retain_ms,
+        )
+
+
+@attrs.frozen
+class _NotRun:
+    refusal: Refusal
+    wrong_server: bool
+
+
+def _whole_events(reader: EventReader, piece: bytes) -> list[Event]:
+    try:
+        return reader.feed(piece)
+    except ValueError as error:
+        raise ServerLinkError(str(error), True) from error
--- a/celerypulley/links/caller_server.py
+++ b/celerypulley/links/caller_server.py
@@ -267,9 +267,12 @@
 
 
 def error_response(
-    refusal: Refusal, request_id: str, closing: bool = False
+    refusal: Refusal,
+    request_id: str,
+    closing: bool = False,
+    status: int | None = None,
 ) -> web.Response:
-    """Return the HTTP answer of a refusal."""
+    """Return the HTTP answer of a refusal; `status` overrides the table's."""
     headers = {
         "X-Request-Id": request_id,
         "X-Celerypulley-Run": refusal.run.value,
@@ -287,7 +290,7 @@
         "request_id": request_id,
     }
     return web.Response(
-        status=ANSWERS[refusal.kind].status,
+        status=status or ANSWERS[refusal.kind].status,
         body=orjson.dumps({"error": error}),
         content_type="application/json",
         headers=headers,
--- /dev/null
+++ b/celerypulley/links/forward_server.py
@@ -0,0 +1,183 @@
+"""The HTTP server for callers whose requests are passed on as they are."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from mode import Service
+
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
+from celerypulley.errors import ErrorKind, Refusal
+from celerypulley.links.answer_sink import CallerGoneError
+from celerypulley.links.caller_server import error_response
+from celerypulley.links.forward_dialect import Dialect
+from celerypulley.programs.opaque_request import OpaqueRequest
+from celerypulley.settings import Address
+
+__all__ = ["ForwardServer", "ForwardSink"]
+
+_HEADER_BYTES = 16_384  # the largest header that operators allow callers
+_BODY_BYTES = 4_194_304  # the largest body that operators allow callers
+_IDLE_TIMEOUT_S = 75.0  # above every idle timeout that operators set, 15 s
+_LISTEN_BACKLOG = 1_024  # a dropped opening packet costs its sender seconds
+_DRAIN_POLL_S = 0.05
+_log = DecisionLog("callers")
+
+
+class ForwardSink:
+    """The way back to one caller: a whole answer, or a head and pieces."""
+
+    def __init__(self, request: web.BaseRequest, closing: bool) -> None:
+        """Answer `request`; `closing` asks the caller to use another connection."""
+        self.request = request
+        self.closing = closing
+        self.response: web.StreamResponse | None = None
+        self.is_broken = False
+
+    async def whole(
+        self,
+        status: int,
+        reason: str,
+        headers: tuple[tuple[bytes, bytes], ...],
+        body: bytes,
+    ) -> None:
+        """Send a server's whole answer."""
+        response = web.Response(status=status, reason=reason, body=body)
+        response.headers.popall("Content-Type", None)
+        self._add(response, headers)
+        self.response = response
+
+    async def head(
+        self, status: int, reason: str, headers: tuple[tuple[bytes, bytes], ...]
+    ) -> None:
+        """Begin an answer in pieces; raise CallerGoneError."""
+        response = web.StreamResponse(status=status, reason=reason)
+        self._add(response, headers)
+        if self.request.version >= (1, 1):
+            response.enable_chunked_encoding()
+        self.response = response
+        try:
+            await response.prepare(self.request)
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+
+    async def chunk(self, data: bytes) -> None:
+        """Send a piece; raise CallerGoneError."""
+        assert self.response is not None, "the head is sent first"
+        try:
+            await self.response.write(data)
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+
+    def break_off(self) -> None:
+        """End the connection so that a part of an answer cannot look whole."""
+        self.is_broken = True
+        if self.request.transport is not None:
+            self.request.transport.abort()
+
+    def _add(
+        self, response: web.StreamResponse, headers: tuple[tuple[bytes, bytes], ...]
+    ) -> None:
+        for name, value in headers:
+            response.headers.add(name.decode("latin-1"), value.decode("latin-1"))
+        if self.closing:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
+
+class ForwardServer(Service):
+    """Serve callers on one address; each connection is one task of aiohttp's."""
+
+    def __init__(
+        self,
+        address: Address,
+        dialect: Dialect,
+        run: Callable[[OpaqueRequest, ForwardSink], Awaitable[Refusal | None]],
+        clock: Clock,
+    ) -> None:
+        """Hand decoded requests to `run`, which returns why there is no answer."""
+        super().__init__()
+        self.address = address
+        self.dialect = dialect
+        self.run = run
+        self.clock = clock
+        self.draining = False
+        self.active = 0
+        self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
+
+    async def on_start(self) -> None:
+        """Open the listening socket."""
+        server = web.Server(
+            self._answer,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=_IDLE_TIMEOUT_S,
+            max_line_size=_HEADER_BYTES,
+            max_field_size=_HEADER_BYTES,
+            auto_decompress=False,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        self._site = web.TCPSite(
+            self._runner, self.address.ip, self.address.port, backlog=_LISTEN_BACKLOG
+        )
+        await self._site.start()
+
+    async def on_stop(self) -> None:
+        """Close the socket and every connection; `drain` has let requests end."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def drain(self, wait_ms: float) -> None:
+        """Wait until the requests under way have ended, at most `wait_ms`."""
+        deadline_ms = self.clock.now_ms() + wait_ms
+        while self.active and self.clock.now_ms() < deadline_ms:
+            await asyncio.sleep(_DRAIN_POLL_S)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        received_ms = self.clock.now_ms()
+        sink = ForwardSink(request, self.draining)
+        self.active += 1
+        try:
+            body = await _read_body(request)
+            if body is None:
+                detail = f"the body is above {_BODY_BYTES} bytes"
+                return self._refused(
+                    sink, Refusal(ErrorKind.BODY_TOO_LARGE, detail), ""
+                )
+            decoded = self.dialect.decode(request, body, received_ms)
+            refusal = await self.run(decoded, sink)
+            return self._refused(sink, refusal, decoded.request_id)
+        finally:
+            self.active -= 1
+
+    def _refused(
+        self, sink: ForwardSink, refusal: Refusal | None, request_id: str
+    ) -> web.StreamResponse:
+        if refusal is None and sink.response is not None:
+            return sink.response
+        if refusal is None:
+            refusal = Refusal(ErrorKind.INTERNAL, "the answer is missing")
+        if sink.response is None:
+            status = self.dialect.status_of.get(refusal.kind)
+            return error_response(refusal, request_id, sink.closing, status)
+        sink.break_off()
+        return sink.response
+
+
+async def _read_body(request: web.BaseRequest) -> bytes | None:
+    """Return the whole body, None where it is too large."""
+    if not request.can_read_body:
+        return b""
+    pieces = []
+    size = 0
+    while True:
+        piece = await request.content.readany()
+        if not piece:
+            return b"".join(pieces)
+        size += len(piece)
+        if size > _BODY_BYTES:
+            return None
+        pieces.append(piece)
--- /dev/null
+++ b/celerypulley/links/prefix_follower.py
@@ -0,0 +1,113 @@
+"""Following a prefix of the key-value service: a snapshot, then watches.
+
+Each answer to a watch proves what was in force when the watch was sent, so short
+waits bound the age of what a host believes.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from mode import Service
+
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
+from celerypulley.links.key_value import (
+    HistoryGoneError,
+    Item,
+    KeyValueStore,
+    StoreUnavailableError,
+)
+
+__all__ = ["PrefixFollower"]
+
+_RETRY_MS = 100.0  # a store that answers in 4 ms is back long before the next try
+_MAX_RETRY_MS = 500.0  # an eighth of the shortest revocation bound, 5 s
+_AWAY_AFTER_MS = 1_000.0  # silence that counts as an outage of the service
+
+
+class PrefixFollower(Service):
+    """Keep handlers informed of a prefix, and know how old that knowledge is."""
+
+    def __init__(
+        self,
+        name: str,
+        store: KeyValueStore,
+        prefix: str,
+        wait_ms: int,
+        clock: Clock,
+        on_snapshot: Callable[[tuple[Item, ...]], None],
+        on_change: Callable[[Item], None],
+    ) -> None:
+        """Follow `prefix` with watches of at most `wait_ms`."""
+        super().__init__()
+        self.name = name
+        self.store = store
+        self.prefix = prefix
+        self.wait_ms = wait_ms
+        self.clock = clock
+        self.on_snapshot = on_snapshot
+        self.on_change = on_change
+        self.verified_ms = float("-inf")
+        self.returned_ms = float("-inf")
+        self._revision: int | None = None
+        self.is_away = False
+        self._log = DecisionLog("follower")
+
+    def age_ms(self) -> float:
+        """Return how long ago the service confirmed what the handlers know."""
+        return self.clock.now_ms() - self.verified_ms
+
+    @Service.task
+    async def _follow(self) -> None:
+        pause_ms = _RETRY_MS
+        while not self.should_stop:
+            try:
+                confirmed_ms = await self._step()
+            except HistoryGoneError as error:
+                self._log.write("read again", str(error), follower=self.name)
+                self._revision = None
+                continue
+            except StoreUnavailableError as error:
+                self._note_away(str(error))
+                await asyncio.sleep(pause_ms * random.uniform(0.5, 1.5) / 1000)
+                pause_ms = min(_MAX_RETRY_MS, pause_ms * 2)
+                continue
+            pause_ms = _RETRY_MS
+            self._note_heard(confirmed_ms)
+
+    async def _step(self) -> float:
+        """Return the time at which the service confirmed what is known now."""
+        asked_ms = self.clock.now_ms()
+        if self._revision is None:
+            batch = await self.store.read_prefix(self.prefix)
+            self.on_snapshot(batch.items)
+            self._revision = batch.revision
+            return asked_ms
+        batch = await self.store.watch(self.prefix, self._revision, self.wait_ms)
+        for item in batch.items:
+            self.on_change(item)
+        self._revision = max(self._revision, batch.revision)
+        waited_ms = self.clock.now_ms() - asked_ms
+        # An answer without changes was made when the wait had passed.
+        if not batch.items and waited_ms >= self.wait_ms:
+            return asked_ms + self.wait_ms
+        return asked_ms
+
+    def _note_away(self, reason: str) -> None:
+        if self.is_away or self.age_ms() < _AWAY_AFTER_MS:
+            return
+        self.is_away = True
+        self._log.write("dependency lost", reason, follower=self.name)
+
+    def _note_heard(self, confirmed_ms: float) -> None:
+        if self.is_away:
+            self.is_away = False
+            self.returned_ms = self.clock.now_ms()
+            self._log.write(
+                "dependency regained",
+                f"silent for {self.age_ms():.0f} ms",
+                follower=self.name,
+                revision=self._revision,
+            )
+        self.verified_ms = max(self.verified_ms, confirmed_ms)
--- /dev/null
+++ b/celerypulley/links/server_connection.py
@@ -0,0 +1,209 @@
+"""Connections to backend servers that tell whether a request may have run.
+
+A call is written in one piece and its answer is parsed by aiohttp's parser. The
+connection is given back to the pool only after a whole answer.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import aiohttp
+import attrs
+from aiohttp.client_proto import ResponseHandler
+
+from celerypulley.clock import Clock
+
+__all__ = ["AnswerHead", "ServerCall", "ServerLinkError", "ServerLinks"]
+
+_CONNECT_TIMEOUT_S = 0.5  # a handshake takes 1 ms and a way 1 to 3 ms (site sheets)
+_IDLE_LIMIT_MS = 4_000.0  # below the shortest idle timeout of servers, whole seconds
+_FRESH_IDLE_MS = 1_000.0  # for what must not run twice; a second under the timeout
+_EXTRA_ANSWERS = 3  # late answers to earlier requests that are passed over
+_MAX_FIELD_BYTES = 16_384  # the largest header that operators allow callers
+
+
+class ServerLinkError(Exception):
+    """A call got no whole answer.
+
+    `sent` is False only where certainly no byte of the request reached the server.
+    """
+
+    def __init__(self, detail: str, sent: bool) -> None:
+        """Keep what happened."""
+        super().__init__(detail)
+        self.sent = sent
+
+
+@attrs.frozen
+class AnswerHead:
+    """Status line and headers of an answer, as the server sent them."""
+
+    status: int
+    reason: str
+    headers: Any  # a case-insensitive multidict
+    raw_headers: tuple[tuple[bytes, bytes], ...]
+    should_close: bool
+
+
+@attrs.define(eq=False)
+class _Connection:
+    protocol: ResponseHandler
+    idle_since_ms: float
+    idle_limit_ms: float = _IDLE_LIMIT_MS
+
+    def usable(self, now_ms: float, longest_idle_ms: float) -> bool:
+        """Return whether the connection can carry another request."""
+        if not self.protocol.is_connected() or self.protocol.should_close:
+            return False
+        idle_ms = now_ms - self.idle_since_ms
+        return idle_ms < min(self.idle_limit_ms, longest_idle_ms)
+
+
+class ServerCall:
+    """One request on one connection, from its sending to the end of its answer."""
+
+    def __init__(self, links: "ServerLinks", address: str, connection: _Connection):
+        """Use a connection that no other call uses."""
+        self.links = links
+        self.address = address
+        self.connection = connection
+        self._payload: aiohttp.StreamReader | None = None
+        self._head: AnswerHead | None = None
+        self.is_finished = False
+
+    def send(self, request: bytes) -> None:
+        """Write the whole request; raise ServerLinkError if it cannot be written."""
+        transport = self.connection.protocol.transport
+        if transport is None or transport.is_closing():
+            raise ServerLinkError("the connection closed before the request", False)
+        transport.write(request)
+
+    async def head(self, is_mine: Callable[[Any], bool]) -> AnswerHead:
+        """Return the head of the answer for which `is_mine(headers)` holds.
+
+        Answers to earlier requests are read and dropped.
+        """
+        try:
+            for _ in range(_EXTRA_ANSWERS):
+                message, payload = await self.connection.protocol.read()
+                if message.code < 200:
+                    continue
+                if is_mine(message.headers):
+                    self._payload = payload
+                    self._head = AnswerHead(
+                        message.code,
+                        message.reason,
+                        message.headers,
+                        message.raw_headers,
+                        message.should_close,
+                    )
+                    return self._head
+                while await payload.readany():
+                    pass
+        except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError) as e:
+            raise ServerLinkError(f"no answer: {e!r}", True) from e
+        raise ServerLinkError("only answers to other requests came", True)
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes; raise ServerLinkError where it is cut off."""
+        assert self._payload is not None, "the head is read first"
+        try:
+            while True:
+                data = await self._payload.readany()
+                if not data:
+                    return
+                yield data
+        except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError) as e:
+            raise ServerLinkError(f"the answer was cut off: {e!r}", True) from e
+
+    async def body(self) -> bytes:
+        """Return the whole body."""
+        return b"".join([piece async for piece in self.pieces()])
+
+    def finish(self) -> None:
+        """Give the connection back after a whole answer, or close it."""
+        self.is_finished = True
+        head = self._head
+        whole = self._payload is not None and self._payload.is_eof()
+        if head is None or not whole or head.should_close:
+            self.abort()
+            return
+        self.links.give_back(self.address, self.connection, head)
+
+    def abort(self) -> None:
+        """Close the connection at once, so that the server stops its work."""
+        self.connection.protocol.abort()
+
+
+class ServerLinks:
+    """Kept connections by server address."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without any connection."""
+        self.clock = clock
+        self.opened = 0
+        self._idle: dict[str, list[_Connection]] = {}
+
+    async def begin(self, address: str, repeatable: bool) -> ServerCall:
+        """Return a call on a kept or new connection; raise ServerLinkError.
+
+        What must not run twice gets a connection that was used a moment ago, since
+        a server may close an idle one just as the request arrives.
+        """
+        now_ms = self.clock.now_ms()
+        idle = self._idle.get(address, [])
+        longest_ms = _IDLE_LIMIT_MS if repeatable else _FRESH_IDLE_MS
+        while idle:
+            connection = idle.pop()
+            if connection.usable(now_ms, longest_ms):
+                return ServerCall(self, address, connection)
+            connection.protocol.close()
+        return ServerCall(self, address, await self._open(address))
+
+    async def _open(self, address: str) -> _Connection:
+        loop = asyncio.get_running_loop()
+        ip, _, port = address.rpartition(":")
+        self.opened += 1
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                _, protocol = await loop.create_connection(
+                    lambda: ResponseHandler(loop), ip, int(port)
+                )
+        except (OSError, TimeoutError) as error:
+            raise ServerLinkError(f"no connection: {error!r}", False) from error
+        protocol.set_response_params(
+            read_until_eof=True,
+            auto_decompress=False,
+            max_line_size=_MAX_FIELD_BYTES,
+            max_field_size=_MAX_FIELD_BYTES,
+        )
+        return _Connection(protocol, self.clock.now_ms())
+
+    def give_back(self, address: str, connection: _Connection, head: AnswerHead):
+        """Keep a connection for the next call, as long as the server will."""
+        connection.idle_since_ms = self.clock.now_ms()
+        connection.idle_limit_ms = _keep_alive_ms(head.headers.get("Keep-Alive", ""))
+        if connection.idle_limit_ms <= 0 or connection.protocol.should_close:
+            connection.protocol.close()
+            return
+        self._idle.setdefault(address, []).append(connection)
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to a server that is gone."""
+        for connection in self._idle.pop(address, []):
+            connection.protocol.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for address in list(self._idle):
+            self.forget(address)
+
+
+def _keep_alive_ms(text: str) -> float:
+    """Return how long a connection may idle, a second under what was stated."""
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return min(_IDLE_LIMIT_MS, (int(value) - 1) * 1000.0 or 500.0)
+    return _IDLE_LIMIT_MS
--- /dev/null
+++ b/celerypulley/platform/desired_state.py
@@ -0,0 +1,131 @@
+"""Decoding of the operator's desired state and of server entries."""
+
+import orjson
+
+from celerypulley.backend_servers.server_entry import ServerEntry
+from celerypulley.contracts.desired_state import (
+    CallerLimits,
+    DesiredState,
+    ForwardRoute,
+    OrganisationRule,
+    ServiceRule,
+    ServiceShare,
+)
+
+__all__ = [
+    "DESIRED_STATE_KEY",
+    "OPERATOR_PREFIX",
+    "SERVER_PREFIX",
+    "decode_desired_state",
+    "decode_server",
+]
+
+OPERATOR_PREFIX = "op/"
+DESIRED_STATE_KEY = "op/config"
+SERVER_PREFIX = "servers/"
+_STATES = ("ready", "draining")
+
+
+def decode_desired_state(raw: bytes) -> DesiredState:
+    """Return the desired state; raise ValueError naming what is wrong."""
+    try:
+        body = orjson.loads(raw)
+        return DesiredState(
+            int(body["version"]),
+            tuple(_route(each) for each in body.get("routes", [])),
+            tuple(_service(each) for each in body.get("services", [])),
+            tuple(_organisation(each) for each in body.get("tenants", [])),
+            _limits(body.get("limits") or {}),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"the desired state lacks or misuses {error}") from error
+
+
+def _route(row: dict) -> ForwardRoute:
+    if row.get("split"):
+        services = tuple(
+            ServiceShare(each["service"], float(each["weight"]))
+            for each in row["split"]
+        )
+    else:
+        services = (ServiceShare(row["service"], 1.0),)
+    return ForwardRoute(
+        name=row["name"],
+        host=row["host"].lower(),
+        path_prefix=row["pathPrefix"],
+        services=services,
+        repeatable=row["type"] == "idempotent",
+        streams=row["type"] == "stream",
+        resumable=bool(row.get("resumable")),
+        keeps_history=bool(row.get("serverHistory")),
+        retain_ms=float(row.get("retainS") or 0) * 1000,
+        timeout_ms=float(row.get("timeoutMs") or 30_000),
+        latency_target_ms=float(row.get("sloMs") or 1_000),
+        attempts=max(1, int(row.get("attempts") or 1)),
+        priority=int(row.get("priority") or 0),
+        is_open=bool(row.get("public")),
+    )
+
+
+def _service(row: dict) -> ServiceRule:
+    engine = row.get("engineId")  # not an identifier: a model engine's figures
+    if not isinstance(engine, dict):
+        return ServiceRule(name=row["name"])
+    return ServiceRule(
+        name=row["name"],
+        tokens_per_event=int(engine.get("chunkTokens") or 1),
+        memory_tokens=int(engine.get("kvCapacity") or 0),
+        slots=int(engine.get("slots") or 0),
+    )
+
+
+def _organisation(row: dict) -> OrganisationRule:
+    priority = row.get("priority")
+    return OrganisationRule(
+        name=row["name"],
+        keys=tuple(row.get("apiKeys") or ()),
+        priority=None if priority is None else int(priority),
+        rate_per_s=float(row.get("ratePerS") or 0),
+        burst=float(row.get("burst") or 0),
+    )
+
+
+def _limits(row: dict) -> CallerLimits:
+    plain = CallerLimits()
+    return CallerLimits(
+        header_bytes=int(row.get("maxHeaderBytes") or plain.header_bytes),
+        body_bytes=int(row.get("maxBodyBytes") or plain.body_bytes),
+        header_timeout_ms=float(row.get("headerTimeoutMs") or plain.header_timeout_ms),
+        idle_timeout_ms=float(row.get("idleTimeoutMs") or plain.idle_timeout_ms),
+    )
+
+
+def decode_server(key: str, raw: bytes) -> ServerEntry:
+    """Return a server's entry; raise ValueError where it names no usable server."""
+    try:
+        row = orjson.loads(raw)
+        state = row["state"]
+        address = row["addr"]
+        ip, _, port = address.rpartition(":")
+        texts = (row["service"], row["zone"], address)
+        numbers = (row["slots"], row["coldLeftMs"], row["seq"])
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"{key} lacks or misuses {error}") from error
+    if state not in _STATES or not all(isinstance(each, str) for each in texts):
+        raise ValueError(f"{key} has state {state!r} or a field that is no text")
+    if not all(_is_number(each) for each in numbers) or not port.isdigit() or not ip:
+        raise ValueError(f"{key} has a field that is no number, or no address")
+    born_ms = row.get("born", 0)
+    return ServerEntry(
+        name=key.removeprefix(SERVER_PREFIX),
+        service=row["service"],
+        address=address,
+        domain=row["zone"],
+        slots=max(1, int(row["slots"])),
+        leaving=state == "draining",
+        born_ms=int(born_ms) if _is_number(born_ms) else 0,
+    )
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
--- /dev/null
+++ b/celerypulley/platform/roles.py
@@ -0,0 +1,113 @@
+"""The programs that run on the platform's machines."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+import aiohttp
+import uvloop
+
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog, LogFormat
+from celerypulley.fleet_settings import FleetSettings
+from celerypulley.hosts.fleet_host import FleetHost, PlatformNames
+from celerypulley.log_stream import LogStream
+from celerypulley.platform.desired_state import (
+    DESIRED_STATE_KEY,
+    OPERATOR_PREFIX,
+    SERVER_PREFIX,
+    decode_desired_state,
+    decode_server,
+)
+from celerypulley.platform.requests import DIALECT
+from celerypulley.platform.settings_file import SETTINGS_VARIABLE, read_settings
+from celerypulley.platform.store import PlatformStore
+from celerypulley.platform.storekeeper import keep_store
+
+__all__ = ["run_edge", "run_store"]
+
+_BAD_SETTINGS = 2
+_STORE_TIMEOUT_MS = 1_000.0  # fits a store that is sixty times slower than 4 ms
+NAMES = PlatformNames(
+    OPERATOR_PREFIX,
+    DESIRED_STATE_KEY,
+    decode_desired_state,
+    SERVER_PREFIX,
+    decode_server,
+    DIALECT,
+)
+_log = DecisionLog("process")
+
+
+def run_edge() -> None:
+    """Serve callers until SIGTERM."""
+    settings = _settings()
+    uvloop.run(_serve_edge(settings))
+
+
+def run_store() -> None:
+    """Answer for this machine's disk until SIGTERM."""
+    settings = _settings()
+    uvloop.run(_serve_store(settings))
+
+
+def _settings() -> FleetSettings:
+    try:
+        settings = read_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+    except (OSError, ValueError) as error:
+        print(f"settings: {error}", file=sys.stderr)
+        sys.exit(_BAD_SETTINGS)
+    DecisionLog.format = LogFormat.JSON
+    DecisionLog.host_id = settings.host_id
+    DecisionLog.stream = LogStream()
+    return settings
+
+
+def _store(settings: FleetSettings, session: aiohttp.ClientSession) -> PlatformStore:
+    return PlatformStore(settings.store_address, session, _STORE_TIMEOUT_MS)
+
+
+def _session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+
+
+async def _serve_edge(settings: FleetSettings) -> None:
+    stopped = _stop_event()
+    async with _session() as session:
+        host = FleetHost(settings, _store(settings, session), NAMES, Clock())
+        await host.start()
+        await stopped.wait()
+        await host.leave()
+        await host.stop()
+    _flush()
+
+
+async def _serve_store(settings: FleetSettings) -> None:
+    stopped = _stop_event()
+    async with _session() as session:
+        keeper = asyncio.create_task(
+            keep_store(settings.host_id, _store(settings, session), Clock())
+        )
+        await stopped.wait()
+        keeper.cancel()
+        await asyncio.wait([keeper])
+    _flush()
+
+
+def _stop_event() -> asyncio.Event:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(
+        signal.SIGHUP, _log.write, "reload", "nothing in the settings may change"
+    )
+    return stopped
+
+
+def _flush() -> None:
+    _log.write("stopped", "asked to stop")
+    if DecisionLog.stream is not None:
+        DecisionLog.stream.flush()
--- /dev/null
+++ b/celerypulley/platform/settings_file.py
@@ -0,0 +1,67 @@
+"""Reading of the settings file that the platform lays out for each process."""
+
+from collections.abc import Mapping
+from pathlib import Path
+
+from celerypulley.fleet_settings import FleetSettings
+from celerypulley.settings import Address
+
+__all__ = ["SETTINGS_VARIABLE", "read_settings"]
+
+SETTINGS_VARIABLE = "CELERYPULLEY_CONFIG"
+
+
+def read_settings(path: Path) -> FleetSettings:
+    """Return the settings; raise ValueError naming the bad field."""
+    values: dict[str, str] = {}
+    for line in path.read_text(encoding="utf-8").splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            values[name.strip()] = value.strip()
+    front = values.get("listen.front")
+    ready = values.get("listen.readyAddr")
+    first, _, last = _text(values, "portRange").partition(",")
+    return FleetSettings(
+        host_id=_text(values, "nodeName"),
+        domain=_text(values, "zone"),
+        ip=_text(values, "ip"),
+        caller_address=_address("listen.front", front) if front else None,
+        ready_address=_address("listen.readyAddr", ready) if ready else None,
+        fleet_port=_whole("portRange", first),
+        metrics_port=_whole("portRange", last),
+        store_address=_text(values, "platform.addr"),
+        revoke_ms=_number(values, "bounds.revokeMs", 5_000.0),
+        strict_revoke=values.get("bounds.strictRevoke", "true") == "true",
+        grace_ms=_number(values, "bounds.graceS", 8.0) * 1000,
+        contact_ms=_number(values, "bounds.contactMs", 3_000.0),
+        quota_window_ms=_number(values, "bounds.quotaWindowS", 5.0) * 1000,
+    )
+
+
+def _text(values: Mapping[str, str], name: str) -> str:
+    if not values.get(name):
+        raise ValueError(f"settings field {name} is missing")
+    return values[name]
+
+
+def _address(name: str, text: str) -> Address:
+    try:
+        return Address.parse(text)
+    except ValueError as error:
+        raise ValueError(f"settings field {name}: {error}") from error
+
+
+def _whole(name: str, text: str) -> int:
+    if not text.isdigit():
+        raise ValueError(f"settings field {name}: {text!r} is not a whole number")
+    return int(text)
+
+
+def _number(values: Mapping[str, str], name: str, default: float) -> float:
+    text = values.get(name, "")
+    if not text:
+        return default
+    try:
+        return float(text)
+    except ValueError as error:
+        raise ValueError(f"settings field {name}: {text!r} is not a number") from error
--- a/tools/binary.py
+++ b/tools/binary.py
@@ -19,10 +19,10 @@
     """Build the file and ask it for its version."""
     _TARGET.parent.mkdir(exist_ok=True)
     shiv = Path(sys.executable).parent / "shiv"
-    requirements = str(_ROOT / "requirements.txt")
+    lists = [str(_ROOT / f"requirements{part}.txt") for part in ("", "-reports")]
     interpreter = f"/usr/bin/env {Path(sys.executable).resolve().name}"
     command = [str(shiv), "-c", "celerypulley", "-o", str(_TARGET)]
-    command += ["-p", interpreter, "-r", requirements, str(_ROOT)]
+    command += ["-p", interpreter, "-r", lists[0], "-r", lists[1], str(_ROOT)]
     subprocess.run(command, check=True)
     subprocess.run([sys.executable, str(_TARGET), "version"], check=True)
     print(f"{_TARGET.relative_to(_ROOT)}: {_TARGET.stat().st_size // 2**20} MB")
