Take small parts of budgets and count calls to the store by kind

Cause: programs reach two to five hosts, and each host took a third of the budget, so programs were told that it was spent while other hosts held it. A part is now two turns' most.

--- a/celerypulley/hosts/budget_escrow.py
+++ b/celerypulley/hosts/budget_escrow.py
@@ -28,7 +28,10 @@
 __all__ = ["BUDGET_PREFIX", "BudgetEscrow", "Reservation"]
 
 BUDGET_PREFIX = "budgets/"
-_PARTS = 3  # a host takes a third at a time: two more hosts can still take theirs
+# A program's turns come through several hosts, so each takes little at a time; a
+# turn generates a quarter of its most (site sheets), so this serves several.
+_PART_TURNS = 2
+_UNSECURED_PARTS = 3  # without the store, a host may use a third of a budget
 _PROGRAMS_KEPT = 20_000
 _KEEP_MS = 180_000  # three times the longest time that turns are kept, 60 s
 _CAS_TRIES = 8
@@ -114,7 +117,7 @@
             if pool.revision and left <= 0:
                 # The counter only grows, so an old view of a spent one holds.
                 _refuse(key, pool, budget, most)
-            part = max(missing, min(left, budget // _PARTS)) + pool.unsecured
+            part = max(missing, min(left, _PART_TURNS * most)) + pool.unsecured
             total = pool.taken_by_all + part
             value = msgpack.packb((total, mark, self.clock.wall_ms() + _KEEP_MS))
             try:
@@ -132,6 +135,15 @@
                 if not await self._did_run(key, mark, pool):
                     continue
             self._note_taken(pool, part, total)
+            _log.write(
+                "taken",
+                "too little left here for a turn",
+                program=key,
+                budget=budget,
+                part=part,
+                taken_by_all=total,
+                most=most,
+            )
             return
         raise CallRefusedError.of(
             ErrorKind.OVERLOADED, "the budget's counter changes too often"
@@ -164,7 +176,7 @@
         left = budget - pool.taken_by_all
         if pool.revision and left <= 0:
             _refuse(key, pool, budget, most)
-        if pool.unsecured + missing > max(most, budget // _PARTS):
+        if pool.unsecured + missing > max(most, budget // _UNSECURED_PARTS):
             raise CallRefusedError.of(
                 ErrorKind.STATE_UNREACHABLE, "no more of the budget without the store"
             )
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -44,6 +44,7 @@
 _LEAVE_BALANCER_MS = 2_500.0
 _STOP_MARGIN_MS = 1_000.0  # between the last answer and the kill
 _SECURE_PERIOD_S = 0.5
+_SUMMARY_PERIOD_S = 10.0
 _log = DecisionLog("host")
 
 
@@ -212,6 +213,20 @@
             except StoreUnavailableError as error:
                 _log.write("budgets not secured", str(error))
 
+    @Service.task
+    async def _sum_up(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_SUMMARY_PERIOD_S)
+            _log.write(
+                "summary",
+                "totals since the start",
+                active=self.server.active,
+                requests=sum(self.metrics.requests.values()),
+                rate_refusals=self.meter.refused,
+                connections_opened=self.links.opened,
+                **{f"store_{kind}": n for kind, n in self.store.calls.items()},
+            )
+
     async def leave(self) -> None:
         """Leave the balancer, then wait for the requests under way."""
         _log.write("leaving", "asked to stop", active=self.server.active)
--- a/celerypulley/links/key_value.py
+++ b/celerypulley/links/key_value.py
@@ -1,5 +1,6 @@
 """The key-value service as the product needs it: typed calls and errors."""
 
+from collections import Counter
 from typing import Protocol
 
 import attrs
@@ -80,9 +81,12 @@
 class KeyValueStore(Protocol):
     """A linearizable store with conditions, leases and watches.
 
-    Every call raises StoreUnavailableError where no usable answer came.
+    Every call raises StoreUnavailableError where no usable answer came. `calls`
+    counts them by kind.
     """
 
+    calls: Counter[str]
+
     async def read(self, key: str) -> Item | None:
         """Return the newest item of a key, or None."""
 
--- a/celerypulley/platform/store.py
+++ b/celerypulley/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+from collections import Counter
 from urllib.parse import quote
 
 import aiohttp
@@ -33,7 +34,7 @@
         self.base_url = f"http://{address}"
         self.session = session
         self.timeout_s = timeout_ms / 1000
-        self.calls = 0
+        self.calls: Counter[str] = Counter()
 
     async def read(self, key: str) -> Item | None:
         """Return the newest item of a key, or None."""
@@ -112,7 +113,7 @@
         body: dict | None = None,
         timeout_s: float | None = None,
     ) -> tuple[int, dict]:
-        self.calls += 1
+        self.calls[path.partition("?")[0].split("/")[1]] += 1
         timeout = aiohttp.ClientTimeout(
             total=timeout_s or self.timeout_s, sock_connect=_CONNECT_TIMEOUT_S
         )
