--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -13,6 +13,11 @@
 # rests for a few calls' time, and at most for the time that a restart takes.
 _LOST_PAUSE_MS = 50.0
 _MAX_LOST_PAUSE_MS = 1_000.0
+# How fast a server is believed to be follows its last few answers, and returns to
+# the ordinary within some seconds without any, so that it is tried again.
+_PACE_GAIN = 0.25
+_PACE_HALF_LIFE_MS = 3_000.0
+_MAX_PACE = 20.0
 _UNREACHABLE_PAUSE_MS = 250.0
 _MAX_UNREACHABLE_PAUSE_MS = 2_000.0
 
@@ -32,6 +37,7 @@
     step_per_sequence_ms: float = 0.12
     prefill_tokens_per_s: float = 14_000.0
     batch_limit: int = 256
+    first_token_ms: float = 0.0
 
 
 @attrs.frozen
@@ -61,7 +67,8 @@
     `models` names the services instead where the body of requests is not read.
     `probing` says that a request with a strike runs there before its first token.
     `elsewhere` counts the calls that other hosts say they have under way there; a
-    report counts for `report_life_ms` after it was taken.
+    report counts for `report_life_ms` after it was taken. `slowness` is how much
+    longer than estimated its answers took, as of `paced_ms`.
     """
 
     name: str
@@ -75,6 +82,8 @@
     report_life_ms: float = float("inf")
     in_flight: int = 0
     elsewhere: int = 0
+    slowness: float = 1.0
+    paced_ms: float = 0.0
     failing_until_ms: float = 0.0
     failures: int = 0
     probing: bool = False
@@ -108,6 +117,18 @@
             return counted
         return max(counted, report.running + report.waiting + len(self.sends))
 
+    def pace(self, now_ms: float) -> float:
+        """Return how much longer than estimated a call will probably take."""
+        fade = 0.5 ** ((now_ms - self.paced_ms) / _PACE_HALF_LIFE_MS)
+        return 1.0 + (self.slowness - 1.0) * fade
+
+    def note_pace(self, now_ms: float, took_ms: float, estimated_ms: float) -> None:
+        """Learn from an answer how fast the server is."""
+        seen = min(_MAX_PACE, took_ms / max(1.0, estimated_ms))
+        believed = self.pace(now_ms)
+        self.slowness = believed + (seen - believed) * _PACE_GAIN
+        self.paced_ms = now_ms
+
     def note_cached(self, program: str, tokens: int, now_ms: float) -> None:
         """Believe that a program's prompt is cached up to `tokens`."""
         self.cached[program] = (tokens, now_ms)
--- a/celerypulley/backend_servers/routing.py
+++ b/celerypulley/backend_servers/routing.py
@@ -10,6 +10,7 @@
 from celerypulley.programs.opaque_request import PrefixPart
 
 __all__ = [
+    "PLAIN_WORK_MS",
     "POLICIES",
     "Choice",
     "EngineCall",
@@ -19,6 +20,7 @@
     "expected_finish_ms",
     "expected_wait_ms",
     "shared_cost_ms",
+    "step_of",
     "usable_engines",
 ]
 
@@ -26,12 +28,16 @@
 _FAR_DOMAIN_MS = 2.0
 _OTHERS_WEIGHT = 0.2
 _EVICTION_WEIGHT = 10.0
-_PLAIN_WORK_MS = 20.0  # mean work of plain services (site sheets: 14 to 78 ms)
+PLAIN_WORK_MS = 20.0  # mean work of plain services (site sheets: 14 to 78 ms)
 
 
 @attrs.frozen
 class EngineCall:
-    """What the choice of an engine depends on."""
+    """What the choice of an engine depends on.
+
+    `far_ms` is what a call to another failure domain costs: the way, and what its
+    bytes are worth.
+    """
 
     program: str
     model: str
@@ -41,6 +47,7 @@
     now_ms: float
     number: int = 0
     prefix: tuple[PrefixPart, ...] = ()
+    far_ms: float = _FAR_DOMAIN_MS
 
 
 @attrs.frozen
@@ -91,9 +98,9 @@
     best = None
     best_ms = float("inf")
     for server in usable_engines(call, servers, avoid):
-        waiting = server.sequences(call.now_ms) / max(1, server.traits.batch_limit)
-        far_ms = 0.0 if server.domain == call.domain else _FAR_DOMAIN_MS
-        cost_ms = waiting * _PLAIN_WORK_MS + far_ms
+        waiting = (1 + server.sequences(call.now_ms)) / server.traits.batch_limit
+        far_ms = 0.0 if server.domain == call.domain else call.far_ms
+        cost_ms = (1.0 + waiting) * PLAIN_WORK_MS * server.pace(call.now_ms) + far_ms
         if cost_ms >= best_ms:
             continue
         best = server
@@ -135,11 +142,17 @@
     backlog_tokens = report.prefill_tokens + engine.unseen_tokens
     fresh = call.prompt_tokens - cached_tokens(call, engine)
     prefill_ms = (backlog_tokens + fresh) / traits.prefill_tokens_per_s * 1000
-    sequences = engine.sequences(call.now_ms) + 1
+    far_ms = 0.0 if engine.domain == call.domain else call.far_ms
+    decode_ms = step_of(engine, call.now_ms) * call.expected_tokens
+    return traits.first_token_ms + prefill_ms + decode_ms + far_ms
+
+
+def step_of(engine: EngineState, now_ms: float) -> float:
+    """Return the estimated time for each token of one more call, in ms."""
+    traits = engine.traits
+    sequences = engine.sequences(now_ms) + 1
     step_ms = traits.step_base_ms + traits.step_per_sequence_ms * sequences
-    rounds = max(1.0, sequences / traits.batch_limit)
-    far_ms = 0.0 if engine.domain == call.domain else _FAR_DOMAIN_MS
-    return prefill_ms + rounds * step_ms * call.expected_tokens + far_ms
+    return step_ms * max(1.0, sequences / traits.batch_limit)
 
 
 def shared_cost_ms(call: EngineCall, engine: EngineState) -> float:
@@ -158,13 +171,11 @@
     tokens += fresh * (1.0 + others * _OTHERS_WEIGHT)
     if overflow > 0.0:
         tokens += min(fresh, overflow) * _EVICTION_WEIGHT
-    sequences = others + 1
-    step_ms = traits.step_base_ms + traits.step_per_sequence_ms * sequences
-    if sequences > traits.batch_limit:
-        step_ms *= sequences / traits.batch_limit
-    far_ms = 0.0 if engine.domain == call.domain else _FAR_DOMAIN_MS
+    step_ms = step_of(engine, call.now_ms)
+    far_ms = 0.0 if engine.domain == call.domain else call.far_ms
     prefill_ms = tokens / traits.prefill_tokens_per_s * 1000
-    return prefill_ms + step_ms * call.expected_tokens + far_ms
+    work_ms = traits.first_token_ms + prefill_ms + step_ms * call.expected_tokens
+    return work_ms * engine.pace(call.now_ms) + far_ms
 
 
 def _shared_cost(call: EngineCall, engines: list[EngineState]) -> Choice:
--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -71,7 +71,7 @@
         self.stale_after_ms = revoke_ms - _REVOKE_MARGIN_MS
         self.clock = clock
 
-    def admit(self, request: OpaqueRequest) -> Admitted:
+    async def admit(self, request: OpaqueRequest) -> Admitted:
         """Return what the request may do; raise CallRefusedError."""
         state = self.holder.state
         if state is None:
@@ -87,7 +87,7 @@
         fingerprint = request_fingerprint(request)
         self.strikes.check(fingerprint)
         if organisation is not None:
-            self.meter.take(organisation)
+            await self.meter.take(organisation)
         deadline_ms = min(request.deadline_ms, request.received_ms + route.timeout_ms)
         return Admitted(request, route, organisation, state, deadline_ms, fingerprint)
 
--- a/celerypulley/hosts/budget_escrow.py
+++ b/celerypulley/hosts/budget_escrow.py
@@ -28,10 +28,10 @@
 __all__ = ["BUDGET_PREFIX", "BudgetEscrow", "Reservation"]
 
 BUDGET_PREFIX = "budgets/"
-# A program's turns come through several hosts, so each takes little at a time; a
-# turn generates a quarter of its most (site sheets), so this serves several.
+# What a dead host had taken is lost to its program: at most a quarter of a budget
+# at the program's home, and two turns' most at other hosts.
+_HOME_PARTS = 4
 _PART_TURNS = 2
-_UNSECURED_PARTS = 3  # without the store, a host may use a third of a budget
 _PROGRAMS_KEPT = 20_000
 _KEEP_MS = 180_000  # three times the longest time that turns are kept, 60 s
 _CAS_TRIES = 8
@@ -60,21 +60,13 @@
 
 @attrs.define(eq=False)
 class Reservation:
-    """The most that one turn may generate, until it is settled."""
+    """The most that one turn may generate, taken from a pool."""
 
-    pool: _Pool | None
-    most: int
-    spent: int = 0
+    pool: _Pool
 
-    def note(self, tokens: int) -> None:
-        """Count tokens that were handed to the caller."""
-        self.spent += tokens
-
-    def settle(self) -> None:
-        """Give back what the turn did not use."""
-        if self.pool is not None:
-            self.pool.used += self.spent - self.most
-            self.pool = None
+    def give_back(self, tokens: int) -> None:
+        """Return to the pool what the turn did not use; it is called once."""
+        self.pool.used -= tokens
 
 
 class BudgetEscrow:
@@ -88,9 +80,12 @@
         self._owing: set[str] = set()
 
     async def reserve(
-        self, organisation: str, program: str, budget: int, most: int
+        self, organisation: str, program: str, budget: int, most: int, is_home: bool
     ) -> Reservation:
-        """Reserve one turn's most; raise CallRefusedError where the budget is spent."""
+        """Reserve one turn's most; raise CallRefusedError where the budget is spent.
+
+        Only the program's home, where `is_home` says so, goes on without the store.
+        """
         key = f"{BUDGET_PREFIX}{quote(organisation, safe='')}/{program}"
         pool = self._pools.get(key)
         if pool is None:
@@ -99,17 +94,29 @@
                 self._pools.popitem(last=False)
         async with pool.lock:
             if pool.available() < most:
-                await self._take_more(key, pool, budget, most)
+                await self._take_more(key, pool, budget, most, is_home)
             pool.used += most
-        return Reservation(pool, most)
+        return Reservation(pool)
 
-    async def _take_more(self, key: str, pool: _Pool, budget: int, most: int) -> None:
+    async def _take_more(
+        self, key: str, pool: _Pool, budget: int, most: int, is_home: bool
+    ) -> None:
+        # The home serves all hosts, so it takes more at a time.
+        wanted = most * _PART_TURNS
+        if is_home:
+            wanted = max(wanted, budget // _HOME_PARTS)
         try:
-            await self._take_part(key, pool, budget, most)
+            await self._take_part(key, pool, budget, most, wanted)
         except StoreUnavailableError as error:
+            if not is_home:
+                raise CallRefusedError.of(
+                    ErrorKind.STATE_UNREACHABLE, f"neither home nor store: {error}"
+                ) from error
             self._take_unsecured(key, pool, budget, most, str(error))
 
-    async def _take_part(self, key: str, pool: _Pool, budget: int, most: int) -> None:
+    async def _take_part(
+        self, key: str, pool: _Pool, budget: int, most: int, wanted: int
+    ) -> None:
         mark = secrets.token_hex(6)
         for _ in range(_CAS_TRIES):
             missing = most - pool.available()
@@ -117,7 +124,7 @@
             if pool.revision and left <= 0:
                 # The counter only grows, so an old view of a spent one holds.
                 _refuse(key, pool, budget, most)
-            part = max(missing, min(left, _PART_TURNS * most)) + pool.unsecured
+            part = max(missing, min(left, wanted)) + pool.unsecured
             total = pool.taken_by_all + part
             value = msgpack.packb((total, mark, self.clock.wall_ms() + _KEEP_MS))
             try:
@@ -171,15 +178,10 @@
     def _take_unsecured(
         self, key: str, pool: _Pool, budget: int, most: int, reason: str
     ) -> None:
-        """Go on without the service for at most a part of the budget."""
+        """Go on without the service up to the budget, as far as this host knows it."""
         missing = most - pool.available()
-        left = budget - pool.taken_by_all
-        if pool.revision and left <= 0:
+        if pool.taken_by_all + pool.unsecured >= budget:
             _refuse(key, pool, budget, most)
-        if pool.unsecured + missing > max(most, budget // _UNSECURED_PARTS):
-            raise CallRefusedError.of(
-                ErrorKind.STATE_UNREACHABLE, "no more of the budget without the store"
-            )
         pool.unsecured += missing
         self._owing.add(key)
         _log.write("unsecured", reason, program=key, tokens=missing)
--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -6,24 +6,23 @@
 
 import asyncio
 import random
-import secrets
 from collections.abc import Callable
+from contextlib import suppress
 
 import attrs
-import msgpack
 from mode import Service
 
 from celerypulley.clock import Clock
-from celerypulley.decision_log import DecisionLog
-from celerypulley.hosts.fleet_members import FleetMembers
+from celerypulley.links.fleet_datagrams import FleetDatagrams
 
 __all__ = ["FleetGossip", "PeerCounts"]
 
-# Hosts spend a tenth of the quota window's slack in the time between two messages.
-_PERIOD_MS = 100.0
-_PERIOD_MS_PER_PEER = 3.0  # larger fleets speak less often: messages grow with n
-_FORM = 1
-_log = DecisionLog("gossip")
+# A twentieth of the window over which rates are judged, 5 s.
+_PERIOD_MS = 250.0
+_MIN_PERIOD_MS = 25.0  # a host that spends fast speaks at most this often
+_PERIOD_MS_PER_PEER = 5.0  # larger fleets speak less often: messages grow with n
+_MISSED_MESSAGES = 3
+_KIND = "counts"
 
 
 @attrs.frozen
@@ -43,73 +42,47 @@
     strikes: dict[str, int] = attrs.Factory(dict)
 
 
-class FleetGossip(Service, asyncio.DatagramProtocol):
+class FleetGossip(Service):
     """Send this host's counts to every member, and keep the newest of each."""
 
     def __init__(
         self,
-        host: str,
-        ip: str,
-        port: int,
-        members: FleetMembers,
+        datagrams: FleetDatagrams,
         read_own: Callable[[], tuple[dict, dict, dict]],
         clock: Clock,
     ) -> None:
         """Send `read_own()`: admitted, in flight and strikes."""
         super().__init__()
-        self.host = host
-        self.ip = ip
-        self.port = port
-        self.members = members
+        self.datagrams = datagrams
         self.read_own = read_own
         self.clock = clock
-        self.start_name = secrets.token_hex(4)
         self.peers: dict[str, PeerCounts] = {}
         self.on_message: list[Callable[[PeerCounts, PeerCounts | None], None]] = []
-        self._transport: asyncio.DatagramTransport | None = None
         self._number = 0
+        self._hurry = asyncio.Event()
+        datagrams.handlers[_KIND] = self._take
+
+    @property
+    def members(self) -> dict[str, tuple[str, int]]:
+        """Return the members' addresses, this host's among them."""
+        return self.datagrams.addresses
 
     def period_ms(self) -> float:
         """Return the time between two messages."""
-        return max(_PERIOD_MS, _PERIOD_MS_PER_PEER * len(self.members.addresses))
+        return max(_PERIOD_MS, _PERIOD_MS_PER_PEER * len(self.members))
 
     def heard_lately(self, host: str) -> bool:
-        """Return whether at most five messages in a row of a host are missing."""
+        """Return whether at most three messages in a row of a host are missing."""
+        if host == self.datagrams.host:
+            return True
         peer = self.peers.get(host)
         if peer is None:
             return False
-        return self.clock.now_ms() - peer.heard_ms < 6 * self.period_ms()
-
-    async def on_start(self) -> None:
-        """Open the socket."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(self.ip, self.port)
-        )
+        silent_ms = self.clock.now_ms() - peer.heard_ms
+        return silent_ms < (_MISSED_MESSAGES + 1) * self.period_ms()
 
-    async def on_stop(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        self._transport = transport
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Nothing to do: the socket closes with the process."""
-
-    def datagram_received(self, data: bytes, addr: tuple) -> None:
-        """Take a message in; one that cannot be read is dropped with a line."""
-        try:
-            form, host, start, number, admitted, in_flight, strikes = msgpack.unpackb(
-                data
-            )
-        except (ValueError, msgpack.UnpackException) as error:
-            _log.write("dropped", f"unreadable: {error}", sender=addr[0])
-            return
-        if form != _FORM or host == self.host:
-            return
+    def _take(self, host: str, payload: list) -> None:
+        start, number, admitted, in_flight, strikes = payload
         known = self.peers.get(host)
         if known is not None and known.start == start and number <= known.number:
             return
@@ -123,23 +96,22 @@
         for listener in self.on_message:
             listener(peer, known)
 
-    def error_received(self, exc: Exception) -> None:
-        """Nothing to do: a host that is down is noticed by its silence."""
+    def tell_soon(self) -> None:
+        """Send the next message without waiting for the period's end."""
+        self._hurry.set()
 
     @Service.task
     async def _tell(self) -> None:
         while not self.should_stop:
-            await asyncio.sleep(self.period_ms() * random.uniform(0.9, 1.1) / 1000)
+            await asyncio.sleep(_MIN_PERIOD_MS / 1000)
+            pause_ms = self.period_ms() * random.uniform(0.9, 1.1) - _MIN_PERIOD_MS
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._hurry.wait(), pause_ms / 1000)
+            self._hurry.clear()
             self._forget_silent()
-            if self._transport is None:
-                continue
             self._number += 1
-            message = msgpack.packb(
-                (_FORM, self.host, self.start_name, self._number, *self.read_own())
-            )
-            for host, address in self.members.addresses.items():
-                if host != self.host:
-                    self._transport.sendto(message, address)
+            own = (self.datagrams.start_name, self._number, *self.read_own())
+            self.datagrams.tell_all(_KIND, list(own))
 
     def _forget_silent(self) -> None:
         """Count no calls for a host that is not heard any more."""
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -14,6 +14,7 @@
 from celerypulley.errors import Refusal
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.admission import Admission
+from celerypulley.hosts.budget_desk import BudgetDesk
 from celerypulley.hosts.budget_escrow import BudgetEscrow
 from celerypulley.hosts.crash_strikes import CrashStrikes
 from celerypulley.hosts.desired_state_holder import DesiredStateHolder
@@ -27,6 +28,7 @@
 from celerypulley.hosts.server_directory import ServerDirectory
 from celerypulley.hosts.stream_forwarder import StreamForwarder
 from celerypulley.hosts.turn_archive import TurnArchive
+from celerypulley.links.fleet_datagrams import FleetDatagrams
 from celerypulley.links.forward_dialect import Dialect
 from celerypulley.links.forward_server import ForwardServer, ForwardSink
 from celerypulley.links.key_value import KeyValueStore, StoreUnavailableError
@@ -92,19 +94,18 @@
             settings.domain,
             clock,
         )
-        self.meter = FleetMeter(clock)
+        self.meter = FleetMeter(settings.quota_window_ms, clock)
         self.strikes = CrashStrikes(self._strikes_elsewhere)
         self.members = FleetMembers(
             settings.host_id, settings.ip, settings.fleet_port, store, clock
         )
-        self.gossip = FleetGossip(
+        self.datagrams = FleetDatagrams(
             settings.host_id,
             settings.ip,
             settings.fleet_port,
-            self.members,
-            self._own_counts,
-            clock,
+            self.members.addresses,
         )
+        self.gossip = FleetGossip(self.datagrams, self._own_counts, clock)
         self.meter.gossip = self.gossip
         self.gossip.on_message += [self.meter.take_peer, self.directory.take_peer]
         self.holder.on_change.append(self.meter.take_desired_state)
@@ -132,7 +133,9 @@
             self.holder, self.meter, self.strikes, self.settings.revoke_ms, self.clock
         )
         streams = StreamForwarder(
-            context, TurnArchive(self.store, self.clock), self.escrow
+            context,
+            TurnArchive(self.store, self.clock),
+            BudgetDesk(self.escrow, self.datagrams, self.gossip),
         )
         return Forwarder(
             admission, PlainForwarder(context), streams, self.metrics, self.clock
@@ -146,6 +149,7 @@
         gauges["server_connections_opened"] = lambda: self.links.opened
         gauges["members_known"] = lambda: len(self.members.addresses)
         gauges["fleet_heard_part"] = lambda: self.meter.heard_part()
+        gauges["rate_delays"] = lambda: self.meter.delayed
         gauges["rate_refusals"] = lambda: self.meter.refused
         gauges["requests_active"] = lambda: self.server.active
 
@@ -156,6 +160,7 @@
             self.probes,
             self.members,
             self.members.follower,
+            self.datagrams,
             self.gossip,
             self.holder.follower,
             self.directory.follower,
@@ -174,7 +179,7 @@
 
     def _own_counts(self) -> tuple[dict, dict, dict]:
         return (
-            self.meter.admitted,
+            self.meter.told(),
             self.directory.in_flight(),
             dict(self.strikes.own),
         )
@@ -222,6 +227,7 @@
                 "totals since the start",
                 active=self.server.active,
                 requests=sum(self.metrics.requests.values()),
+                rate_delays=self.meter.delayed,
                 rate_refusals=self.meter.refused,
                 connections_opened=self.links.opened,
                 **{f"store_{kind}": n for kind, n in self.store.calls.items()},
--- a/celerypulley/hosts/fleet_meter.py
+++ b/celerypulley/hosts/fleet_meter.py
@@ -1,11 +1,13 @@
 """Rates of organisations across the fleet, from counts that hosts tell each other.
 
-Every host keeps the same bucket for an organisation: it takes its own requests at
-once and those of other hosts as it hears of them, and may fall below zero. A host
-that does not hear some members leaves them their part of the rate, so that parts
-of a divided fleet never exceed the whole.
+Every host counts for an organisation its own requests at once and those of other
+hosts as it hears of them. A host that does not hear some members leaves them their
+part of the rate, so that parts of a divided fleet never exceed the whole.
 """
 
+import asyncio
+from collections import deque
+
 import attrs
 
 from celerypulley.clock import Clock
@@ -16,55 +18,83 @@
 
 __all__ = ["FleetMeter"]
 
-_START_PART = 0.25  # of the burst: what other hosts spent just now is not known yet
-_RATE_HALF_LIFE_MS = 500.0  # of what others spend: a few messages
-_MIN_RETRY_S = 0.05
+# What a host that starts supposes was spent in the window before, as a part.
+_SUPPOSED_PART = 0.75
+_SUPPOSED_STEPS = 20
+# Counts of other hosts come late by up to one period of gossip.
+_WINDOW_MARGIN_MS = 300.0
+# Above this part of the limit, a host tells the others before its untold spending
+# reaches its part of an eighth of the limit.
+_CAREFUL_PART = 0.5
+_UNTOLD_PART = 0.125
+_UNTOLD_MIN = 2
+# A request waits this long for its turn, a third of what a caller waits between two
+# tries of a turn; longer waits are refused at once.
+_LONGEST_WAIT_MS = 400.0
 _log = DecisionLog("meter")
 
 
 @attrs.define(eq=False)
-class _Bucket:
-    """Tokens of one organisation; below zero after others' spending was heard late.
+class _Account:
+    """One organisation's requests: those of the last window, and a long-run bucket.
 
-    `others_per_s` is what other hosts admit, as a decaying rate.
+    In any window at most rate x window + burst are admitted; over a longer time the
+    bucket of the same size holds the rate itself. `untold` counts what this host
+    admitted since it last told the others.
     """
 
     tokens: float
     updated_ms: float
-    others_per_s: float = 0.0
-    others_ms: float = 0.0
+    recent: deque[tuple[float, float]] = attrs.Factory(deque)
+    in_window: float = 0.0
+    untold: int = 0
+
+    def note(self, at_ms: float, count: float) -> None:
+        """Count admitted requests."""
+        self.recent.append((at_ms, count))
+        self.in_window += count
+        self.tokens -= count
 
-    def settle(self, now_ms: float, rate_per_s: float, burst: float) -> None:
-        """Add what has come in since the last time."""
-        gained = (now_ms - self.updated_ms) / 1000 * rate_per_s
-        self.tokens = min(burst, self.tokens + gained)
+    def settle(self, now_ms: float, window_ms: float, rule: OrganisationRule) -> None:
+        """Forget what has left the window and add what has come in."""
+        while self.recent and self.recent[0][0] <= now_ms - window_ms:
+            self.in_window -= self.recent.popleft()[1]
+        gained = (now_ms - self.updated_ms) / 1000 * rule.rate_per_s
+        self.tokens = min(_limit(rule, window_ms), self.tokens + gained)
         self.updated_ms = now_ms
 
-    def note_others(self, now_ms: float, count: int) -> None:
-        """Take what other hosts admitted."""
-        self.tokens -= count
-        fade = 0.5 ** ((now_ms - self.others_ms) / _RATE_HALF_LIFE_MS)
-        gain = count / _RATE_HALF_LIFE_MS * 1000 * 0.693
-        self.others_per_s = self.others_per_s * fade + gain
-        self.others_ms = now_ms
+    def wait_ms(
+        self, now_ms: float, window_ms: float, limit: float, rate_per_s: float
+    ) -> float:
+        """Return how long the next request has to wait."""
+        wait_ms = max(0.0, (1.0 - self.tokens) / rate_per_s * 1000)
+        excess = self.in_window + 1.0 - limit
+        for at_ms, count in self.recent:
+            if excess <= 0.0:
+                break
+            excess -= count
+            wait_ms = max(wait_ms, at_ms + window_ms - now_ms)
+        return wait_ms if excess <= 0.0 else window_ms
+
 
-    def unheard(self, now_ms: float, lag_ms: float) -> float:
-        """Return what others may have admitted without this host's knowing."""
-        fade = 0.5 ** ((now_ms - self.others_ms) / _RATE_HALF_LIFE_MS)
-        return self.others_per_s * fade * lag_ms / 1000
+def _limit(rule: OrganisationRule, window_ms: float) -> float:
+    return rule.rate_per_s * window_ms / 1000 + rule.burst
 
 
 class FleetMeter:
-    """One bucket for each organisation with a rate."""
+    """One account for each organisation with a rate."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Start with nothing counted; `gossip` is set before the first request."""
+    def __init__(self, window_ms: float, clock: Clock) -> None:
+        """Hold rates over windows of `window_ms`; `gossip` is set before traffic."""
+        self.window_ms = window_ms
         self.clock = clock
         self.gossip: FleetGossip | None = None
         self.admitted: dict[str, int] = {}
         self.refused = 0
+        self.delayed = 0
+        self._started_ms = clock.now_ms()
         self._rules: dict[str, OrganisationRule] = {}
-        self._buckets: dict[str, _Bucket] = {}
+        self._accounts: dict[str, _Account] = {}
 
     def take_desired_state(self, state: DesiredState) -> None:
         """Hold the rates of a version from now on."""
@@ -83,48 +113,77 @@
             count = total - known.admitted.get(organisation, 0)
             rule = self._rules.get(organisation)
             if count > 0 and rule is not None and rule.rate_per_s > 0:
-                self._bucket(rule, now_ms).note_others(now_ms, count)
+                self._account(rule).note(now_ms, count)
 
-    def take(self, rule: OrganisationRule) -> None:
-        """Count one request; raise CallRefusedError where the rate is exceeded."""
-        now_ms = self.clock.now_ms()
-        if rule.rate_per_s > 0:
-            part = self.heard_part()
-            bucket = self._bucket(rule, now_ms)
-            bucket.settle(now_ms, rule.rate_per_s * part, rule.burst * part)
-            lag_ms = self.gossip.period_ms() if self.gossip else 0.0
-            needed = 1.0 + bucket.unheard(now_ms, lag_ms)
-            if bucket.tokens < min(needed, rule.burst * part):
-                self._refuse(rule, bucket, part)
-            bucket.tokens -= 1.0
+    async def take(self, rule: OrganisationRule) -> float:
+        """Count one request, wait until the rate allows it and return the wait in ms.
+
+        Raise CallRefusedError at once where the wait would be long.
+        """
+        wait_ms = self._reserve(rule) if rule.rate_per_s > 0 else 0.0
         self.admitted[rule.name] = self.admitted.get(rule.name, 0) + 1
+        if wait_ms > 0:
+            self.delayed += 1
+            await asyncio.sleep(wait_ms / 1000)
+        return wait_ms
+
+    def _reserve(self, rule: OrganisationRule) -> float:
+        """Count a request at the time when the limit allows it; return the wait."""
+        now_ms = self.clock.now_ms()
+        part = self.heard_part()
+        window_ms = self.window_ms + _WINDOW_MARGIN_MS
+        limit = _limit(rule, self.window_ms) * part
+        account = self._account(rule)
+        account.settle(now_ms, window_ms, rule)
+        wait_ms = account.wait_ms(now_ms, window_ms, limit, rule.rate_per_s * part)
+        if wait_ms > _LONGEST_WAIT_MS:
+            self.refused += 1
+            raise CallRefusedError(
+                Refusal(
+                    ErrorKind.RATE_EXCEEDED,
+                    f"{rule.name} has {account.in_window:.0f} of {limit:.0f} in its "
+                    f"window, {account.tokens:.0f} left, heard {part:.2f} of the fleet",
+                    retry_after_s=round(wait_ms / 1000, 2),
+                )
+            )
+        account.note(now_ms + wait_ms, 1.0)
+        account.untold += 1
+        self._tell_early(account, limit)
+        return wait_ms
+
+    def _tell_early(self, account: _Account, limit: float) -> None:
+        if self.gossip is None or account.in_window < limit * _CAREFUL_PART:
+            return
+        most = limit * _UNTOLD_PART / len(self.gossip.members)
+        if account.untold >= max(_UNTOLD_MIN, most):
+            self.gossip.tell_soon()
+
+    def told(self) -> dict[str, int]:
+        """Return the totals to tell the others now."""
+        for account in self._accounts.values():
+            account.untold = 0
+        return self.admitted
 
     def heard_part(self) -> float:
         """Return the part of the fleet that this host hears, itself included."""
         if self.gossip is None:
             return 1.0
-        members = self.gossip.members.addresses
-        heard = sum(
-            host == self.gossip.host or self.gossip.heard_lately(host)
-            for host in members
-        )
+        members = self.gossip.members
+        heard = sum(self.gossip.heard_lately(host) for host in members)
         return heard / max(1, len(members))
 
-    def _bucket(self, rule: OrganisationRule, now_ms: float) -> _Bucket:
-        bucket = self._buckets.get(rule.name)
-        if bucket is None:
-            bucket = _Bucket(rule.burst * _START_PART, now_ms)
-            self._buckets[rule.name] = bucket
-        return bucket
-
-    def _refuse(self, rule: OrganisationRule, bucket: _Bucket, part: float) -> None:
-        self.refused += 1
-        wait_s = max(_MIN_RETRY_S, (1.0 - bucket.tokens) / (rule.rate_per_s * part))
-        raise CallRefusedError(
-            Refusal(
-                ErrorKind.RATE_EXCEEDED,
-                f"{rule.name} has {bucket.tokens:.1f} of {rule.burst:.0f} left, "
-                f"heard {part:.2f} of the fleet",
-                retry_after_s=round(wait_s, 2),
-            )
-        )
+    def _account(self, rule: OrganisationRule) -> _Account:
+        account = self._accounts.get(rule.name)
+        if account is None:
+            account = self._accounts[rule.name] = self._new_account(rule)
+        return account
+
+    def _new_account(self, rule: OrganisationRule) -> _Account:
+        """Suppose that others spent a part of the limit just before the start."""
+        limit = _limit(rule, self.window_ms)
+        account = _Account(limit, self._started_ms)
+        step_ms = self.window_ms / _SUPPOSED_STEPS
+        for step in range(_SUPPOSED_STEPS, 0, -1):
+            at_ms = self._started_ms - step * step_ms
+            account.note(at_ms, limit * _SUPPOSED_PART / _SUPPOSED_STEPS)
+        return account
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -27,6 +27,9 @@
 Chooser = Callable[[EngineCall, list[EngineState], frozenset[str]], Choice | None]
 
 _SHED_RETRY_S = 0.1  # about a turn's time on an engine: a place is free by then
+_FAR_MS = 2.0  # the way there and back between domains (site sheets)
+# Bytes between domains are dear; a kilobyte is worth a sequence on a near engine.
+_FAR_MS_PER_KB = 2.0
 _MIN_REMAINING_MS = 5.0  # below one way there and back nothing can be answered
 _log = DecisionLog("forward")
 
@@ -63,6 +66,7 @@
             domain=self.directory.domain,
             now_ms=self.clock.now_ms(),
             prefix=request.prefix,
+            far_ms=_FAR_MS + _FAR_MS_PER_KB * len(request.body) / 1024,
         )
 
     def choose(
@@ -105,9 +109,9 @@
             )
         return remaining_ms
 
-    async def begin(self, server: EngineState, repeatable: bool) -> ServerCall:
+    async def begin(self, server: EngineState) -> ServerCall:
         """Return a connection to a server; raise ServerLinkError."""
-        return await self.links.begin(server.address, repeatable)
+        return await self.links.begin(server.address)
 
     def send(
         self,
--- a/celerypulley/hosts/forwarder.py
+++ b/celerypulley/hosts/forwarder.py
@@ -42,7 +42,7 @@
         admitted: Admitted | None = None
         refusal: Refusal | None = None
         try:
-            admitted = self.admission.admit(request)
+            admitted = await self.admission.admit(request)
             await self._run_admitted(admitted, sink)
         except CallRefusedError as error:
             refusal = error.refusal
--- a/celerypulley/hosts/plain_forwarder.py
+++ b/celerypulley/hosts/plain_forwarder.py
@@ -2,7 +2,7 @@
 
 import random
 
-from celerypulley.backend_servers.routing import choose_plain
+from celerypulley.backend_servers.routing import PLAIN_WORK_MS, choose_plain
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.hosts.admission import Admitted
 from celerypulley.hosts.forward_context import ForwardContext, pick_service
@@ -33,9 +33,10 @@
                 break
             avoid = avoid | {server.name}
             call = None
+            begun_ms = context.clock.now_ms()
             try:
                 with context.counted(server):
-                    call = await context.begin(server, route.may_run_again)
+                    call = await context.begin(server)
                     sends += 1
                     context.send(call, server, admitted)
                     head, says = await context.head(call, server, admitted)
@@ -60,6 +61,8 @@
                 context.note_error_answer(admitted, server, head)
                 continue
             server.note_success()
+            now_ms = context.clock.now_ms()
+            server.note_pace(now_ms, now_ms - begun_ms, PLAIN_WORK_MS)
             await sink.whole(head.status, head.reason, says.headers, body)
             return server.name
         raise CallRefusedError(failure)
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -26,6 +26,7 @@
 _STEP_MS_PER_TOKEN = 2.18
 _STEP_MS_PER_SEQUENCE = 0.0548
 _PREFILL_TOKENS_PER_S = 187_000.0
+_FIRST_TOKEN_MS = 42.0
 _REPORT_LIFE_MS = 300.0  # about one turn's time: what ran then has ended
 _log = DecisionLog("servers")
 
@@ -120,6 +121,7 @@
             step_per_sequence_ms=_STEP_MS_PER_SEQUENCE,
             prefill_tokens_per_s=_PREFILL_TOKENS_PER_S,
             batch_limit=entry.slots,
+            first_token_ms=_FIRST_TOKEN_MS,
         )
         server = EngineState(
             entry.name,
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -11,12 +11,14 @@
     EngineCall,
     cached_tokens,
     choose_engine,
+    expected_finish_ms,
+    step_of,
 )
 from celerypulley.contracts.declaration import Policy
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.hosts.admission import Admitted
-from celerypulley.hosts.budget_escrow import BudgetEscrow, Reservation
+from celerypulley.hosts.budget_desk import BudgetDesk, TurnBudget
 from celerypulley.hosts.forward_context import ForwardContext, pick_service
 from celerypulley.hosts.turn_archive import TurnArchive
 from celerypulley.links.forward_server import ForwardSink
@@ -41,7 +43,7 @@
     service: str
     body: bytes
     tokens_per_event: int
-    reservation: Reservation | None
+    reservation: TurnBudget | None
     last_event_id: str
     output: list[bytes] = attrs.Factory(list)
     head_sent: bool = False
@@ -62,12 +64,12 @@
     """Run streams on model engines and pass their events on as they come."""
 
     def __init__(
-        self, context: ForwardContext, archive: TurnArchive, escrow: BudgetEscrow
+        self, context: ForwardContext, archive: TurnArchive, budgets: BudgetDesk
     ) -> None:
-        """Keep histories in `archive` and budgets in `escrow`."""
+        """Keep histories in `archive` and budgets in `budgets`."""
         self.context = context
         self.archive = archive
-        self.escrow = escrow
+        self.budgets = budgets
 
     async def run(self, admitted: Admitted, sink: ForwardSink) -> str:
         """Pass a stream on; return the server's name, raise CallRefusedError."""
@@ -106,13 +108,13 @@
             )
         return history
 
-    async def _reserve(self, admitted: Admitted) -> Reservation | None:
+    async def _reserve(self, admitted: Admitted) -> TurnBudget | None:
         request = admitted.request
         if not admitted.route.is_turn or not request.program:
             return None
         if request.token_budget <= 0:
             return None
-        return await self.escrow.reserve(
+        return await self.budgets.reserve(
             admitted.organisation_name,
             request.program,
             request.token_budget,
@@ -137,7 +139,7 @@
                     context.call_of(admitted), server
                 )
                 with context.counted(server, fresh):
-                    call = await context.begin(server, route.may_run_again)
+                    call = await context.begin(server)
                     sends += 1
                     refused = await self._attempt(turn, server, call, sink)
             except ServerLinkError as error:
@@ -162,6 +164,11 @@
         """Run the turn on one server; return why it did not run there."""
         context = self.context
         admitted = turn.admitted
+        begun_ms = context.clock.now_ms()
+        expected = attrs.evolve(context.call_of(admitted), expected_tokens=0)
+        first_ms = expected_finish_ms(expected, server)
+        step_ms = step_of(server, begun_ms)
+        events_before = turn.event_count
         context.send(
             call,
             server,
@@ -196,6 +203,9 @@
             raise ServerLinkError("the stream ended within an event", True)
         call.finish()
         server.note_success()
+        tokens = (turn.event_count - events_before) * turn.tokens_per_event
+        now_ms = context.clock.now_ms()
+        server.note_pace(now_ms, now_ms - begun_ms, first_ms + step_ms * tokens)
         self._note_cached(turn, server)
         if not turn.head_sent:
             await sink.head(head.status, head.reason, says.headers)
--- /dev/null
+++ b/celerypulley/links/fleet_datagrams.py
@@ -0,0 +1,148 @@
+"""Datagrams between hosts: messages that may be lost, and questions with answers."""
+
+import asyncio
+import secrets
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+
+import msgpack
+from mode import Service
+
+from celerypulley.decision_log import DecisionLog
+
+__all__ = ["FleetDatagrams", "NoReplyError"]
+
+_RESEND_MS = 40.0  # ten ways there and back between failure domains
+_GIVE_UP_MS = 300.0  # a question that needs a slow store's answer may take this long
+_ANSWERS_KEPT = 2_000  # a second of questions at the busiest host
+_log = DecisionLog("datagrams")
+
+Handler = Callable[[str, list], Awaitable[list] | None]
+
+
+class NoReplyError(Exception):
+    """No answer came in time; the question may have been acted on."""
+
+
+class FleetDatagrams(Service, asyncio.DatagramProtocol):
+    """One socket; handlers by the kind of message.
+
+    A message is [kind, sender, number, payload]. A question is sent again until its
+    answer comes; the answerer keeps answers, so that it acts once.
+    """
+
+    def __init__(
+        self, host: str, ip: str, port: int, addresses: dict[str, tuple[str, int]]
+    ) -> None:
+        """Send to `addresses`, which the members' register keeps up to date."""
+        super().__init__()
+        self.host = host
+        self.ip = ip
+        self.port = port
+        self.addresses = addresses
+        self.start_name = secrets.token_hex(4)
+        self.handlers: dict[str, Handler] = {}
+        self.bytes_sent = 0
+        self._transport: asyncio.DatagramTransport | None = None
+        self._number = 0
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._answers: OrderedDict[tuple, bytes | None] = OrderedDict()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def on_start(self) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self.ip, self.port)
+        )
+
+    async def on_stop(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Nothing to do: the socket closes with the process."""
+
+    def error_received(self, exc: Exception) -> None:
+        """Nothing to do: a host that is down is noticed by its silence."""
+
+    def tell(self, host: str, kind: str, payload: list) -> None:
+        """Send a message that may be lost."""
+        self._send(host, msgpack.packb((kind, self.host, None, payload)))
+
+    def tell_all(self, kind: str, payload: list) -> None:
+        """Send a message to every other member."""
+        message = msgpack.packb((kind, self.host, None, payload))
+        for host in self.addresses:
+            if host != self.host:
+                self._send(host, message)
+
+    async def ask(self, host: str, kind: str, payload: list) -> list:
+        """Return the answer to a question; raise NoReplyError."""
+        self._number += 1
+        number = self._number
+        message = msgpack.packb((kind, self.host, (self.start_name, number), payload))
+        reply = asyncio.get_running_loop().create_future()
+        self._waiting[number] = reply
+        try:
+            for _ in range(int(_GIVE_UP_MS / _RESEND_MS)):
+                self._send(host, message)
+                await asyncio.wait([reply], timeout=_RESEND_MS / 1000)
+                if reply.done():
+                    return reply.result()
+        finally:
+            del self._waiting[number]
+        raise NoReplyError(f"{host} did not answer within {_GIVE_UP_MS:.0f} ms")
+
+    def _send(self, host: str, message: bytes) -> None:
+        address = self.addresses.get(host)
+        if self._transport is None or address is None:
+            return
+        self.bytes_sent += len(message)
+        self._transport.sendto(message, tuple(address))
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        """Hand a message to its handler; one that cannot be read is dropped."""
+        try:
+            kind, sender, number, payload = msgpack.unpackb(data)
+            if kind == "reply":
+                self._take_reply(number, payload)
+                return
+            handler = self.handlers[kind]
+        except (ValueError, KeyError, TypeError, msgpack.UnpackException) as error:
+            _log.write("dropped", f"unreadable: {error!r}", sender=addr[0])
+            return
+        if number is None:
+            handler(sender, payload)
+            return
+        question = (sender, *number)
+        if question in self._answers:
+            self._send_answer(sender, self._answers[question])
+            return
+        self._answers[question] = None
+        while len(self._answers) > _ANSWERS_KEPT:
+            self._answers.popitem(last=False)
+        task = asyncio.create_task(self._answer(handler, question, payload))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, handler: Handler, question: tuple, payload: list) -> None:
+        sender, _start, number = question
+        answer = await handler(sender, payload)
+        message = msgpack.packb(("reply", self.host, number, answer))
+        self._answers[question] = message
+        self._send_answer(sender, message)
+
+    def _send_answer(self, host: str, message: bytes | None) -> None:
+        if message is not None:
+            self._send(host, message)
+
+    def _take_reply(self, number: int, payload: list) -> None:
+        reply = self._waiting.get(number)
+        if reply is not None and not reply.done():
+            reply.set_result(payload)
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -17,8 +17,9 @@
 __all__ = ["AnswerHead", "ServerCall", "ServerLinkError", "ServerLinks"]
 
 _CONNECT_TIMEOUT_S = 0.5  # a handshake takes 1 ms and a way 1 to 3 ms (site sheets)
-_IDLE_LIMIT_MS = 4_000.0  # below the shortest idle timeout of servers, whole seconds
-_FRESH_IDLE_MS = 1_000.0  # for what must not run twice; a second under the timeout
+_IDLE_LIMIT_MS = 15_000.0  # longer idle connections hold places of busier hosts
+_IDLE_MARGIN_MS = 1_000.0  # before the end that a server has stated
+_UNSTATED_IDLE_MS = 1_000.0  # where a server states none: the smallest it could
 _EXTRA_ANSWERS = 3  # late answers to earlier requests that are passed over
 _MAX_FIELD_BYTES = 16_384  # the largest header that operators allow callers
 
@@ -50,14 +51,13 @@
 class _Connection:
     protocol: ResponseHandler
     idle_since_ms: float
-    idle_limit_ms: float = _IDLE_LIMIT_MS
+    idle_limit_ms: float = _UNSTATED_IDLE_MS
 
-    def usable(self, now_ms: float, longest_idle_ms: float) -> bool:
+    def usable(self, now_ms: float) -> bool:
         """Return whether the connection can carry another request."""
         if not self.protocol.is_connected() or self.protocol.should_close:
             return False
-        idle_ms = now_ms - self.idle_since_ms
-        return idle_ms < min(self.idle_limit_ms, longest_idle_ms)
+        return now_ms - self.idle_since_ms < self.idle_limit_ms
 
 
 class ServerCall:
@@ -145,18 +145,17 @@
         self.opened = 0
         self._idle: dict[str, list[_Connection]] = {}
 
-    async def begin(self, address: str, repeatable: bool) -> ServerCall:
+    async def begin(self, address: str) -> ServerCall:
         """Return a call on a kept or new connection; raise ServerLinkError.
 
-        What must not run twice gets a connection that was used a moment ago, since
-        a server may close an idle one just as the request arrives.
+        A server may close an idle connection just as a request arrives, so none is
+        used near the end that the server has stated.
         """
         now_ms = self.clock.now_ms()
         idle = self._idle.get(address, [])
-        longest_ms = _IDLE_LIMIT_MS if repeatable else _FRESH_IDLE_MS
         while idle:
             connection = idle.pop()
-            if connection.usable(now_ms, longest_ms):
+            if connection.usable(now_ms):
                 return ServerCall(self, address, connection)
             connection.protocol.close()
         return ServerCall(self, address, await self._open(address))
@@ -201,9 +200,10 @@
 
 
 def _keep_alive_ms(text: str) -> float:
-    """Return how long a connection may idle, a second under what was stated."""
+    """Return how long a connection may idle, by what the server has stated."""
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "timeout" and value.isdigit():
-            return min(_IDLE_LIMIT_MS, (int(value) - 1) * 1000.0 or 500.0)
-    return _IDLE_LIMIT_MS
+            stated_ms = int(value) * 1000.0
+            return min(_IDLE_LIMIT_MS, max(stated_ms / 2, stated_ms - _IDLE_MARGIN_MS))
+    return _UNSTATED_IDLE_MS
