Test forwarding, histories and budgets against stand-ins of store and servers

A server's answer without a length that ends in a reset passed as whole; the table of failures showed it (UNFRAMED_RESET, two cases failed before). The protocol now keeps how a connection ended.

--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -38,7 +38,6 @@
 
 __all__ = ["FleetHost", "PlatformNames"]
 
-METRICS_PORT = 9464  # the usual port of exporters of metrics
 # A host without a sound way to the store earns nothing on routes with keys after
 # 0.6 of the bound on withdrawn keys.
 _READY_PART = 0.6
@@ -120,7 +119,9 @@
             {"/readyz": self._readiness},
         )
         self.metrics_server = ProbeServer(
-            settings.ip, METRICS_PORT, {"/metrics": lambda: (200, self.metrics.text())}
+            settings.ip,
+            settings.metrics_port,
+            {"/metrics": lambda: (200, self.metrics.text())},
         )
         self._was_ready = False
         self._add_gauges()
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -47,9 +47,20 @@
     should_close: bool
 
 
+class _ServerProtocol(ResponseHandler):
+    """The library's protocol, which also tells a reset from an ordinary end."""
+
+    lost_error: BaseException | None = None
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Keep how the connection ended."""
+        self.lost_error = exc
+        super().connection_lost(exc)
+
+
 @attrs.define(eq=False)
 class _Connection:
-    protocol: ResponseHandler
+    protocol: _ServerProtocol
     idle_since_ms: float
     idle_limit_ms: float = _UNSTATED_IDLE_MS
 
@@ -112,10 +123,19 @@
             while True:
                 data = await self._payload.readany()
                 if not data:
-                    return
+                    break
                 yield data
         except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError) as e:
             raise ServerLinkError(f"the answer was cut off: {e!r}", True) from e
+        lost_error = self.connection.protocol.lost_error
+        if lost_error is not None and self._ends_with_connection():
+            raise ServerLinkError(f"the answer was reset: {lost_error!r}", True)
+
+    def _ends_with_connection(self) -> bool:
+        """Return whether only the connection's end shows where the answer ends."""
+        assert self._head is not None, "the head is read first"
+        headers = self._head.headers
+        return "Content-Length" not in headers and "Transfer-Encoding" not in headers
 
     async def body(self) -> bytes:
         """Return the whole body."""
@@ -167,7 +187,7 @@
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 _, protocol = await loop.create_connection(
-                    lambda: ResponseHandler(loop), ip, int(port)
+                    lambda: _ServerProtocol(loop), ip, int(port)
                 )
         except (OSError, TimeoutError) as error:
             raise ServerLinkError(f"no connection: {error!r}", False) from error
--- a/celerypulley/platform/settings_file.py
+++ b/celerypulley/platform/settings_file.py
@@ -8,6 +8,8 @@
 
 __all__ = ["SETTINGS_VARIABLE", "read_settings"]
 
+# The usual port of exporters; the deploy file names the same one.
+_METRICS_PORT = 9464
 SETTINGS_VARIABLE = "CELERYPULLEY_CONFIG"
 
 
@@ -20,7 +22,7 @@
             values[name.strip()] = value.strip()
     front = values.get("listen.front")
     ready = values.get("listen.readyAddr")
-    first, _, last = _text(values, "portRange").partition(",")
+    first, _, _last = _text(values, "portRange").partition(",")
     return FleetSettings(
         host_id=_text(values, "nodeName"),
         domain=_text(values, "zone"),
@@ -28,7 +30,7 @@
         caller_address=_address("listen.front", front) if front else None,
         ready_address=_address("listen.readyAddr", ready) if ready else None,
         fleet_port=_whole("portRange", first),
-        metrics_port=_whole("portRange", last),
+        metrics_port=_METRICS_PORT,
         store_address=_text(values, "platform.addr"),
         revoke_ms=_number(values, "bounds.revokeMs", 5_000.0),
         strict_revoke=values.get("bounds.strictRevoke", "true") == "true",
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,230 @@
+"""What callers and servers see of forwarded requests, by kind of failure."""
+
+import asyncio
+
+import pytest
+
+from celerypulley.stand_ins.opaque_server import Mode
+from tests.fleet import desired_state, running_fleet
+from tests.harness import until
+
+EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
+
+
+@pytest.mark.parametrize(
+    ("path", "modes", "status", "runs"),
+    [
+        ("/safe/x", [Mode.WHOLE], 200, 1),
+        ("/safe/x", [Mode.RESET, Mode.WHOLE], 200, 2),
+        ("/safe/x", [Mode.TRUNCATED, Mode.WHOLE], 200, 2),
+        ("/safe/x", [Mode.NOT_HTTP, Mode.WHOLE], 200, 2),
+        ("/safe/x", [Mode.NO_SEAL, Mode.WHOLE], 200, 2),
+        ("/safe/x", [Mode.ERROR, Mode.WHOLE], 200, 2),
+        ("/safe/x", [Mode.SHED, Mode.WHOLE], 200, 2),
+        ("/safe/x", [Mode.OTHER_INSTANCE, Mode.WHOLE], 200, 2),
+        ("/safe/x", [Mode.UNFRAMED], 200, 1),
+        ("/safe/x", [Mode.UNFRAMED_RESET, Mode.WHOLE], 200, 2),
+        ("/safe/x", [Mode.EARLIER_ANSWER], 200, 1),
+        ("/safe/x", [Mode.RESET, Mode.RESET], 502, 2),
+        ("/safe/x", [Mode.SHED, Mode.SHED], 503, 2),
+        ("/unsafe/x", [Mode.WHOLE], 200, 1),
+        ("/unsafe/x", [Mode.SHED, Mode.WHOLE], 200, 2),
+        ("/unsafe/x", [Mode.OTHER_INSTANCE, Mode.WHOLE], 200, 2),
+        ("/unsafe/x", [Mode.EARLIER_ANSWER], 200, 1),
+        ("/unsafe/x", [Mode.ERROR], 500, 1),
+        ("/unsafe/x", [Mode.RESET], 502, 1),
+        ("/unsafe/x", [Mode.CLOSE], 502, 1),
+        ("/unsafe/x", [Mode.TRUNCATED], 502, 1),
+        ("/unsafe/x", [Mode.NOT_HTTP], 502, 1),
+        ("/unsafe/x", [Mode.NO_SEAL], 502, 1),
+        ("/unsafe/x", [Mode.UNFRAMED_RESET], 502, 1),
+        ("/turns/x", [Mode.STREAM], 200, 1),
+        ("/turns/x", [Mode.SHED, Mode.STREAM], 200, 2),
+        ("/turns/x", [Mode.RESET], 502, 1),
+        ("/resumable/x", [Mode.RESET, Mode.STREAM], 200, 2),
+        ("/nowhere/x", [Mode.WHOLE], 404, 0),
+    ],
+)
+async def test_each_failure_of_a_server_gets_its_answer(path, modes, status, runs):
+    async with running_fleet(servers=2) as fleet:
+        shared = list(modes)
+        for server in fleet.servers:
+            server.modes = shared
+        answer = await fleet.call(path)
+        assert answer.status == status
+        assert sum(len(server.seen) for server in fleet.servers) == runs
+        sealed = "Server-Seal" in answer.headers
+        assert sealed == (status in (200, 500))
+        if status in (429, 503):
+            assert float(answer.headers["Retry-After"]) > 0
+
+
+async def test_stream_goes_on_at_another_server_after_the_last_whole_event():
+    async with running_fleet(servers=2) as fleet:
+        shared = [Mode.WITHIN_EVENT, Mode.STREAM]
+        for server in fleet.servers:
+            server.modes = shared
+        answer = await fleet.call("/resumable/x")
+        assert (answer.status, answer.whole) == (200, True)
+        assert answer.body == EVENTS
+        resumed = [
+            seen.headers.get("last-event-id")
+            for server in fleet.servers
+            for seen in server.seen
+        ]
+        assert sorted(resumed, key=str) == ["2", None]
+
+
+async def test_stream_that_may_not_resume_never_looks_whole():
+    async with running_fleet(servers=2) as fleet:
+        for server in fleet.servers:
+            server.mode = Mode.WITHIN_EVENT
+        answer = await fleet.call("/turns/x")
+        assert not answer.whole
+        assert sum(len(server.seen) for server in fleet.servers) == 1
+
+
+@pytest.mark.parametrize("mode", [Mode.EXTRA, Mode.EARLIER_ANSWER])
+async def test_extra_answers_belong_to_no_later_request(mode):
+    async with running_fleet() as fleet:
+        fleet.servers[0].mode = mode
+        for number in range(4):
+            body = b"body %d" % number
+            answer = await fleet.call("/unsafe/x", body=body)
+            assert answer.body == b"the answer of " + body
+
+
+async def test_headers_of_the_system_are_its_own():
+    async with running_fleet() as fleet:
+        sent = {
+            "Tenant": "another",
+            "Expect-Instance": "another",
+            "Request-Priority": "0",
+            "Hold": "7",
+            "Pin-Ms": "9000",
+            "Kv-From": "10.0.0.1:1/2",
+            "Kv-Backup": "10.0.0.1:1",
+            "Connection": "X-Own",
+            "X-Own": "of this connection",
+            "X-Passed": "on",
+        }
+        answer = await fleet.call("/unsafe/x?a=b%20c", headers=sent)
+        assert answer.status == 200
+        seen = fleet.servers[0].seen[0]
+        assert seen.line == "POST /unsafe/x?a=b%20c HTTP/1.1"
+        assert seen.body == b"hello"
+        assert seen.headers["tenant"] == "kiosks"
+        assert seen.headers["expect-instance"] == "server-0"
+        assert seen.headers["x-passed"] == "on"
+        assert int(seen.headers["deadline-ms"]) <= 1_500
+        for name in ("api-key", "hold", "pin-ms", "kv-from", "kv-backup", "x-own"):
+            assert name not in seen.headers
+        assert "request-priority" not in seen.headers
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/safe/x", "no-such-key", 401),
+        ("/safe/x", "", 401),
+        ("/open/x", "", 200),
+        ("/open/x", "no-such-key", 200),
+    ],
+)
+async def test_routes_ask_for_keys_unless_they_are_open(path, key, status):
+    async with running_fleet() as fleet:
+        answer = await fleet.call(path, headers={"Api-Key": key})
+        assert answer.status == status
+        seen = fleet.servers[0].seen
+        assert len(seen) == (1 if status == 200 else 0)
+        assert all("tenant" not in each.headers for each in seen)
+
+
+async def test_caller_that_leaves_ends_the_work_at_the_server():
+    async with running_fleet() as fleet:
+        fleet.servers[0].mode = Mode.STREAM
+        fleet.servers[0].pause_s = 0.05
+        fleet.servers[0].events = 1_000
+        task = asyncio.create_task(fleet.call("/turns/x"))
+        await until(lambda: fleet.servers[0].seen)
+        task.cancel()
+        await until(lambda: fleet.servers[0].left_early == 1)
+
+
+async def test_server_that_says_nothing_is_answered_for_at_the_deadline():
+    async with running_fleet() as fleet:
+        fleet.servers[0].mode = Mode.HANG
+        answer = await fleet.call("/unsafe/x", headers={"Deadline-Ms": "200"})
+        assert answer.status == 504
+
+
+async def test_request_that_breaks_servers_is_refused_everywhere():
+    async with running_fleet(hosts=2, servers=2) as fleet:
+        for server in fleet.servers:
+            server.mode = Mode.RESET
+        statuses = []
+        for number in range(8):
+            answer = await fleet.call("/unsafe/x", host=number % 2)
+            statuses.append(answer.status)
+            other = fleet.hosts[1 - number % 2]
+            own = sum(fleet.hosts[number % 2].strikes.own.values())
+            await until(
+                lambda other=other, own=own: (
+                    own <= sum(sum(each.values()) for each in other.strikes.peers())
+                )
+            )
+        assert statuses == [502, 502, 502, 503, 503, 503, 503, 503]
+        for server in fleet.servers:
+            server.mode = Mode.WHOLE
+        assert (await fleet.call("/unsafe/x", body=b"another")).status == 200
+
+
+@pytest.mark.parametrize("field", ["state", "service", "addr", "slots", "seq"])
+async def test_entry_of_another_writer_names_no_server(field):
+    async with running_fleet() as fleet:
+        directory = fleet.hosts[0].directory
+        fleet.register(fleet.servers[0], **{field: {"odd": 1}})
+        fleet.store.put("servers/other", b"\xff not json")
+        fleet.put_state(desired_state(version=2))
+        await until(lambda: fleet.hosts[0].holder.version == 2)
+        assert (await fleet.call("/safe/x")).status == 200
+        assert list(directory.servers) == ["server-0"]
+
+
+async def test_leaving_server_gets_no_new_work():
+    async with running_fleet(servers=2) as fleet:
+        fleet.register(fleet.servers[0], state="draining")
+        directory = fleet.hosts[0].directory
+        await until(lambda: len(directory.of_service("engines")) == 1)
+        for _ in range(6):
+            assert (await fleet.call("/safe/x")).status == 200
+        assert len(fleet.servers[0].seen) == 0
+
+
+async def test_older_version_never_comes_back():
+    async with running_fleet() as fleet:
+        fleet.put_state(desired_state(version=5))
+        await until(lambda: fleet.hosts[0].holder.version == 5)
+        fleet.put_state(desired_state(version=3, routes=[]))
+        fleet.put_state(desired_state(version=6))
+        await until(lambda: fleet.hosts[0].holder.version == 6)
+        fleet.store.put("op/config", b"not a desired state")
+        fleet.store.forget_history()
+        fleet.put_state(desired_state(version=7))
+        await until(lambda: fleet.hosts[0].holder.version == 7)
+        assert (await fleet.call("/safe/x")).status == 200
+
+
+async def test_keys_are_not_believed_longer_than_the_bound_allows():
+    async with running_fleet() as fleet:
+        host = fleet.hosts[0]
+        host.forwarder.admission.stale_after_ms = 300.0
+        fleet.store.faults.silent = True
+        await until(lambda: host.holder.age_ms() > 300.0)
+        refused = await fleet.call("/safe/x")
+        assert (refused.status, len(fleet.servers[0].seen)) == (503, 0)
+        assert (await fleet.call("/open/x")).status == 200
+        fleet.store.faults.silent = False
+        await until(lambda: host.holder.age_ms() < 300.0)
+        host.forwarder.admission.stale_after_ms = 3_800.0
+        assert (await fleet.call("/safe/x")).status == 200
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,179 @@
+"""Histories and budgets of programs, across hosts, restarts and a failing store."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import aiohttp
+import pytest
+
+from celerypulley.clock import Clock
+from celerypulley.errors import CallRefusedError, ErrorKind
+from celerypulley.hosts.budget_escrow import BudgetEscrow
+from celerypulley.platform.store import PlatformStore
+from celerypulley.stand_ins.fleet_store import FleetStore, StoreFaults
+from celerypulley.stand_ins.opaque_server import Mode
+from tests.fleet import BUDGET, MOST, running_fleet, running_store
+
+PIECES = b"".join(b"piece %d\n" % number for number in range(1, 5))
+
+
+def turn(number: int, previous: int = 0, program: str = "p1") -> dict:
+    """Return the headers of a turn."""
+    headers = {
+        "Request-Id": f"turn-{number}",
+        "Program-Id": program,
+        "Token-Budget": str(BUDGET),
+        "Token-Usage": f"10,{MOST}",
+    }
+    if previous:
+        headers["Previous-Turn"] = f"turn-{previous}"
+    return headers
+
+
+@pytest.mark.parametrize("second_host", [0, 1])
+async def test_turn_goes_on_from_its_chain_at_any_host(second_host):
+    async with running_fleet(hosts=2) as fleet:
+        fleet.servers[0].mode = Mode.STREAM
+        first = await fleet.call("/turns/x", body=b"one ", headers=turn(1))
+        assert (first.status, first.whole) == (200, True)
+        for number, previous in ((2, 1), (3, 1), (4, 2)):
+            answer = await fleet.call(
+                "/turns/x",
+                host=second_host,
+                body=b"input %d " % number,
+                headers=turn(number, previous),
+            )
+            assert answer.whole
+        bodies = [seen.body for seen in fleet.servers[0].seen]
+        assert bodies[1] == b"one " + PIECES + b"input 2 "
+        assert bodies[2] == b"one " + PIECES + b"input 3 "
+        assert bodies[3] == bodies[1] + PIECES + b"input 4 "
+
+
+async def test_unknown_turn_and_a_store_that_is_away_differ():
+    async with running_fleet(hosts=2) as fleet:
+        fleet.servers[0].mode = Mode.STREAM
+        await fleet.call("/turns/x", headers=turn(1))
+        unknown = await fleet.call("/turns/x", headers=turn(2, 77))
+        assert unknown.status == 404
+        fleet.store.faults.refuse_status = 503
+        unsure = await fleet.call("/turns/x", host=1, headers=turn(3, 1))
+        assert unsure.status == 503
+        assert float(unsure.headers["Retry-After"]) > 0
+        assert len(fleet.servers[0].seen) == 1
+
+
+async def test_turn_is_not_whole_before_it_is_kept():
+    async with running_fleet() as fleet:
+        fleet.servers[0].mode = Mode.STREAM
+        fleet.store.faults.refuse_status = 503
+        sent = {**turn(1), "Deadline-Ms": "400"}
+        answer = await fleet.call("/turns/x", headers=sent)
+        assert not answer.whole
+        assert fleet.store.value("turns/kiosks/turn-1") is None
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        StoreFaults(lose_writes=1),
+        StoreFaults(late_writes=1),
+        StoreFaults(delay_ms=30.0),
+    ],
+    ids=["answer lost", "done later", "slow"],
+)
+async def test_turn_is_kept_whatever_happens_to_one_write(faults):
+    async with running_fleet() as fleet:
+        fleet.servers[0].mode = Mode.STREAM
+        await fleet.call("/turns/x", headers=turn(1))
+        fleet.store.faults = faults
+        answer = await fleet.call("/turns/x", headers=turn(2, 1))
+        assert answer.whole
+        assert fleet.store.value("turns/kiosks/turn-2") is not None
+
+
+async def test_budget_is_shared_by_all_hosts():
+    async with running_fleet(hosts=3) as fleet:
+        fleet.servers[0].mode = Mode.STREAM
+        calls = [
+            fleet.call("/turns/x", host=number % 3, headers=turn(number))
+            for number in range(1, 41)
+        ]
+        answers = await asyncio.gather(*calls)
+        served = [answer for answer in answers if answer.status == 200]
+        assert len(served) * 40 <= BUDGET + MOST
+        assert {answer.status for answer in answers} == {200, 402}
+        assert len(fleet.servers[0].seen) == len(served)
+
+
+async def test_spent_budget_stays_spent_when_every_host_starts_anew():
+    async with running_fleet() as fleet:
+        fleet.servers[0].mode = Mode.STREAM
+        while (await fleet.call("/turns/x", headers=turn(fleet.number))).status == 200:
+            pass
+        served = len(fleet.servers[0].seen)
+        anew = BudgetEscrow(fleet.hosts[0].store, Clock())
+        with pytest.raises(CallRefusedError) as refused:
+            await anew.reserve("kiosks", "p1", BUDGET, MOST, is_home=True)
+        assert refused.value.refusal.kind is ErrorKind.BUDGET_EXHAUSTED
+        assert served * 40 <= BUDGET + MOST
+
+
+class _Escrows:
+    """Several hosts' escrows over one store."""
+
+    def __init__(self, store: FleetStore, escrows: list[BudgetEscrow]) -> None:
+        self.store = store
+        self.escrows = escrows
+
+    async def spend(self, which: int, is_home: bool = True) -> int:
+        """Reserve and use one turn's most; return it, or 0 where it is refused."""
+        try:
+            await self.escrows[which].reserve("o", "p", BUDGET, MOST, is_home)
+        except CallRefusedError:
+            return 0
+        return MOST
+
+
+async def _escrows(stack: AsyncExitStack, count: int) -> _Escrows:
+    store, address = await stack.enter_async_context(running_store())
+    escrows = []
+    for _ in range(count):
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        client = PlatformStore(address, session, 300.0)
+        escrows.append(BudgetEscrow(client, Clock()))
+    return _Escrows(store, escrows)
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        StoreFaults(),
+        StoreFaults(lose_writes=3),
+        StoreFaults(late_writes=3),
+        StoreFaults(delay_ms=20.0),
+    ],
+    ids=["sound", "answers lost", "writes done later", "slow"],
+)
+async def test_hosts_together_never_spend_more_than_the_budget(faults):
+    async with AsyncExitStack() as stack:
+        fleet = await _escrows(stack, 3)
+        fleet.store.faults = faults
+        spent = await asyncio.gather(
+            *(fleet.spend(number % 3, is_home=False) for number in range(30))
+        )
+        assert MOST <= sum(spent) <= BUDGET + MOST
+
+
+async def test_only_the_home_goes_on_without_the_store_and_says_so_later():
+    async with AsyncExitStack() as stack:
+        fleet = await _escrows(stack, 2)
+        fleet.store.faults.refuse_status = 503
+        assert await fleet.spend(1, is_home=False) == 0
+        spent = 0
+        for _ in range(20):
+            spent += await fleet.spend(0)
+        assert MOST <= spent <= BUDGET + MOST
+        fleet.store.faults.refuse_status = 0
+        await fleet.escrows[0].secure()
+        assert await fleet.spend(1) == 0
