Leave domains that have gone silent, and servers that say nothing

Hosts of a domain that are not heard any more take its servers out of the choice; a call that may run elsewhere is broken off when its server says nothing to anyone for 400 ms.

--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -68,7 +68,8 @@
     `probing` says that a request with a strike runs there before its first token.
     `elsewhere` counts the calls that other hosts say they have under way there; a
     report counts for `report_life_ms` after it was taken. `slowness` is how much
-    longer than estimated its answers took, as of `paced_ms`.
+    longer than estimated its answers took, as of `paced_ms`. `heard_ms` is when any
+    byte of an answer came.
     """
 
     name: str
@@ -84,6 +85,7 @@
     elsewhere: int = 0
     slowness: float = 1.0
     paced_ms: float = 0.0
+    heard_ms: float = 0.0
     failing_until_ms: float = 0.0
     failures: int = 0
     probing: bool = False
--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -81,6 +81,14 @@
         silent_ms = self.clock.now_ms() - peer.heard_ms
         return silent_ms < (_MISSED_MESSAGES + 1) * self.period_ms()
 
+    def silent_domains(self, domains: dict[str, str]) -> frozenset[str]:
+        """Return the failure domains of members (`domains`) none of which is heard.
+
+        They are probably cut off from this host.
+        """
+        heard = {each for host, each in domains.items() if self.heard_lately(host)}
+        return frozenset(set(domains.values()) - heard)
+
     def _take(self, host: str, payload: list) -> None:
         start, number, admitted, in_flight, strikes = payload
         known = self.peers.get(host)
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -26,6 +26,7 @@
 from celerypulley.hosts.forwarder import Forwarder
 from celerypulley.hosts.plain_forwarder import PlainForwarder
 from celerypulley.hosts.server_directory import ServerDirectory
+from celerypulley.hosts.silence_watch import SilenceWatch
 from celerypulley.hosts.stream_forwarder import StreamForwarder
 from celerypulley.hosts.turn_archive import TurnArchive
 from celerypulley.links.fleet_datagrams import FleetDatagrams
@@ -96,7 +97,12 @@
         self.meter = FleetMeter(settings.quota_window_ms, clock)
         self.strikes = CrashStrikes(self._strikes_elsewhere)
         self.members = FleetMembers(
-            settings.host_id, settings.ip, settings.fleet_port, store, clock
+            settings.host_id,
+            settings.domain,
+            settings.ip,
+            settings.fleet_port,
+            store,
+            clock,
         )
         self.datagrams = FleetDatagrams(
             settings.host_id,
@@ -109,6 +115,7 @@
         self.gossip.on_message += [self.meter.take_peer, self.directory.take_peer]
         self.holder.on_change.append(self.meter.take_desired_state)
         self.escrow = BudgetEscrow(store, clock)
+        self.watch = SilenceWatch(clock)
         self.forwarder = self._make_forwarder(names.dialect)
         self.server = ForwardServer(
             settings.caller_address, names.dialect, self._run, clock
@@ -128,7 +135,13 @@
 
     def _make_forwarder(self, dialect: Dialect) -> Forwarder:
         context = ForwardContext(
-            self.directory, self.links, dialect, self.strikes, self.clock
+            directory=self.directory,
+            links=self.links,
+            dialect=dialect,
+            strikes=self.strikes,
+            silent_domains=lambda: self.gossip.silent_domains(self.members.domains),
+            clock=self.clock,
+            watch=self.watch,
         )
         admission = Admission(
             self.holder, self.meter, self.strikes, self.settings.revoke_ms, self.clock
@@ -163,6 +176,7 @@
             self.members.follower,
             self.datagrams,
             self.gossip,
+            self.watch,
             self.holder.follower,
             self.directory.follower,
             self.server,
--- a/celerypulley/hosts/fleet_members.py
+++ b/celerypulley/hosts/fleet_members.py
@@ -30,15 +30,23 @@
     """Register this host, and know the addresses of all."""
 
     def __init__(
-        self, host: str, ip: str, port: int, store: KeyValueStore, clock: Clock
+        self,
+        host: str,
+        domain: str,
+        ip: str,
+        port: int,
+        store: KeyValueStore,
+        clock: Clock,
     ) -> None:
-        """Register `host` at `ip` and `port`."""
+        """Register `host` of failure domain `domain` at `ip` and `port`."""
         super().__init__()
         self.host = host
+        self.domain = domain
         self.ip = ip
         self.port = port
         self.store = store
         self.addresses: dict[str, tuple[str, int]] = {host: (ip, port)}
+        self.domains: dict[str, str] = {host: domain}
         self.follower = PrefixFollower(
             "members",
             store,
@@ -64,15 +72,17 @@
             self._remove(host)
             return
         try:
-            ip, port = msgpack.unpackb(item.value)
+            domain, ip, port = msgpack.unpackb(item.value)
         except (ValueError, TypeError, msgpack.UnpackException) as error:
             _log.write("left out", str(error), member=host, revision=item.revision)
             return
+        self.domains[host] = domain
         if self.addresses.get(host) != (ip, port):
             self.addresses[host] = (ip, port)
-            _log.write("joined", "registered", member=host, ip=ip)
+            _log.write("joined", "registered", member=host, ip=ip, domain=domain)
 
     def _remove(self, host: str) -> None:
+        self.domains.pop(host, None)
         if self.addresses.pop(host, None) is not None:
             _log.write("left", "its lease has ended", member=host)
 
@@ -97,6 +107,6 @@
 
     async def _register(self) -> int:
         lease = await self.store.grant_lease(_LEASE_MS)
-        value = msgpack.packb((self.ip, self.port))
+        value = msgpack.packb((self.domain, self.ip, self.port))
         await self.store.write([Write(MEMBER_PREFIX + self.host, value, lease=lease)])
         return lease
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -1,7 +1,7 @@
 """What forwarding needs of this host: servers, links, the front end's dialect."""
 
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager, nullcontext
 
 import attrs
 
@@ -14,6 +14,7 @@
 from celerypulley.hosts.admission import Admitted
 from celerypulley.hosts.crash_strikes import CrashStrikes
 from celerypulley.hosts.server_directory import ServerDirectory
+from celerypulley.hosts.silence_watch import SilenceWatch
 from celerypulley.links.forward_dialect import Dialect, ForwardedCall, ServerSays
 from celerypulley.links.server_connection import (
     AnswerHead,
@@ -53,7 +54,9 @@
     links: ServerLinks
     dialect: Dialect
     strikes: CrashStrikes
+    silent_domains: Callable[[], frozenset[str]]
     clock: Clock
+    watch: SilenceWatch
 
     def call_of(self, admitted: Admitted) -> EngineCall:
         """Return what the choice of a server depends on."""
@@ -78,7 +81,7 @@
     ) -> EngineState | None:
         """Return the server for a request, one that failed lately as a last resort."""
         call = attrs.evolve(self.call_of(admitted), model=service)
-        servers = self.directory.of_service(service)
+        servers = self._reachable(self.directory.of_service(service))
         choice = chooser(call, servers, avoid)
         if choice is None:
             resting = [attrs.evolve(each) for each in servers]
@@ -100,6 +103,14 @@
             )
         return server
 
+    def _reachable(self, servers: list[EngineState]) -> list[EngineState]:
+        """Leave out servers in domains from which no host is heard, if others stay."""
+        silent = self.silent_domains()
+        if not silent:
+            return servers
+        reachable = [each for each in servers if each.domain not in silent]
+        return reachable or servers
+
     def remaining_ms(self, admitted: Admitted) -> float:
         """Return the time left; raise CallRefusedError where nothing can be done."""
         remaining_ms = admitted.deadline_ms - self.clock.now_ms()
@@ -142,6 +153,7 @@
         head = await call.head(self.dialect.answers(admitted.request.request_id))
         says = self.dialect.says(head)
         now_ms = self.clock.now_ms()
+        server.heard_ms = now_ms
         running = server.in_flight if says.running is None else says.running
         server.note_report(EngineReport(now_ms, running, says.waiting or 0))
         if 200 <= head.status < 300 and not says.is_sealed:
@@ -157,6 +169,15 @@
         finally:
             server.note_end()
 
+    def watched(
+        self, call: ServerCall, server: EngineState, admitted: Admitted, sends: int
+    ) -> AbstractContextManager[None]:
+        """Watch a call for silence where the request may go on at another server."""
+        route = admitted.route
+        if route.may_run_again and sends < route.attempts:
+            return self.watch.watching(call, server)
+        return nullcontext()
+
     def note_failure(
         self, admitted: Admitted, server: EngineState, error: ServerLinkError
     ) -> None:
--- a/celerypulley/hosts/plain_forwarder.py
+++ b/celerypulley/hosts/plain_forwarder.py
@@ -39,8 +39,9 @@
                     call = await context.begin(server)
                     sends += 1
                     context.send(call, server, admitted)
-                    head, says = await context.head(call, server, admitted)
-                    body = await call.body()
+                    with context.watched(call, server, admitted, sends):
+                        head, says = await context.head(call, server, admitted)
+                        body = await call.body()
                     call.finish()
             except ServerLinkError as error:
                 context.note_failure(admitted, server, error)
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -141,7 +141,8 @@
                 with context.counted(server, fresh):
                     call = await context.begin(server)
                     sends += 1
-                    refused = await self._attempt(turn, server, call, sink)
+                    with context.watched(call, server, admitted, sends):
+                        refused = await self._attempt(turn, server, call, sink)
             except ServerLinkError as error:
                 context.note_failure(admitted, server, error)
                 if error.sent and not route.may_run_again:
@@ -191,6 +192,7 @@
             return None
         reader = EventReader()
         async for piece in call.pieces():
+            server.heard_ms = context.clock.now_ms()
             events = _whole_events(reader, piece)
             if not events:
                 continue
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -16,7 +16,9 @@
 
 __all__ = ["AnswerHead", "ServerCall", "ServerLinkError", "ServerLinks"]
 
-_CONNECT_TIMEOUT_S = 0.5  # a handshake takes 1 ms and a way 1 to 3 ms (site sheets)
+# A handshake takes 1 ms and a way 1 to 3 ms (site sheets); a lost opening packet
+# is sent again only after a second, too late for most requests.
+_CONNECT_TIMEOUT_S = 0.25
 _IDLE_LIMIT_MS = 15_000.0  # longer idle connections hold places of busier hosts
 _IDLE_MARGIN_MS = 1_000.0  # before the end that a server has stated
 _UNSTATED_IDLE_MS = 1_000.0  # where a server states none: the smallest it could
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -158,6 +158,20 @@
         assert answer.status == 504
 
 
+@pytest.mark.parametrize(
+    ("path", "status", "runs"),
+    [("/safe/x", 200, 2), ("/resumable/x", 200, 2), ("/unsafe/x", 504, 1)],
+)
+async def test_silent_server_loses_what_may_run_elsewhere(path, status, runs):
+    async with running_fleet(servers=2) as fleet:
+        shared = [Mode.HANG, Mode.STREAM]
+        for server in fleet.servers:
+            server.modes = shared
+        answer = await fleet.call(path, headers={"Deadline-Ms": "1400"})
+        assert answer.status == status
+        assert sum(len(server.seen) for server in fleet.servers) == runs
+
+
 async def test_request_that_breaks_servers_is_refused_everywhere():
     async with running_fleet(hosts=2, servers=2) as fleet:
         for server in fleet.servers:
