Keep turns on the disks of two keepers in two domains, the store as second way

Weighed by measurement (docs/PLATFORM.md follows): a turn in the store cost a call each and held answers back while the store was away.

--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -13,9 +13,8 @@
 # rests for a few calls' time, and at most for the time that a restart takes.
 _LOST_PAUSE_MS = 50.0
 _MAX_LOST_PAUSE_MS = 1_000.0
-# How fast a server is believed to be follows its last few answers, and returns to
-# the ordinary within some seconds without any, so that it is tried again.
-_PACE_GAIN = 0.25
+# What is believed of a server's pace returns to the ordinary within some seconds
+# without an answer, so that it is tried again.
 _PACE_HALF_LIFE_MS = 3_000.0
 _MAX_PACE = 20.0
 _UNREACHABLE_PAUSE_MS = 250.0
@@ -124,11 +123,13 @@
         fade = 0.5 ** ((now_ms - self.paced_ms) / _PACE_HALF_LIFE_MS)
         return 1.0 + (self.slowness - 1.0) * fade
 
-    def note_pace(self, now_ms: float, took_ms: float, estimated_ms: float) -> None:
-        """Learn from an answer how fast the server is."""
+    def note_pace(
+        self, now_ms: float, took_ms: float, estimated_ms: float, gain: float
+    ) -> None:
+        """Learn from an answer how fast the server is; `gain` is what it counts."""
         seen = min(_MAX_PACE, took_ms / max(1.0, estimated_ms))
         believed = self.pace(now_ms)
-        self.slowness = believed + (seen - believed) * _PACE_GAIN
+        self.slowness = believed + (seen - believed) * gain
         self.paced_ms = now_ms
 
     def note_cached(self, program: str, tokens: int, now_ms: float) -> None:
--- a/celerypulley/backend_servers/routing.py
+++ b/celerypulley/backend_servers/routing.py
@@ -10,7 +10,6 @@
 from celerypulley.programs.opaque_request import PrefixPart
 
 __all__ = [
-    "PLAIN_WORK_MS",
     "POLICIES",
     "Choice",
     "EngineCall",
@@ -28,7 +27,7 @@
 _FAR_DOMAIN_MS = 2.0
 _OTHERS_WEIGHT = 0.2
 _EVICTION_WEIGHT = 10.0
-PLAIN_WORK_MS = 20.0  # mean work of plain services (site sheets: 14 to 78 ms)
+_PLAIN_WORK_MS = 20.0  # mean work of plain services (site sheets: 14 to 78 ms)
 
 
 @attrs.frozen
@@ -100,7 +99,7 @@
     for server in usable_engines(call, servers, avoid):
         waiting = (1 + server.sequences(call.now_ms)) / server.traits.batch_limit
         far_ms = 0.0 if server.domain == call.domain else call.far_ms
-        cost_ms = (1.0 + waiting) * PLAIN_WORK_MS * server.pace(call.now_ms) + far_ms
+        cost_ms = (1.0 + waiting) * _PLAIN_WORK_MS * server.pace(call.now_ms) + far_ms
         if cost_ms >= best_ms:
             continue
         best = server
--- a/celerypulley/fleet_settings.py
+++ b/celerypulley/fleet_settings.py
@@ -1,5 +1,7 @@
 """Settings of a process that runs on a platform, whatever file they came from."""
 
+from pathlib import Path
+
 import attrs
 
 from celerypulley.settings import Address
@@ -14,7 +16,8 @@
     `fleet_port` is where hosts tell each other their counts; `metrics_port` serves
     the metrics. `revoke_ms` is the age above which what a host believes of keys is
     no longer used, where `strict_revoke` holds. `grace_ms` is the time between
-    SIGTERM and SIGKILL.
+    SIGTERM and SIGKILL. `data_dir` is the disk of a keeper; `disk_losses` disks may
+    be lost at once. `is_first_start` says that no disk of the fleet was ever written.
     """
 
     host_id: str
@@ -30,3 +33,7 @@
     grace_ms: float
     contact_ms: float
     quota_window_ms: float
+    data_dir: Path | None = None
+    is_first_start: bool = False
+    has_keepers: bool = False
+    disk_losses: int = 1
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -19,11 +19,12 @@
 from celerypulley.hosts.crash_strikes import CrashStrikes
 from celerypulley.hosts.desired_state_holder import DesiredStateHolder
 from celerypulley.hosts.fleet_gossip import FleetGossip
-from celerypulley.hosts.fleet_members import FleetMembers
+from celerypulley.hosts.fleet_members import HOST, FleetMember, FleetMembers
 from celerypulley.hosts.fleet_meter import FleetMeter
 from celerypulley.hosts.forward_context import ForwardContext
 from celerypulley.hosts.forward_metrics import ForwardMetrics
 from celerypulley.hosts.forwarder import Forwarder
+from celerypulley.hosts.keeper_pool import KeeperPool
 from celerypulley.hosts.plain_forwarder import PlainForwarder
 from celerypulley.hosts.server_directory import ServerDirectory
 from celerypulley.hosts.silence_watch import SilenceWatch
@@ -96,14 +97,10 @@
         )
         self.meter = FleetMeter(settings.quota_window_ms, clock)
         self.strikes = CrashStrikes(self._strikes_elsewhere)
-        self.members = FleetMembers(
-            settings.host_id,
-            settings.domain,
-            settings.ip,
-            settings.fleet_port,
-            store,
-            clock,
+        me = FleetMember(
+            settings.host_id, HOST, settings.domain, settings.ip, settings.fleet_port
         )
+        self.members = FleetMembers(me, store, clock)
         self.datagrams = FleetDatagrams(
             settings.host_id,
             settings.ip,
@@ -116,6 +113,12 @@
         self.holder.on_change.append(self.meter.take_desired_state)
         self.escrow = BudgetEscrow(store, clock)
         self.watch = SilenceWatch(clock)
+        pool = None
+        if settings.has_keepers:
+            pool = KeeperPool(
+                self.members, settings.domain, settings.disk_losses + 1, clock
+            )
+        self.archive = TurnArchive(store, pool, clock)
         self.forwarder = self._make_forwarder(names.dialect)
         self.server = ForwardServer(
             settings.caller_address, names.dialect, self._run, clock
@@ -148,7 +151,7 @@
         )
         streams = StreamForwarder(
             context,
-            TurnArchive(self.store, self.clock),
+            self.archive,
             BudgetDesk(self.escrow, self.datagrams, self.gossip),
         )
         return Forwarder(
@@ -245,6 +248,9 @@
                 rate_delays=self.meter.delayed,
                 rate_refusals=self.meter.refused,
                 connections_opened=self.links.opened,
+                turns_on_disks=self.archive.kept_on_disks,
+                turns_in_store=self.archive.kept_in_store,
+                bytes_told=self.datagrams.bytes_sent,
                 **{f"store_{kind}": n for kind, n in self.store.calls.items()},
             )
 
--- a/celerypulley/hosts/fleet_members.py
+++ b/celerypulley/hosts/fleet_members.py
@@ -1,7 +1,9 @@
-"""The hosts of the fleet, each under a lease in the key-value service."""
+"""The members of the fleet, each under a lease in the key-value service."""
 
 import asyncio
+from collections.abc import Callable
 
+import attrs
 import msgpack
 from mode import Service
 
@@ -16,9 +18,11 @@
 )
 from celerypulley.links.prefix_follower import PrefixFollower
 
-__all__ = ["MEMBER_PREFIX", "FleetMembers"]
+__all__ = ["HOST", "KEEPER", "MEMBER_PREFIX", "FleetMember", "FleetMembers"]
 
 MEMBER_PREFIX = "members/"
+HOST = "host"
+KEEPER = "keeper"
 _WATCH_WAIT_MS = 20_000  # changes come at once; below the longest wait, 30 s
 _LEASE_MS = 12_000  # a dead host's part of rates is held back for this long
 _RENEW_MS = 4_000  # two renewals may be lost
@@ -26,27 +30,48 @@
 _log = DecisionLog("members")
 
 
+@attrs.frozen
+class FleetMember:
+    """One process: what it is, where it stands, and whether it takes new work."""
+
+    name: str
+    kind: str
+    domain: str
+    ip: str
+    port: int
+    is_open: bool = True
+
+    def pack(self) -> bytes:
+        """Return the value of its entry."""
+        return msgpack.packb((self.kind, self.domain, self.ip, self.port, self.is_open))
+
+    @classmethod
+    def unpack(cls, name: str, value: bytes) -> "FleetMember":
+        """Read an entry; raise ValueError where it is none."""
+        try:
+            kind, domain, ip, port, is_open = msgpack.unpackb(value)
+        except (TypeError, msgpack.UnpackException) as error:
+            raise ValueError(f"entry of {name} is unreadable: {error}") from error
+        return cls(str(name), str(kind), str(domain), str(ip), int(port), bool(is_open))
+
+
 class FleetMembers(Service):
-    """Register this host, and know the addresses of all."""
-
-    def __init__(
-        self,
-        host: str,
-        domain: str,
-        ip: str,
-        port: int,
-        store: KeyValueStore,
-        clock: Clock,
-    ) -> None:
-        """Register `host` of failure domain `domain` at `ip` and `port`."""
+    """Register this process, and know all others.
+
+    `addresses` and `domains` are those of hosts alone.
+    """
+
+    def __init__(self, me: FleetMember, store: KeyValueStore, clock: Clock) -> None:
+        """Register `me`."""
         super().__init__()
-        self.host = host
-        self.domain = domain
-        self.ip = ip
-        self.port = port
+        self.me = me
         self.store = store
-        self.addresses: dict[str, tuple[str, int]] = {host: (ip, port)}
-        self.domains: dict[str, str] = {host: domain}
+        self.others: dict[str, FleetMember] = {}
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.domains: dict[str, str] = {}
+        self.on_change: list[Callable[[], None]] = []
+        self._lease = 0
+        self._count(me)
         self.follower = PrefixFollower(
             "members",
             store,
@@ -57,47 +82,73 @@
             self._take_item,
         )
 
+    def of_kind(self, kind: str) -> list[FleetMember]:
+        """Return the other members of a kind."""
+        return [each for each in self.others.values() if each.kind == kind]
+
+    def _count(self, member: FleetMember) -> None:
+        if member.kind == HOST:
+            self.addresses[member.name] = (member.ip, member.port)
+            self.domains[member.name] = member.domain
+
     def _take_snapshot(self, items: tuple[Item, ...]) -> None:
         listed = {item.key.removeprefix(MEMBER_PREFIX) for item in items}
-        for host in set(self.addresses) - listed - {self.host}:
-            self._remove(host)
+        for name in set(self.others) - listed:
+            self._remove(name)
         for item in items:
             self._take_item(item)
 
     def _take_item(self, item: Item) -> None:
-        host = item.key.removeprefix(MEMBER_PREFIX)
-        if host == self.host:
+        name = item.key.removeprefix(MEMBER_PREFIX)
+        if name == self.me.name:
             return
         if item.value is None:
-            self._remove(host)
+            self._remove(name)
             return
         try:
-            domain, ip, port = msgpack.unpackb(item.value)
-        except (ValueError, TypeError, msgpack.UnpackException) as error:
-            _log.write("left out", str(error), member=host, revision=item.revision)
+            member = FleetMember.unpack(name, item.value)
+        except ValueError as error:
+            _log.write("left out", str(error), revision=item.revision)
+            return
+        if self.others.get(name) == member:
+            return
+        self.others[name] = member
+        self._count(member)
+        _log.write(
+            "joined",
+            "registered",
+            member=name,
+            kind=member.kind,
+            domain=member.domain,
+            ip=member.ip,
+            is_open=member.is_open,
+        )
+        self._tell_listeners()
+
+    def _remove(self, name: str) -> None:
+        if self.others.pop(name, None) is None:
             return
-        self.domains[host] = domain
-        if self.addresses.get(host) != (ip, port):
-            self.addresses[host] = (ip, port)
-            _log.write("joined", "registered", member=host, ip=ip, domain=domain)
+        self.addresses.pop(name, None)
+        self.domains.pop(name, None)
+        _log.write("left", "its lease has ended", member=name)
+        self._tell_listeners()
 
-    def _remove(self, host: str) -> None:
-        self.domains.pop(host, None)
-        if self.addresses.pop(host, None) is not None:
-            _log.write("left", "its lease has ended", member=host)
+    def _tell_listeners(self) -> None:
+        for listener in self.on_change:
+            listener()
 
     @Service.task
     async def _stay_registered(self) -> None:
-        lease = 0
         while not self.should_stop:
             try:
-                if lease:
-                    await self.store.renew_lease(lease)
+                if self._lease:
+                    await self.store.renew_lease(self._lease)
                 else:
-                    lease = await self._register()
+                    self._lease = await self.store.grant_lease(_LEASE_MS)
+                    await self._write_entry()
             except LeaseGoneError as error:
                 _log.write("register again", str(error))
-                lease = 0
+                self._lease = 0
                 continue
             except StoreUnavailableError as error:
                 _log.write("not registered", str(error))
@@ -105,8 +156,20 @@
                 continue
             await self.sleep(_RENEW_MS / 1000)
 
-    async def _register(self) -> int:
-        lease = await self.store.grant_lease(_LEASE_MS)
-        value = msgpack.packb((self.domain, self.ip, self.port))
-        await self.store.write([Write(MEMBER_PREFIX + self.host, value, lease=lease)])
-        return lease
+    async def _write_entry(self) -> None:
+        key = MEMBER_PREFIX + self.me.name
+        try:
+            await self.store.write([Write(key, self.me.pack(), lease=self._lease)])
+        except StoreUnavailableError:
+            # The lease is not renewed without its entry.
+            self._lease = 0
+            raise
+
+    async def change(self, me: FleetMember) -> None:
+        """Register this process as something else from now on.
+
+        Raise StoreUnavailableError or LeaseGoneError where that is not known yet.
+        """
+        self.me = me
+        if self._lease:
+            await self._write_entry()
--- a/celerypulley/hosts/fleet_meter.py
+++ b/celerypulley/hosts/fleet_meter.py
@@ -21,8 +21,6 @@
 # What a host that starts supposes was spent in the window before, as a part.
 _SUPPOSED_PART = 0.75
 _SUPPOSED_STEPS = 20
-# Counts of other hosts come late by up to one period of gossip.
-_WINDOW_MARGIN_MS = 300.0
 # Above this part of the limit, a host tells the others before its untold spending
 # reaches its part of an eighth of the limit.
 _CAREFUL_PART = 0.5
@@ -131,7 +129,7 @@
         """Count a request at the time when the limit allows it; return the wait."""
         now_ms = self.clock.now_ms()
         part = self.heard_part()
-        window_ms = self.window_ms + _WINDOW_MARGIN_MS
+        window_ms = self.window_ms
         limit = _limit(rule, self.window_ms) * part
         account = self._account(rule)
         account.settle(now_ms, window_ms, rule)
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -29,8 +29,9 @@
 
 _SHED_RETRY_S = 0.1  # about a turn's time on an engine: a place is free by then
 _FAR_MS = 2.0  # the way there and back between domains (site sheets)
-# Bytes between domains are dear; a kilobyte is worth a sequence on a near engine.
-_FAR_MS_PER_KB = 2.0
+# Bytes between domains are dear: a kilobyte counts as much as one more sequence on
+# a near engine, 4 ms for a turn of 73 tokens (site sheets). Heads are a kilobyte.
+_FAR_MS_PER_KB = 4.0
 _MIN_REMAINING_MS = 5.0  # below one way there and back nothing can be answered
 _log = DecisionLog("forward")
 
@@ -69,7 +70,7 @@
             domain=self.directory.domain,
             now_ms=self.clock.now_ms(),
             prefix=request.prefix,
-            far_ms=_FAR_MS + _FAR_MS_PER_KB * len(request.body) / 1024,
+            far_ms=_FAR_MS + _FAR_MS_PER_KB * (1.0 + len(request.body) / 1024),
         )
 
     def choose(
--- a/celerypulley/hosts/plain_forwarder.py
+++ b/celerypulley/hosts/plain_forwarder.py
@@ -2,7 +2,8 @@
 
 import random
 
-from celerypulley.backend_servers.routing import PLAIN_WORK_MS, choose_plain
+from celerypulley.backend_servers.engine_state import EngineState
+from celerypulley.backend_servers.routing import choose_plain
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.hosts.admission import Admitted
 from celerypulley.hosts.forward_context import ForwardContext, pick_service
@@ -12,12 +13,18 @@
 __all__ = ["PlainForwarder"]
 
 
+# The work of plain calls varies as much as its mean: many answers tell the pace.
+_PACE_GAIN = 0.05
+_MEAN_GAIN = 0.02
+
+
 class PlainForwarder:
     """Send whole requests to servers and pass whole answers back."""
 
     def __init__(self, context: ForwardContext) -> None:
         """Use the links and beliefs of `context`."""
         self.context = context
+        self._mean_ms: dict[str, float] = {}
 
     async def run(self, admitted: Admitted, sink: ForwardSink) -> str:
         """Pass the answer of a server on; return its name, raise CallRefusedError."""
@@ -62,8 +69,15 @@
                 context.note_error_answer(admitted, server, head)
                 continue
             server.note_success()
-            now_ms = context.clock.now_ms()
-            server.note_pace(now_ms, now_ms - begun_ms, PLAIN_WORK_MS)
+            self._note_pace(route.name, server, begun_ms)
             await sink.whole(head.status, head.reason, says.headers, body)
             return server.name
         raise CallRefusedError(failure)
+
+    def _note_pace(self, route: str, server: EngineState, begun_ms: float) -> None:
+        """Compare an answer's time with the route's mean over all servers."""
+        now_ms = self.context.clock.now_ms()
+        took_ms = now_ms - begun_ms
+        mean_ms = self._mean_ms.get(route, took_ms)
+        server.note_pace(now_ms, took_ms, mean_ms, _PACE_GAIN)
+        self._mean_ms[route] = mean_ms + (took_ms - mean_ms) * _MEAN_GAIN
--- /dev/null
+++ b/celerypulley/hosts/record_shelf.py
@@ -0,0 +1,162 @@
+"""The records of one keeper: in memory by key, and on its disk."""
+
+import asyncio
+from concurrent.futures import ThreadPoolExecutor
+
+import attrs
+import msgpack
+
+from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
+from celerypulley.links.keeper_messages import KeptChain, RecordPage
+from celerypulley.storage.record_journal import RecordJournal
+
+__all__ = ["RecordShelf", "TurnRecord"]
+
+_PAGE_BYTES = 256 * 1024  # a few ms on a link of 15 to 600 Mbit/s
+_DROP_PERIOD_MS = 10_000.0
+_log = DecisionLog("shelf")
+
+
+@attrs.frozen
+class TurnRecord:
+    """One turn: its new input and its output, and the turn that it goes on from."""
+
+    key: str
+    kept_until_ms: float
+    previous: str
+    input: bytes = attrs.field(repr=False)
+    output: bytes = attrs.field(repr=False)
+
+    def to_row(self) -> list:
+        """Return the form on wire and disk."""
+        return [self.key, self.kept_until_ms, self.previous, self.input, self.output]
+
+    @classmethod
+    def from_row(cls, row: object) -> "TurnRecord":
+        """Read a row; raise ValueError where it is none."""
+        if not isinstance(row, list) or len(row) != 5:
+            raise ValueError("a record has five fields")
+        key, kept_until_ms, previous, given, output = row
+        texts = isinstance(key, str) and isinstance(previous, str)
+        bodies = isinstance(given, bytes) and isinstance(output, bytes)
+        if not texts or not bodies or not isinstance(kept_until_ms, int | float):
+            raise ValueError("a record has fields of another type")
+        return cls(key, kept_until_ms, previous, given, output)
+
+
+@attrs.define(eq=False)
+class _Waiting:
+    records: list[TurnRecord]
+    done: asyncio.Future
+
+
+class RecordShelf:
+    """Keep records durably: one sync serves all that wait for it."""
+
+    def __init__(self, journal: RecordJournal, clock: Clock) -> None:
+        """Read what the disk holds."""
+        self.journal = journal
+        self.clock = clock
+        self.records: dict[str, TurnRecord] = {}
+        self.syncs = 0
+        self._waiting: list[_Waiting] = []
+        self._writer: asyncio.Task | None = None
+        self._thread = ThreadPoolExecutor(1, "journal")
+        self._dropped_ms = clock.now_ms()
+        self._segment_of: dict[str, int] = {}
+        for segment, raw in journal.read_all():
+            try:
+                self._take(TurnRecord.from_row(msgpack.unpackb(raw)), segment)
+            except (ValueError, msgpack.UnpackException) as error:
+                _log.write("record left out", f"unreadable on disk: {error}")
+
+    async def put(self, records: list[TurnRecord]) -> None:
+        """Return when records are on the disk; raise OSError where they are not."""
+        waiting = _Waiting(records, asyncio.get_running_loop().create_future())
+        self._waiting.append(waiting)
+        if self._writer is None or self._writer.done():
+            self._writer = asyncio.create_task(self._write_all())
+        await waiting.done
+
+    async def _write_all(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self._waiting:
+            batch, self._waiting = self._waiting, []
+            records = [record for each in batch for record in each.records]
+            rows = [msgpack.packb(record.to_row()) for record in records]
+            error = None
+            segment = 0
+            try:
+                segment = await loop.run_in_executor(
+                    self._thread, self.journal.append, rows
+                )
+            except OSError as caught:
+                _log.write("disk failed", repr(caught), records=len(records))
+                error = caught
+            self.syncs += 1
+            if error is None:
+                for record in records:
+                    self._take(record, segment)
+            for each in batch:
+                if each.done.done():
+                    continue
+                if error is not None:
+                    each.done.set_exception(error)
+                else:
+                    each.done.set_result(None)
+            self._drop_old()
+
+    def _take(self, record: TurnRecord, segment: int) -> None:
+        """Take a record in; the chain that it goes on from lives as long as it."""
+        known = self.records.get(record.key)
+        if known is None or known.kept_until_ms < record.kept_until_ms:
+            self.records[record.key] = record
+            self._segment_of[record.key] = segment
+        previous = self.records.get(record.previous)
+        while previous is not None and previous.kept_until_ms < record.kept_until_ms:
+            longer = attrs.evolve(previous, kept_until_ms=record.kept_until_ms)
+            self.records[longer.key] = longer
+            previous = self.records.get(longer.previous)
+
+    def _drop_old(self) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms - self._dropped_ms < _DROP_PERIOD_MS:
+            return
+        self._dropped_ms = now_ms
+        wall_ms = self.clock.wall_ms()
+        old = [k for k, each in self.records.items() if each.kept_until_ms < wall_ms]
+        for key in old:
+            del self.records[key]
+            del self._segment_of[key]
+        files = self.journal.drop_unused(set(self._segment_of.values()))
+        if old:
+            _log.write("dropped", "past their time", records=len(old), files=files)
+
+    def chain(self, key: str, is_complete: bool) -> KeptChain:
+        """Return the part of a chain that is known here."""
+        parts = []
+        record = self.records.get(key)
+        found = record is not None
+        missing = "" if found else key
+        while record is not None:
+            parts.append([record.input, record.output])
+            missing = record.previous
+            record = self.records.get(record.previous)
+            if record is not None:
+                missing = ""
+        parts.reverse()
+        return KeptChain(found, parts, missing, is_complete)
+
+    def page(self, after: str, is_complete: bool) -> RecordPage:
+        """Return records whose keys come after `after`."""
+        rows = []
+        size = 0
+        keys = sorted(key for key in self.records if key > after)
+        for key in keys:
+            if size > _PAGE_BYTES:
+                return RecordPage(rows, True, is_complete)
+            record = self.records[key]
+            rows.append(record.to_row())
+            size += len(record.input) + len(record.output)
+        return RecordPage(rows, False, is_complete)
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -20,7 +20,7 @@
 from celerypulley.hosts.admission import Admitted
 from celerypulley.hosts.budget_desk import BudgetDesk, TurnBudget
 from celerypulley.hosts.forward_context import ForwardContext, pick_service
-from celerypulley.hosts.turn_archive import TurnArchive
+from celerypulley.hosts.turn_archive import EndedTurn, TurnArchive
 from celerypulley.links.forward_server import ForwardSink
 from celerypulley.links.key_value import StoreUnavailableError
 from celerypulley.links.server_connection import ServerCall, ServerLinkError
@@ -28,6 +28,7 @@
 
 __all__ = ["StreamForwarder"]
 
+_PACE_GAIN = 0.25  # estimates of streams are close, so a few answers tell the pace
 _log = DecisionLog("streams")
 
 
@@ -207,7 +208,9 @@
         server.note_success()
         tokens = (turn.event_count - events_before) * turn.tokens_per_event
         now_ms = context.clock.now_ms()
-        server.note_pace(now_ms, now_ms - begun_ms, first_ms + step_ms * tokens)
+        server.note_pace(
+            now_ms, now_ms - begun_ms, first_ms + step_ms * tokens, _PACE_GAIN
+        )
         self._note_cached(turn, server)
         if not turn.head_sent:
             await sink.head(head.status, head.reason, says.headers)
@@ -231,12 +234,18 @@
         route = turn.admitted.route
         if not route.keeps_history:
             return
+        request = turn.admitted.request
         output = b"".join(data + b"\n" for data in turn.output)
         await self.archive.save(
-            turn.admitted.organisation_name,
-            turn.admitted.request.request_id,
-            turn.body + output,
-            route.retain_ms,
+            EndedTurn(
+                turn.admitted.organisation_name,
+                request.request_id,
+                request.previous_turn,
+                request.body,
+                output,
+                turn.body + output,
+                route.retain_ms,
+            )
         )
 
 
--- /dev/null
+++ b/celerypulley/links/keeper_server.py
@@ -0,0 +1,66 @@
+"""The server side of a keeper: one task for each connection."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from mode import Service
+
+from celerypulley.decision_log import DecisionLog
+from celerypulley.links.codec import CodecError
+from celerypulley.links.cuts import CutTable
+from celerypulley.links.frame_stream import FrameStream, LinkConditions
+
+__all__ = ["KeeperServer"]
+
+_log = DecisionLog("keeper-server")
+
+
+class KeeperServer(Service):
+    """Hand each question to a function and send what it returns."""
+
+    def __init__(
+        self, ip: str, port: int, answer: Callable[[object], Awaitable[object]]
+    ) -> None:
+        """Serve on `ip` and `port`."""
+        super().__init__()
+        self.ip = ip
+        self.port = port
+        self.answer = answer
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def on_start(self) -> None:
+        """Open the listening socket."""
+        self._server = await asyncio.start_server(self._serve, self.ip, self.port)
+
+    async def on_stop(self) -> None:
+        """Close the socket and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        stream = FrameStream(reader, writer, LinkConditions(CutTable()))
+        try:
+            async for number, question in stream.frames():
+                task = asyncio.create_task(self._answer(stream, number, question))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        except (OSError, CodecError) as error:
+            _log.write("connection ended", repr(error))
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, stream: FrameStream, number: int, question: object) -> None:
+        reply = await self.answer(question)
+        try:
+            stream.send(number, reply)
+            await stream.drain()
+        except OSError as error:
+            _log.write("answer not sent", repr(error))
--- a/celerypulley/platform/storekeeper.py
+++ b/celerypulley/platform/retirement.py
@@ -1,9 +1,7 @@
-"""The program on machines with a disk: it answers requests to empty them.
-
-Nothing that must last lies on these disks, so a machine is empty at once.
-"""
+"""The operator's request to empty a machine with a disk, and the answer to it."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 import orjson
 
@@ -17,17 +15,22 @@
 )
 from celerypulley.links.prefix_follower import PrefixFollower
 
-__all__ = ["keep_store"]
+__all__ = ["follow_retirement"]
 
 _WATCH_WAIT_MS = 20_000  # requests come at once; below the longest wait, 30 s
 _RETRY_S = 0.3
 _RETIRE_PREFIX = "op/retire/"
 _STATUS_PREFIX = "status/retire/"
-_log = DecisionLog("storekeeper")
+_log = DecisionLog("retirement")
 
 
-async def keep_store(host: str, store: KeyValueStore, clock: Clock) -> None:
-    """Say that this machine is empty whenever it is to be retired."""
+async def follow_retirement(
+    host: str,
+    store: KeyValueStore,
+    empty: Callable[[], Awaitable[None]],
+    clock: Clock,
+) -> None:
+    """Call `empty` when `host` is to be emptied, and say how far it is."""
     asked = asyncio.Event()
 
     def take(item: Item) -> None:
@@ -42,21 +45,23 @@
         "retire", store, _RETIRE_PREFIX, _WATCH_WAIT_MS, clock, take_all, take
     )
     await follower.start()
-    _log.write("started", "nothing lies on this disk")
-    while True:
+    try:
         await asked.wait()
-        asked.clear()
-        await _say_done(host, store)
+        await _say(host, store, "running")
+        await empty()
+        await _say(host, store, "done")
+    finally:
+        await follower.stop()
 
 
-async def _say_done(host: str, store: KeyValueStore) -> None:
-    value = orjson.dumps({"state": "done"})
+async def _say(host: str, store: KeyValueStore, state: str) -> None:
+    value = orjson.dumps({"state": state})
     while True:
         try:
             await store.write([Write(_STATUS_PREFIX + host, value)])
         except StoreUnavailableError as error:
-            _log.write("not said yet", str(error))
+            _log.write("not said yet", str(error), state=state)
             await asyncio.sleep(_RETRY_S)
             continue
-        _log.write("retired", "nothing lies on this disk")
+        _log.write("said", "the operator asked", state=state)
         return
--- a/celerypulley/platform/roles.py
+++ b/celerypulley/platform/roles.py
@@ -13,6 +13,7 @@
 from celerypulley.decision_log import DecisionLog, LogFormat
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.fleet_host import FleetHost, PlatformNames
+from celerypulley.hosts.keeper_host import KeeperHost
 from celerypulley.log_stream import LogStream
 from celerypulley.platform.desired_state import (
     DESIRED_STATE_KEY,
@@ -22,9 +23,9 @@
     decode_server,
 )
 from celerypulley.platform.requests import DIALECT
+from celerypulley.platform.retirement import follow_retirement
 from celerypulley.platform.settings_file import SETTINGS_VARIABLE, read_settings
 from celerypulley.platform.store import PlatformStore
-from celerypulley.platform.storekeeper import keep_store
 
 __all__ = ["run_edge", "run_store"]
 
@@ -48,7 +49,7 @@
 
 
 def run_store() -> None:
-    """Answer for this machine's disk until SIGTERM."""
+    """Keep turn records on this machine's disk until SIGTERM."""
     settings = _settings()
     uvloop.run(_serve_store(settings))
 
@@ -87,12 +88,15 @@
 async def _serve_store(settings: FleetSettings) -> None:
     stopped = _stop_event()
     async with _session() as session:
-        keeper = asyncio.create_task(
-            keep_store(settings.host_id, _store(settings, session), Clock())
+        store = _store(settings, session)
+        host = KeeperHost(settings, store, Clock())
+        await host.start()
+        retiring = asyncio.create_task(
+            follow_retirement(settings.host_id, store, host.keeper.empty, Clock())
         )
         await stopped.wait()
-        keeper.cancel()
-        await asyncio.wait([keeper])
+        retiring.cancel()
+        await host.stop()
     _flush()
 
 
--- a/celerypulley/platform/settings_file.py
+++ b/celerypulley/platform/settings_file.py
@@ -36,6 +36,10 @@
         strict_revoke=values.get("bounds.strictRevoke", "true") == "true",
         grace_ms=_number(values, "bounds.graceS", 8.0) * 1000,
         contact_ms=_number(values, "bounds.contactMs", 3_000.0),
+        data_dir=Path(values["dataDir"]) if values.get("dataDir") else None,
+        is_first_start=values.get("bootstrap") == "true",
+        has_keepers=True,  # a role on machines with disks is always deployed
+        disk_losses=int(_number(values, "faultTolerance.machines", 1)),
         quota_window_ms=_number(values, "bounds.quotaWindowS", 5.0) * 1000,
     )
 
--- /dev/null
+++ b/celerypulley/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Records on a disk that must outlast a loss of power."""
--- /dev/null
+++ b/celerypulley/storage/record_journal.py
@@ -0,0 +1,118 @@
+"""A journal of records on a small disk: appended, synced in batches, dropped by age.
+
+Frames carry their length and a checksum, so that a torn end of a file is noticed;
+what follows it was never acknowledged.
+"""
+
+import os
+import struct
+import zlib
+from collections.abc import Iterator
+from pathlib import Path
+
+import attrs
+
+__all__ = ["RecordJournal"]
+
+_FRAME = struct.Struct("<II")
+_MAX_FRAME_BYTES = 16 * 1024 * 1024
+_SEGMENT_BYTES = 8 * 1024 * 1024  # a fiftieth of a disk of 340 to 390 MB
+_SUFFIX = ".records"
+_COMPLETE = "complete"
+
+
+@attrs.define
+class _Segment:
+    path: Path
+    number: int
+    size: int = 0
+
+
+class RecordJournal:
+    """Segments in one folder. Calls block until the disk has what they wrote."""
+
+    def __init__(self, folder: Path) -> None:
+        """Use `folder`, which exists."""
+        self.folder = folder
+        self._segments: list[_Segment] = []
+        self._descriptor: int | None = None
+
+    def read_all(self) -> Iterator[tuple[int, bytes]]:
+        """Yield segment number and record, oldest first; call it before `append`."""
+        for path in sorted(self.folder.glob(f"*{_SUFFIX}")):
+            segment = _Segment(path, int(path.stem))
+            self._segments.append(segment)
+            raw = path.read_bytes()
+            segment.size = len(raw)
+            for record in _whole_frames(raw):
+                yield segment.number, record
+
+    def is_complete(self) -> bool:
+        """Return whether this disk holds all that it has ever acknowledged."""
+        return (self.folder / _COMPLETE).exists()
+
+    def mark_complete(self) -> None:
+        """Note durably that nothing that was acknowledged is missing here."""
+        path = self.folder / _COMPLETE
+        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT, 0o644)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        self._sync_folder()
+
+    def append(self, records: list[bytes]) -> int:
+        """Write records, sync, and return the number of their segment."""
+        if self._descriptor is None or self._segments[-1].size > _SEGMENT_BYTES:
+            self._begin_segment()
+        segment = self._segments[-1]
+        data = b"".join(
+            _FRAME.pack(len(each), zlib.crc32(each)) + each for each in records
+        )
+        assert self._descriptor is not None, "a segment is open"
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self._descriptor, view) :]
+        os.fdatasync(self._descriptor)
+        segment.size += len(data)
+        return segment.number
+
+    def drop_unused(self, used: set[int]) -> int:
+        """Remove the full segments whose numbers are not in `used`."""
+        full = self._segments[:-1]
+        for segment in full:
+            if segment.number not in used:
+                segment.path.unlink(missing_ok=True)
+                self._segments.remove(segment)
+        return len(full) + 1 - len(self._segments)
+
+    def _begin_segment(self) -> None:
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+        number = self._segments[-1].number + 1 if self._segments else 1
+        path = self.folder / f"{number:010}{_SUFFIX}"
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._descriptor = os.open(path, flags, 0o644)
+        os.fsync(self._descriptor)
+        self._sync_folder()
+        self._segments.append(_Segment(path, number))
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def _whole_frames(raw: bytes) -> Iterator[bytes]:
+    position = 0
+    while position + _FRAME.size <= len(raw):
+        length, checksum = _FRAME.unpack_from(raw, position)
+        begin = position + _FRAME.size
+        record = raw[begin : begin + length]
+        whole = 0 < length <= _MAX_FRAME_BYTES and len(record) == length
+        if not whole or zlib.crc32(record) != checksum:
+            return
+        yield record
+        position = begin + length
