--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -31,6 +31,7 @@
 
     `admitted` are totals since its start by organisation, `in_flight` its calls
     under way by server, `strikes` its lost servers by request fingerprint.
+    `unsecured` are tokens that it used while the store was away, by budget.
     """
 
     host: str
@@ -40,6 +41,7 @@
     admitted: dict[str, int] = attrs.Factory(dict)
     in_flight: dict[str, int] = attrs.Factory(dict)
     strikes: dict[str, int] = attrs.Factory(dict)
+    unsecured: dict[str, int] = attrs.Factory(dict)
 
 
 class FleetGossip(Service):
@@ -48,10 +50,10 @@
     def __init__(
         self,
         datagrams: FleetDatagrams,
-        read_own: Callable[[], tuple[dict, dict, dict]],
+        read_own: Callable[[], tuple[dict, dict, dict, dict]],
         clock: Clock,
     ) -> None:
-        """Send `read_own()`: admitted, in flight and strikes."""
+        """Send `read_own()`: admitted, in flight, strikes and unsecured."""
         super().__init__()
         self.datagrams = datagrams
         self.read_own = read_own
@@ -81,6 +83,22 @@
         silent_ms = self.clock.now_ms() - peer.heard_ms
         return silent_ms < (_MISSED_MESSAGES + 1) * self.period_ms()
 
+    def unsecured_of_silent(self, key: str) -> int:
+        """Return what hosts that are not heard any more used of a budget unsecured."""
+        return sum(
+            peer.unsecured.get(key, 0)
+            for host, peer in self.peers.items()
+            if peer.unsecured and not self.heard_lately(host)
+        )
+
+    def hears_most(self) -> bool:
+        """Return whether more than half of the members are heard, this one among them.
+
+        At most one part of a divided fleet does.
+        """
+        heard = sum(self.heard_lately(host) for host in self.members)
+        return heard * 2 > len(self.members)
+
     def silent_domains(self, domains: dict[str, str]) -> frozenset[str]:
         """Return the failure domains of members (`domains`) none of which is heard.
 
@@ -90,13 +108,11 @@
         return frozenset(set(domains.values()) - heard)
 
     def _take(self, host: str, payload: list) -> None:
-        start, number, admitted, in_flight, strikes = payload
+        start, number, *counts = payload
         known = self.peers.get(host)
         if known is not None and known.start == start and number <= known.number:
             return
-        peer = PeerCounts(
-            host, start, number, self.clock.now_ms(), admitted, in_flight, strikes
-        )
+        peer = PeerCounts(host, start, number, self.clock.now_ms(), *counts)
         self._replace(peer, known)
 
     def _replace(self, peer: PeerCounts, known: PeerCounts | None) -> None:
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -111,7 +111,9 @@
         self.meter.gossip = self.gossip
         self.gossip.on_message += [self.meter.take_peer, self.directory.take_peer]
         self.holder.on_change.append(self.meter.take_desired_state)
-        self.escrow = BudgetEscrow(store, clock)
+        self.escrow = BudgetEscrow(
+            store, clock, self.gossip.unsecured_of_silent, self.gossip.hears_most
+        )
         self.watch = SilenceWatch(clock)
         pool = None
         if settings.has_keepers:
@@ -195,11 +197,12 @@
     def _strikes_elsewhere(self) -> list[dict[str, int]]:
         return [peer.strikes for peer in self.gossip.peers.values()]
 
-    def _own_counts(self) -> tuple[dict, dict, dict]:
+    def _own_counts(self) -> tuple[dict, dict, dict, dict]:
         return (
             self.meter.told(),
             self.directory.in_flight(),
             dict(self.strikes.own),
+            self.escrow.unsecured(),
         )
 
     async def _run(self, request: OpaqueRequest, sink: ForwardSink) -> Refusal | None:
--- a/celerypulley/links/keeper_link.py
+++ b/celerypulley/links/keeper_link.py
@@ -48,7 +48,8 @@
             # The connection may have gone silent for good.
             self.close()
             raise KeeperLinkError(f"no answer within {timeout_ms:.0f} ms") from None
-        except OSError as error:
+        except (OSError, RuntimeError) as error:
+            # uvloop raises RuntimeError on a transport that is closed.
             raise KeeperLinkError(repr(error)) from error
 
     async def _open(self) -> FrameStream:
--- a/celerypulley/links/keeper_server.py
+++ b/celerypulley/links/keeper_server.py
@@ -62,5 +62,6 @@
         try:
             stream.send(number, reply)
             await stream.drain()
-        except OSError as error:
+        except (OSError, RuntimeError) as error:
+            # uvloop raises RuntimeError on a transport that is closed.
             _log.write("answer not sent", repr(error))
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -177,3 +177,40 @@
         fleet.store.faults.refuse_status = 0
         await fleet.escrows[0].secure()
         assert await fleet.spend(1) == 0
+
+
+async def test_home_and_others_never_spend_beside_each_other():
+    """A home that the store turns away spends alone, and is counted when it dies."""
+    async with AsyncExitStack() as stack:
+        fleet = await _escrows(stack, 2)
+        home, other = fleet.escrows
+        spent = 0
+        fleet.store.faults.refuse_status = 503
+        for _ in range(4):
+            spent += await fleet.spend(0)
+        fleet.store.faults.refuse_status = 0
+        # The home is not heard any more: what it has told is counted elsewhere.
+        told = home.unsecured()
+        other.unsecured_elsewhere = lambda key: told.get(key, 0)
+        for _ in range(10):
+            spent += await fleet.spend(1, is_home=False)
+        assert 4 * MOST < spent <= BUDGET + MOST
+
+
+async def test_home_in_the_smaller_part_of_a_fleet_does_not_go_on_alone():
+    async with AsyncExitStack() as stack:
+        fleet = await _escrows(stack, 1)
+        fleet.escrows[0].may_lead = lambda: False
+        fleet.store.faults.refuse_status = 503
+        assert await fleet.spend(0) == 0
+
+
+async def test_write_that_was_done_after_all_is_credited():
+    async with AsyncExitStack() as stack:
+        fleet = await _escrows(stack, 1)
+        fleet.store.faults = StoreFaults(late_writes=1, late_ms=100.0)
+        spent = 0
+        while taken := await fleet.spend(0):
+            spent += taken
+            await asyncio.sleep(0.05)
+        assert BUDGET - MOST <= spent <= BUDGET + MOST
