--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -214,6 +214,9 @@
             return False
         if not self.directory.servers:
             return False
+        if self.holder.follower.is_away and not self.gossip.hears_most():
+            # This part of a divided fleet has neither histories nor budgets.
+            return False
         return self.holder.age_ms() < self.settings.revoke_ms * _READY_PART
 
     def _readiness(self) -> tuple[int, str]:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -242,3 +242,17 @@
         await until(lambda: host.holder.age_ms() < 300.0)
         host.forwarder.admission.stale_after_ms = 3_800.0
         assert (await fleet.call("/safe/x")).status == 200
+
+
+async def test_host_that_is_cut_off_with_few_others_asks_for_no_connections():
+    async with running_fleet(hosts=3) as fleet:
+        host = fleet.hosts[0]
+        host.datagrams.addresses.clear()
+        host.datagrams.addresses["host-0"] = ("127.0.0.1", 1)
+        host.datagrams.addresses["host-8"] = ("127.0.0.1", 2)
+        host.datagrams.addresses["host-9"] = ("127.0.0.1", 3)
+        assert host.is_ready()
+        fleet.store.faults.refuse_status = 503
+        await until(lambda: host.holder.follower.is_away)
+        assert not host.is_ready()
+        assert fleet.hosts[1].is_ready()
--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -24,14 +24,22 @@
 
 
 _BYTES = ("aiohttp", "msgpack", "uvloop")
+_PLATFORM = "celerypulley.platform"
 _LAYERS = ("celerypulley.hosts", "celerypulley.operators", "celerypulley.load")
 _RULES = (
     Rule("celerypulley.contracts", (*_BYTES, *_LAYERS, "celerypulley.links")),
     Rule("celerypulley.backend_servers", (*_BYTES, *_LAYERS, "celerypulley.links")),
     Rule("celerypulley.failure_domains", (*_BYTES, *_LAYERS, "celerypulley.links")),
     Rule("celerypulley.programs", (*_BYTES, *_LAYERS)),
+    Rule("celerypulley.storage", (*_BYTES, *_LAYERS, "celerypulley.links")),
     Rule("celerypulley.stand_ins", _LAYERS),
-    Rule("celerypulley.hosts", ("celerypulley.stand_ins", "celerypulley.load")),
+    Rule(
+        "celerypulley.hosts", ("celerypulley.stand_ins", "celerypulley.load", _PLATFORM)
+    ),
+    Rule("celerypulley.links", (_PLATFORM,)),
+    Rule("celerypulley.backend_servers", (_PLATFORM,)),
+    Rule("celerypulley.contracts", (_PLATFORM,)),
+    Rule("celerypulley.programs", (_PLATFORM,)),
     Rule("celerypulley", ("dataclasses", "argparse", "tests", "tools")),
 )
 
