Let requests on kept connections end when a host leaves; count unsecured tokens once

The server now closes what is idle and waits for the rest; the new test hung before.

Hosts count what any other host used unsecured, also before it started anew, and do not go to the store beside a home that goes on without it.

--- a/celerypulley/hosts/budget_desk.py
+++ b/celerypulley/hosts/budget_desk.py
@@ -74,11 +74,19 @@
                 return await self._ask(home, organisation, program, budget, most)
             except NoReplyError as error:
                 _log.write("asked in vain", str(error), program=program)
+                self._check_home_is_secure(home)
         reservation = await self.escrow.reserve(
             organisation, program, budget, most, is_home=False
         )
         return TurnBudget(most, reservation.give_back)
 
+    def _check_home_is_secure(self, home: str) -> None:
+        """Refuse where the home may be spending beside the store's counter."""
+        if self.gossip.is_unsecured(home):
+            raise CallRefusedError.of(
+                ErrorKind.STATE_UNREACHABLE, f"{home} goes on without the store"
+            )
+
     async def _ask(
         self, home: str, organisation: str, program: str, budget: int, most: int
     ) -> TurnBudget:
--- a/celerypulley/hosts/budget_escrow.py
+++ b/celerypulley/hosts/budget_escrow.py
@@ -36,7 +36,7 @@
 _PROGRAMS_KEPT = 20_000
 _KEEP_MS = 180_000  # three times the longest time that turns are kept, 60 s
 _CAS_TRIES = 8
-_HOME_WAIT_S = 0.2  # fifty answers' time; askers wait for 0.3 s
+_HOME_WAIT_S = 0.2  # fifty answers' time; askers wait for 0.44 s
 _AWAY_MS = 500.0  # then a home tries the service again
 _log = DecisionLog("budget")
 
@@ -85,9 +85,9 @@
 class BudgetEscrow:
     """Pools by program.
 
-    `unsecured_elsewhere(key)` returns what hosts that are not heard any more used
-    without the service; `may_lead()` says whether this host, as the home of a
-    program, may go on without the service.
+    `unsecured_elsewhere(key)` returns what other hosts used without the service and
+    did not add yet; `may_lead()` says whether this host, as the home of a program,
+    may go on without the service.
     """
 
     def __init__(
@@ -172,8 +172,7 @@
                 # The counter only grows, so an old view of a spent one holds.
                 _refuse(key, pool, budget, most)
             part = max(missing, min(left, wanted))
-            counted = pool.unsecured + elsewhere
-            total = pool.taken_by_all + part + counted
+            total = pool.taken_by_all + part + pool.unsecured
             taken = _Part(part + pool.unsecured, pool.unsecured)
             if await self._write(key, pool, mark, taken, total):
                 _log.write(
@@ -182,7 +181,8 @@
                     program=key,
                     budget=budget,
                     tokens=part,
-                    counted=counted,
+                    unsecured=pool.unsecured,
+                    elsewhere=elsewhere,
                     taken_by_all=total,
                     most=most,
                 )
--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -22,6 +22,7 @@
 _MIN_PERIOD_MS = 25.0  # a host that spends fast speaks at most this often
 _PERIOD_MS_PER_PEER = 5.0  # larger fleets speak less often: messages grow with n
 _MISSED_MESSAGES = 3
+_ORPHANED_MS = 120_000.0  # twice the longest time that turns are kept, 60 s
 _KIND = "counts"
 
 
@@ -61,6 +62,7 @@
         self.peers: dict[str, PeerCounts] = {}
         self.on_message: list[Callable[[PeerCounts, PeerCounts | None], None]] = []
         self._number = 0
+        self._orphaned: dict[str, tuple[int, float]] = {}
         self._hurry = asyncio.Event()
         datagrams.handlers[_KIND] = self._take
 
@@ -83,13 +85,22 @@
         silent_ms = self.clock.now_ms() - peer.heard_ms
         return silent_ms < (_MISSED_MESSAGES + 1) * self.period_ms()
 
-    def unsecured_of_silent(self, key: str) -> int:
-        """Return what hosts that are not heard any more used of a budget unsecured."""
-        return sum(
-            peer.unsecured.get(key, 0)
-            for host, peer in self.peers.items()
-            if peer.unsecured and not self.heard_lately(host)
-        )
+    def unsecured_elsewhere(self, key: str) -> int:
+        """Return what other hosts used of a budget and did not add to its counter.
+
+        A budget has one home at a time, so the largest account of it is the newest.
+        What a host had told before it started anew counts for some time.
+        """
+        told = [peer.unsecured.get(key, 0) for peer in self.peers.values()]
+        orphaned, until_ms = self._orphaned.get(key, (0, 0.0))
+        if self.clock.now_ms() < until_ms:
+            told.append(orphaned)
+        return max(told, default=0)
+
+    def is_unsecured(self, host: str) -> bool:
+        """Return whether a host has told that it goes on without the store."""
+        peer = self.peers.get(host)
+        return peer is not None and bool(peer.unsecured)
 
     def hears_most(self) -> bool:
         """Return whether more than half of the members are heard, this one among them.
@@ -117,6 +128,10 @@
 
     def _replace(self, peer: PeerCounts, known: PeerCounts | None) -> None:
         self.peers[peer.host] = peer
+        if known is not None and known.start != peer.start:
+            until_ms = self.clock.now_ms() + _ORPHANED_MS
+            for key, tokens in known.unsecured.items():
+                self._orphaned[key] = (tokens, until_ms)
         for listener in self.on_message:
             listener(peer, known)
 
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -112,7 +112,7 @@
         self.gossip.on_message += [self.meter.take_peer, self.directory.take_peer]
         self.holder.on_change.append(self.meter.take_desired_state)
         self.escrow = BudgetEscrow(
-            store, clock, self.gossip.unsecured_of_silent, self.gossip.hears_most
+            store, clock, self.gossip.unsecured_elsewhere, self.gossip.hears_most
         )
         self.watch = SilenceWatch(clock)
         pool = None
@@ -123,7 +123,11 @@
         self.archive = TurnArchive(store, pool, clock)
         self.forwarder = self._make_forwarder(names.dialect)
         self.server = ForwardServer(
-            settings.caller_address, names.dialect, self._run, clock
+            settings.caller_address,
+            names.dialect,
+            self._run,
+            settings.grace_ms - _LEAVE_BALANCER_MS - _STOP_MARGIN_MS,
+            clock,
         )
         self.probes = ProbeServer(
             settings.ready_address.ip,
@@ -265,8 +269,7 @@
         _log.write("leaving", "asked to stop", active=self.server.active)
         self.server.draining = True
         await asyncio.sleep(_LEAVE_BALANCER_MS / 1000)
-        wait_ms = self.settings.grace_ms - _LEAVE_BALANCER_MS - _STOP_MARGIN_MS
-        await self.server.drain(wait_ms)
+        await self.server.drain()
         _log.write("left", "requests have ended", active=self.server.active)
 
     async def on_shutdown(self) -> None:
--- a/celerypulley/links/fleet_datagrams.py
+++ b/celerypulley/links/fleet_datagrams.py
@@ -13,7 +13,7 @@
 __all__ = ["FleetDatagrams", "NoReplyError"]
 
 _RESEND_MS = 40.0  # ten ways there and back between failure domains
-_GIVE_UP_MS = 300.0  # a question that needs a slow store's answer may take this long
+_GIVE_UP_MS = 440.0  # twice the time that an answerer waits for the store
 _ANSWERS_KEPT = 2_000  # a second of questions at the busiest host
 _log = DecisionLog("datagrams")
 
--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -1,6 +1,5 @@
 """The HTTP server for callers whose requests are passed on as they are."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -21,7 +20,6 @@
 _BODY_BYTES = 4_194_304  # the largest body that operators allow callers
 _IDLE_TIMEOUT_S = 75.0  # above every idle timeout that operators set, 15 s
 _LISTEN_BACKLOG = 1_024  # a dropped opening packet costs its sender seconds
-_DRAIN_POLL_S = 0.05
 _log = DecisionLog("callers")
 
 
@@ -94,6 +92,7 @@
         address: Address,
         dialect: Dialect,
         run: Callable[[OpaqueRequest, ForwardSink], Awaitable[Refusal | None]],
+        drain_ms: float,
         clock: Clock,
     ) -> None:
         """Hand decoded requests to `run`, which returns why there is no answer."""
@@ -101,6 +100,7 @@
         self.address = address
         self.dialect = dialect
         self.run = run
+        self.drain_ms = drain_ms
         self.clock = clock
         self.draining = False
         self.active = 0
@@ -118,7 +118,7 @@
             max_field_size=_HEADER_BYTES,
             auto_decompress=False,
         )
-        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        self._runner = web.ServerRunner(server, shutdown_timeout=self.drain_ms / 1000)
         await self._runner.setup()
         self._site = web.TCPSite(
             self._runner, self.address.ip, self.address.port, backlog=_LISTEN_BACKLOG
@@ -126,15 +126,17 @@
         await self._site.start()
 
     async def on_stop(self) -> None:
-        """Close the socket and every connection; `drain` has let requests end."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-    async def drain(self, wait_ms: float) -> None:
-        """Wait until the requests under way have ended, at most `wait_ms`."""
-        deadline_ms = self.clock.now_ms() + wait_ms
-        while self.active and self.clock.now_ms() < deadline_ms:
-            await asyncio.sleep(_DRAIN_POLL_S)
+        """Close the socket and every connection, also those with requests."""
+        await self.drain()
+
+    async def drain(self) -> None:
+        """Close the socket and idle connections, and let requests under way end.
+
+        What has not ended after `drain_ms` is broken off.
+        """
+        runner, self._runner = self._runner, None
+        if runner is not None:
+            await runner.cleanup()
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         received_ms = self.clock.now_ms()
--- a/celerypulley/platform/store.py
+++ b/celerypulley/platform/store.py
@@ -131,7 +131,8 @@
                 return _checked(response.status, raw, path)
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(repr(error), may_have_run=False) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, RuntimeError) as error:
+            # aiohttp raises RuntimeError on a session that closes with the process.
             raise StoreUnavailableError(f"{path}: {error!r}") from error
         except (ValueError, KeyError, TypeError) as error:
             raise StoreUnavailableError(f"{path}: unreadable: {error!r}") from error
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 
+from celerypulley.hosts import fleet_host
 from celerypulley.stand_ins.opaque_server import Mode
 from tests.fleet import desired_state, running_fleet
 from tests.harness import until
@@ -256,3 +258,27 @@
         await until(lambda: host.holder.follower.is_away)
         assert not host.is_ready()
         assert fleet.hosts[1].is_ready()
+
+
+async def test_host_that_leaves_cuts_no_request(monkeypatch):
+    """Requests that come on kept connections until the very end are answered."""
+    monkeypatch.setattr(fleet_host, "_LEAVE_BALANCER_MS", 300.0)
+    async with running_fleet() as fleet:
+        fleet.servers[0].mode = Mode.STREAM
+        fleet.servers[0].pause_s = 0.05
+        host = fleet.hosts[0]
+        answers = []
+
+        async def call_again() -> None:
+            while True:
+                try:
+                    answers.append(await fleet.call("/turns/x"))
+                except aiohttp.ClientError:
+                    return
+
+        callers = [asyncio.create_task(call_again()) for _ in range(8)]
+        await until(lambda: len(answers) > 8)
+        await host.leave()
+        await asyncio.gather(*callers)
+        assert all((each.status, each.whole) == (200, True) for each in answers)
+        assert len(fleet.servers[0].seen) == len(answers)
