--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -1,7 +1,5 @@
 """Whether a request may run: its route, its organisation, its rate, its past."""
 
-from collections import OrderedDict
-
 import attrs
 
 from celerypulley.clock import Clock
@@ -24,7 +22,6 @@
 _REVOKE_MARGIN_MS = 1_200.0
 # A name that is not known here may have been added since: twice the watch's wait.
 _UNSURE_AFTER_MS = 2_000.0
-_PROGRAMS_KEPT = 5_000  # those of a minute at the busiest host
 
 
 @attrs.define(eq=False)
@@ -73,7 +70,6 @@
         self.strikes = strikes
         self.stale_after_ms = revoke_ms - _REVOKE_MARGIN_MS
         self.clock = clock
-        self._programs: OrderedDict[str, None] = OrderedDict()
 
     async def admit(self, request: OpaqueRequest) -> Admitted:
         """Return what the request may do; raise CallRefusedError."""
@@ -91,20 +87,10 @@
         fingerprint = request_fingerprint(request)
         self.strikes.check(fingerprint)
         if organisation is not None:
-            await self.meter.take(organisation, self._begins(request, route))
+            await self.meter.take(organisation)
         deadline_ms = min(request.deadline_ms, request.received_ms + route.timeout_ms)
         return Admitted(request, route, organisation, state, deadline_ms, fingerprint)
 
-    def _begins(self, request: OpaqueRequest, route: ForwardRoute) -> bool:
-        """Return whether a program begins with it, as far as is known here."""
-        known = request.program in self._programs
-        self._programs[request.program] = None
-        while len(self._programs) > _PROGRAMS_KEPT:
-            self._programs.popitem(last=False)
-        if known or not request.program:
-            return False
-        return route.is_turn and not request.previous_turn
-
     def _organisation(
         self, state: DesiredState, request: OpaqueRequest
     ) -> OrganisationRule:
--- a/celerypulley/hosts/fleet_meter.py
+++ b/celerypulley/hosts/fleet_meter.py
@@ -23,9 +23,6 @@
 _SUPPOSED_STEPS = 20
 # Spending that the others need not hear of before the next message.
 _UNTOLD_MIN = 2
-# Programs begin within this part of a limit: one that was begun and is refused later
-# has used engines for nothing.
-_BEGINNING_PART = 1.0
 # A request waits this long for its turn, a third of what a caller waits between two
 # tries of a turn; longer waits are refused at once.
 _LONGEST_WAIT_MS = 400.0
@@ -114,16 +111,14 @@
             if count > 0 and rule is not None and rule.rate_per_s > 0:
                 self._account(rule).note(now_ms, count)
 
-    async def take(self, rule: OrganisationRule, begins: bool = False) -> float:
+    async def take(self, rule: OrganisationRule) -> float:
         """Count one request, wait until the rate allows it and return the wait in ms.
 
-        Where `begins` says that a program begins with it, a part of the limit is
-        left to programs under way. Raise CallRefusedError at once where the wait
-        would be long.
+        Raise CallRefusedError at once where the wait would be long.
         """
         begun_ms = self.clock.now_ms()
         while True:
-            wait_ms = self.try_take(rule, begins)
+            wait_ms = self.try_take(rule)
             waited_ms = self.clock.now_ms() - begun_ms
             if wait_ms <= 0.0:
                 self.delayed += int(waited_ms > 0.0)
@@ -132,7 +127,7 @@
                 self._refuse(rule, wait_ms)
             await asyncio.sleep(wait_ms / 1000)
 
-    def try_take(self, rule: OrganisationRule, begins: bool = False) -> float:
+    def try_take(self, rule: OrganisationRule) -> float:
         """Count one request and return 0, or return the time to wait in ms."""
         if rule.rate_per_s > 0:
             now_ms = self.clock.now_ms()
@@ -140,9 +135,8 @@
             limit = _limit(rule, self.window_ms) * part
             account = self._account(rule)
             account.settle(now_ms, self.window_ms, rule)
-            usable = limit * _BEGINNING_PART if begins else limit
             wait_ms = account.wait_ms(
-                now_ms, self.window_ms, usable, rule.rate_per_s * part
+                now_ms, self.window_ms, limit, rule.rate_per_s * part
             )
             if wait_ms > 0.0:
                 return max(wait_ms, _MIN_WAIT_MS)
