--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -91,6 +91,18 @@
         deadline_ms = min(request.deadline_ms, request.received_ms + route.timeout_ms)
         return Admitted(request, route, organisation, state, deadline_ms, fingerprint)
 
+    def describe(self, request: OpaqueRequest) -> tuple[str, str]:
+        """Return route and organisation of a request that was not admitted."""
+        state = self.holder.state
+        if state is None:
+            return "", ""
+        route = state.find_route(request.host, request.path)
+        organisation = state.find_organisation(request.key)
+        return (
+            route.name if route else "",
+            organisation.name if organisation else "",
+        )
+
     def _organisation(
         self, state: DesiredState, request: OpaqueRequest
     ) -> OrganisationRule:
--- a/celerypulley/hosts/forwarder.py
+++ b/celerypulley/hosts/forwarder.py
@@ -80,7 +80,10 @@
         refusal: Refusal | None,
     ) -> None:
         took_ms = self.clock.now_ms() - request.received_ms
-        route = admitted.route.name if admitted else ""
+        if admitted is not None:
+            route, organisation = admitted.route.name, admitted.organisation_name
+        else:
+            route, organisation = self.admission.describe(request)
         status = sink.response.status if sink.response is not None else 0
         self.metrics.note(route, took_ms, refusal)
         _log.write(
@@ -89,7 +92,7 @@
             request=request.request_id,
             program=request.program,
             previous=request.previous_turn,
-            organisation=admitted.organisation_name if admitted else "",
+            organisation=organisation,
             route=route,
             version=self.admission.holder.version,
             version_age_ms=_whole(self.admission.holder.age_ms()),
