--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -1,11 +1,12 @@
 """What hosts tell each other: counts, by datagrams that may be lost.
 
-Every message repeats totals, so the newest one says all. Nothing that must last is
-told this way.
+Every message repeats the totals that changed lately, so that lost ones do no harm.
+Nothing that must last is told this way.
 """
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -20,8 +21,10 @@
 # A twentieth of the window over which rates are judged, 5 s.
 _PERIOD_MS = 250.0
 _MIN_PERIOD_MS = 25.0  # a host that spends fast speaks at most this often
-_PERIOD_MS_PER_PEER = 5.0  # larger fleets speak less often: messages grow with n
+_PERIOD_MS_PER_PEER = 8.0  # larger fleets speak less often: messages grow with n
 _MISSED_MESSAGES = 3
+_TOLD_TIMES = 4  # as many messages in a row as may be missing, and one
+_WHOLE_EVERY = 20  # a host that has just started hears all totals within seconds
 _ORPHANED_MS = 120_000.0  # twice the longest time that turns are kept, 60 s
 _KIND = "counts"
 
@@ -62,6 +65,7 @@
         self.peers: dict[str, PeerCounts] = {}
         self.on_message: list[Callable[[PeerCounts, PeerCounts | None], None]] = []
         self._number = 0
+        self._told: deque[dict[str, int]] = deque(maxlen=_TOLD_TIMES)
         self._orphaned: dict[str, tuple[int, float]] = {}
         self._hurry = asyncio.Event()
         datagrams.handlers[_KIND] = self._take
@@ -119,12 +123,15 @@
         return frozenset(set(domains.values()) - heard)
 
     def _take(self, host: str, payload: list) -> None:
-        start, number, *counts = payload
+        start, number, admitted, *counts = payload
         known = self.peers.get(host)
-        if known is not None and known.start == start and number <= known.number:
-            return
-        peer = PeerCounts(host, start, number, self.clock.now_ms(), *counts)
-        self._replace(peer, known)
+        if known is not None and known.start == start:
+            if number <= known.number:
+                return
+            # A message leaves out the totals that have not changed lately.
+            admitted = {**known.admitted, **admitted}
+        now_ms = self.clock.now_ms()
+        self._replace(PeerCounts(host, start, number, now_ms, admitted, *counts), known)
 
     def _replace(self, peer: PeerCounts, known: PeerCounts | None) -> None:
         self.peers[peer.host] = peer
@@ -148,9 +155,31 @@
                 await asyncio.wait_for(self._hurry.wait(), pause_ms / 1000)
             self._hurry.clear()
             self._forget_silent()
-            self._number += 1
-            own = (self.datagrams.start_name, self._number, *self.read_own())
-            self.datagrams.tell_all(_KIND, list(own))
+            self.tell_once()
+
+    def tell_once(self) -> None:
+        """Send one message to every member."""
+        self._number += 1
+        admitted, *counts = self.read_own()
+        message = [self.datagrams.start_name, self._number]
+        message += [self._changed(admitted), *counts]
+        self.datagrams.tell_all(_KIND, message)
+
+    def _changed(self, admitted: dict[str, int]) -> dict[str, int]:
+        """Return the totals that changed in the last messages, now and then all.
+
+        Each change is told several times, since messages may be lost.
+        """
+        if self._number % _WHOLE_EVERY == 1:
+            changed = dict(admitted)
+        else:
+            changed = {
+                organisation: total
+                for organisation, total in admitted.items()
+                if any(old.get(organisation) != total for old in self._told)
+            }
+        self._told.append(dict(admitted))
+        return changed
 
     def _forget_silent(self) -> None:
         """Count no calls for a host that is not heard any more."""
--- a/celerypulley/hosts/fleet_meter.py
+++ b/celerypulley/hosts/fleet_meter.py
@@ -91,6 +91,7 @@
         self._started_ms = clock.now_ms()
         self._rules: dict[str, OrganisationRule] = {}
         self._accounts: dict[str, _Account] = {}
+        self._spenders: dict[str, set[str]] = {}
 
     def take_desired_state(self, state: DesiredState) -> None:
         """Hold the rates of a version from now on."""
@@ -110,6 +111,7 @@
             rule = self._rules.get(organisation)
             if count > 0 and rule is not None and rule.rate_per_s > 0:
                 self._account(rule).note(now_ms, count)
+                self._spenders.setdefault(organisation, set()).add(peer.host)
 
     async def take(self, rule: OrganisationRule) -> float:
         """Count one request, wait until the rate allows it and return the wait in ms.
@@ -142,7 +144,7 @@
                 return max(wait_ms, _MIN_WAIT_MS)
             account.note(now_ms, 1.0)
             account.untold += 1
-            self._tell_early(account, limit)
+            self._tell_early(rule.name, account, limit)
         self.admitted[rule.name] = self.admitted.get(rule.name, 0) + 1
         return 0.0
 
@@ -160,12 +162,17 @@
             )
         )
 
-    def _tell_early(self, account: _Account, limit: float) -> None:
-        """Tell the others soon where hosts together might fill what is left untold."""
+    def _tell_early(self, organisation: str, account: _Account, limit: float) -> None:
+        """Tell the others soon where hosts together might fill what is left untold.
+
+        An organisation's requests come to a few hosts; those that are known to
+        serve it share what is left.
+        """
         if self.gossip is None:
             return
+        spenders = 1 + len(self._spenders.get(organisation, ()))
         left = max(0.0, limit - account.in_window)
-        if account.untold >= max(_UNTOLD_MIN, left / 2 / len(self.gossip.members)):
+        if account.untold >= max(_UNTOLD_MIN, left / 2 / spenders):
             self.gossip.tell_soon()
 
     def told(self) -> dict[str, int]:
--- a/celerypulley/links/prefix_follower.py
+++ b/celerypulley/links/prefix_follower.py
@@ -22,7 +22,7 @@
 __all__ = ["PrefixFollower"]
 
 _RETRY_MS = 100.0  # a store that answers in 4 ms is back long before the next try
-_MAX_RETRY_MS = 500.0  # an eighth of the shortest revocation bound, 5 s
+_MAX_RETRY_MS = 250.0  # a twentieth of the shortest revocation bound, 5 s
 _AWAY_AFTER_MS = 1_000.0  # silence that counts as an outage of the service
 
 
--- a/tests/test_fleet_meter.py
+++ b/tests/test_fleet_meter.py
@@ -10,8 +10,9 @@
     DesiredState,
     OrganisationRule,
 )
-from celerypulley.hosts.fleet_gossip import PeerCounts
+from celerypulley.hosts.fleet_gossip import FleetGossip, PeerCounts
 from celerypulley.hosts.fleet_meter import FleetMeter
+from celerypulley.links.fleet_datagrams import FleetDatagrams
 from tests.harness import ManualClock
 
 WINDOW_MS = 5_000.0
@@ -132,3 +133,26 @@
     assert len(admitted) <= 0.25 * 120 + 20
     clock.move(WINDOW_MS)
     assert take(meter, clock.now, admitted)
+
+
+@pytest.mark.parametrize("lost", [set(), {2}, {2, 3, 4}, {5, 6}])
+def test_totals_are_heard_although_messages_are_lost(lost):
+    clock = ManualClock()
+    members = {"a": ("", 1), "b": ("", 2)}
+    totals = {"o": 0, "p": 7}
+    sent: list[list] = []
+    sender = FleetGossip(
+        FleetDatagrams("a", "", 1, members), lambda: (totals, {}, {}, {}), clock.clock
+    )
+    sender.datagrams.tell_all = lambda _kind, message: sent.append(message)
+    receiver = FleetGossip(
+        FleetDatagrams("b", "", 2, members), lambda: ({}, {}, {}, {}), clock.clock
+    )
+    for number in range(1, 9):
+        if number <= 3:
+            totals["o"] += number
+        sender.tell_once()
+        if number not in lost:
+            receiver._take("a", sent[-1])
+    assert receiver.peers["a"].admitted == totals
+    assert len(sent[-1][2]) == 0
