Let a home go on without the store only while the others count it as a member

A home now also needs a lease that others cannot have seen end, and more than half of the members in agreement about the members.

--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -35,7 +35,8 @@
 
     `admitted` are totals since its start by organisation, `in_flight` its calls
     under way by server, `strikes` its lost servers by request fingerprint.
-    `unsecured` are tokens that it used while the store was away, by budget.
+    `unsecured` are tokens that it used while the store was away, by budget. Hosts
+    with the same `view` know the same members.
     """
 
     host: str
@@ -46,6 +47,7 @@
     in_flight: dict[str, int] = attrs.Factory(dict)
     strikes: dict[str, int] = attrs.Factory(dict)
     unsecured: dict[str, int] = attrs.Factory(dict)
+    view: int = 0
 
 
 class FleetGossip(Service):
@@ -55,12 +57,14 @@
         self,
         datagrams: FleetDatagrams,
         read_own: Callable[[], tuple[dict, dict, dict, dict]],
+        read_view: Callable[[], int],
         clock: Clock,
     ) -> None:
-        """Send `read_own()`: admitted, in flight, strikes and unsecured."""
+        """Send `read_own()`: admitted, in flight, strikes, unsecured; and the view."""
         super().__init__()
         self.datagrams = datagrams
         self.read_own = read_own
+        self.read_view = read_view
         self.clock = clock
         self.peers: dict[str, PeerCounts] = {}
         self.on_message: list[Callable[[PeerCounts, PeerCounts | None], None]] = []
@@ -106,13 +110,18 @@
         peer = self.peers.get(host)
         return peer is not None and bool(peer.unsecured)
 
-    def hears_most(self) -> bool:
-        """Return whether more than half of the members are heard, this one among them.
+    def leads(self) -> bool:
+        """Return whether more than half of the members are heard and agree on them.
 
         At most one part of a divided fleet does.
         """
-        heard = sum(self.heard_lately(host) for host in self.members)
-        return heard * 2 > len(self.members)
+        agreeing = sum(self._agrees(host) for host in self.members)
+        return agreeing * 2 > len(self.members)
+
+    def _agrees(self, host: str) -> bool:
+        if host == self.datagrams.host:
+            return True
+        return self.heard_lately(host) and self.peers[host].view == self.read_view()
 
     def silent_domains(self, domains: dict[str, str]) -> frozenset[str]:
         """Return the failure domains of members (`domains`) none of which is heard.
@@ -162,7 +171,7 @@
         self._number += 1
         admitted, *counts = self.read_own()
         message = [self.datagrams.start_name, self._number]
-        message += [self._changed(admitted), *counts]
+        message += [self._changed(admitted), *counts, self.read_view()]
         self.datagrams.tell_all(_KIND, message)
 
     def _changed(self, admitted: dict[str, int]) -> dict[str, int]:
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -107,12 +107,14 @@
             settings.fleet_port,
             self.members.addresses,
         )
-        self.gossip = FleetGossip(self.datagrams, self._own_counts, clock)
+        self.gossip = FleetGossip(
+            self.datagrams, self._own_counts, self.members.digest, clock
+        )
         self.meter.gossip = self.gossip
         self.gossip.on_message += [self.meter.take_peer, self.directory.take_peer]
         self.holder.on_change.append(self.meter.take_desired_state)
         self.escrow = BudgetEscrow(
-            store, clock, self.gossip.unsecured_elsewhere, self.gossip.hears_most
+            store, clock, self.gossip.unsecured_elsewhere, self._may_lead
         )
         self.watch = SilenceWatch(clock)
         pool = None
@@ -198,6 +200,10 @@
             store=self.settings.store_address,
         )
 
+    def _may_lead(self) -> bool:
+        """Return whether the other hosts agree on the homes that this host knows."""
+        return self.members.is_registered() and self.gossip.leads()
+
     def _strikes_elsewhere(self) -> list[dict[str, int]]:
         return [peer.strikes for peer in self.gossip.peers.values()]
 
@@ -218,7 +224,7 @@
             return False
         if not self.directory.servers:
             return False
-        if self.holder.follower.is_away and not self.gossip.hears_most():
+        if self.holder.follower.is_away and not self.gossip.leads():
             # This part of a divided fleet has neither histories nor budgets.
             return False
         return self.holder.age_ms() < self.settings.revoke_ms * _READY_PART
--- a/celerypulley/hosts/fleet_members.py
+++ b/celerypulley/hosts/fleet_members.py
@@ -1,6 +1,7 @@
 """The members of the fleet, each under a lease in the key-value service."""
 
 import asyncio
+import zlib
 from collections.abc import Callable
 
 import attrs
@@ -24,7 +25,8 @@
 HOST = "host"
 KEEPER = "keeper"
 _WATCH_WAIT_MS = 20_000  # changes come at once; below the longest wait, 30 s
-_LEASE_MS = 12_000  # a dead host's part of rates is held back for this long
+_LEASE_MS = 20_000  # a dead host's part of rates is held back for this long
+_LEASE_MARGIN_MS = 1_000.0  # clocks of host and service run at about the same rate
 _RENEW_MS = 4_000  # two renewals may be lost
 _RETRY_MS = 300.0
 _log = DecisionLog("members")
@@ -70,7 +72,9 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.domains: dict[str, str] = {}
         self.on_change: list[Callable[[], None]] = []
+        self.clock = clock
         self._lease = 0
+        self._renewed_ms = float("-inf")
         self._count(me)
         self.follower = PrefixFollower(
             "members",
@@ -86,6 +90,15 @@
         """Return the other members of a kind."""
         return [each for each in self.others.values() if each.kind == kind]
 
+    def is_registered(self) -> bool:
+        """Return whether others certainly still count this process as a member."""
+        age_ms = self.clock.now_ms() - self._renewed_ms
+        return age_ms < _LEASE_MS - _LEASE_MARGIN_MS
+
+    def digest(self) -> int:
+        """Return a number that members with the same view of the hosts share."""
+        return zlib.crc32("\0".join(sorted(self.addresses)).encode())
+
     def _count(self, member: FleetMember) -> None:
         if member.kind == HOST:
             self.addresses[member.name] = (member.ip, member.port)
@@ -140,6 +153,7 @@
     @Service.task
     async def _stay_registered(self) -> None:
         while not self.should_stop:
+            asked_ms = self.clock.now_ms()
             try:
                 if self._lease:
                     await self.store.renew_lease(self._lease)
@@ -154,6 +168,7 @@
                 _log.write("not registered", str(error))
                 await asyncio.sleep(_RETRY_MS / 1000)
                 continue
+            self._renewed_ms = asked_ms
             await self.sleep(_RENEW_MS / 1000)
 
     async def _write_entry(self) -> None:
--- a/tests/test_budget_desk.py
+++ b/tests/test_budget_desk.py
@@ -54,12 +54,47 @@
 def test_what_a_host_used_counts_also_after_it_started_anew():
     clock = ManualClock()
     datagrams = FleetDatagrams("me", "127.0.0.1", 1, {"me": ("", 1), "h": ("", 2)})
-    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}, {}), clock.clock)
+    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}, {}), lambda: 1, clock.clock)
     key = "budgets/o/p"
-    gossip._take("h", ["first", 1, {}, {}, {}, {key: 300}])
+    gossip._take("h", ["first", 1, {}, {}, {}, {key: 300}, 1])
     assert gossip.unsecured_elsewhere(key) == 300
-    gossip._take("h", ["second", 1, {}, {}, {}, {}])
+    gossip._take("h", ["second", 1, {}, {}, {}, {}, 1])
     assert gossip.unsecured_elsewhere(key) == 300
     assert isinstance(gossip.peers["h"], PeerCounts)
     clock.move(121_000.0)
     assert gossip.unsecured_elsewhere(key) == 0
+
+
+@pytest.mark.parametrize(
+    ("silent", "views", "leads"),
+    [
+        (set(), {}, True),
+        ({"h1"}, {}, True),
+        ({"h1", "h2"}, {}, True),
+        ({"h1", "h2", "h3"}, {}, False),
+        (set(), {"h1": 2, "h2": 2, "h3": 2}, False),
+        ({"h1"}, {"h2": 2}, True),
+        ({"h1"}, {"h2": 2, "h3": 2}, False),
+    ],
+    ids=["all", "one", "two", "three silent", "others know others", "4", "3"],
+)
+def test_only_a_host_on_which_most_agree_leads(silent, views, leads):
+    """A host whose lease ran out behind a cut is no member for the others any more."""
+    clock = ManualClock()
+    members = {"me": ("", 1), **{f"h{number}": ("", 2) for number in range(1, 5)}}
+    datagrams = FleetDatagrams("me", "127.0.0.1", 1, members)
+    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}, {}), lambda: 1, clock.clock)
+    for host in set(members) - {"me"} - silent:
+        gossip._take(host, ["s", 1, {}, {}, {}, {}, views.get(host, 1)])
+    assert gossip.leads() is leads
+
+
+async def test_host_that_cannot_renew_its_lease_stops_to_lead():
+    async with running_fleet(hosts=3) as fleet:
+        host = fleet.hosts[0]
+        assert host._may_lead()
+        host.members._renewed_ms -= 19_500.0
+        assert not host._may_lead()
+        fleet.store.faults.refuse_status = 503
+        with pytest.raises(CallRefusedError):
+            await host.escrow.reserve("kiosks", "p", BUDGET, MOST, is_home=True)
--- a/tests/test_fleet_meter.py
+++ b/tests/test_fleet_meter.py
@@ -142,11 +142,17 @@
     totals = {"o": 0, "p": 7}
     sent: list[list] = []
     sender = FleetGossip(
-        FleetDatagrams("a", "", 1, members), lambda: (totals, {}, {}, {}), clock.clock
+        FleetDatagrams("a", "", 1, members),
+        lambda: (totals, {}, {}, {}),
+        lambda: 1,
+        clock.clock,
     )
     sender.datagrams.tell_all = lambda _kind, message: sent.append(message)
     receiver = FleetGossip(
-        FleetDatagrams("b", "", 2, members), lambda: ({}, {}, {}, {}), clock.clock
+        FleetDatagrams("b", "", 2, members),
+        lambda: ({}, {}, {}, {}),
+        lambda: 1,
+        clock.clock,
     )
     for number in range(1, 9):
         if number <= 3:
