--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -132,7 +132,13 @@
         return frozenset(set(domains.values()) - heard)
 
     def _take(self, host: str, payload: list) -> None:
-        start, number, admitted, *counts = payload
+        start, number, admitted, in_flight, strikes, unsecured, view = payload
+        tables = (admitted, in_flight, strikes, unsecured)
+        if not all(isinstance(table, dict) for table in tables):
+            raise ValueError("counts are tables")
+        if not isinstance(start, str) or not isinstance(number, int):
+            raise ValueError("a start has a name, a message a number")
+        counts = (in_flight, strikes, unsecured, view)
         known = self.peers.get(host)
         if known is not None and known.start == start:
             if number <= known.number:
--- a/celerypulley/links/fleet_datagrams.py
+++ b/celerypulley/links/fleet_datagrams.py
@@ -118,7 +118,7 @@
             _log.write("dropped", f"unreadable: {error!r}", sender=addr[0])
             return
         if number is None:
-            handler(sender, payload)
+            self._hand_over(handler, sender, payload)
             return
         question = (sender, *number)
         if question in self._answers:
@@ -131,9 +131,19 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _hand_over(self, handler: Handler, sender: str, payload: list) -> None:
+        try:
+            handler(sender, payload)
+        except (ValueError, TypeError, AttributeError) as error:
+            _log.write("dropped", f"not of this form: {error!r}", sender=sender)
+
     async def _answer(self, handler: Handler, question: tuple, payload: list) -> None:
         sender, _start, number = question
-        answer = await handler(sender, payload)
+        try:
+            answer = await handler(sender, payload)
+        except (ValueError, TypeError, AttributeError) as error:
+            _log.write("not answered", f"not of this form: {error!r}", sender=sender)
+            return
         message = msgpack.packb(("reply", self.host, number, answer))
         self._answers[question] = message
         self._send_answer(sender, message)
--- /dev/null
+++ b/tests/test_key_value_store.py
@@ -0,0 +1,133 @@
+"""The contract of the key-value service, through the platform's client."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from celerypulley.links.key_value import (
+    ConditionFailedError,
+    HistoryGoneError,
+    Item,
+    KeyValueStore,
+    LeaseGoneError,
+    StoreUnavailableError,
+    Write,
+)
+from celerypulley.platform.store import PlatformStore
+from celerypulley.stand_ins.fleet_store import FleetStore, StoreFaults
+from tests.fleet import running_store
+from tests.harness import until
+
+
+@asynccontextmanager
+async def client() -> AsyncIterator[tuple[KeyValueStore, FleetStore]]:
+    """Return a client and the service's stand-in."""
+    async with running_store() as (store, address), aiohttp.ClientSession() as session:
+        yield PlatformStore(address, session, 300.0), store
+
+
+@pytest.mark.parametrize(
+    ("before", "expected", "is_written"),
+    [
+        ([], None, True),
+        ([], 0, True),
+        ([], 7, False),
+        (["old"], None, True),
+        (["old"], 0, False),
+        (["old"], 2, True),
+        (["old", "newer"], 2, False),
+        (["old", "newer"], 3, True),
+    ],
+)
+async def test_writes_find_the_revision_that_they_expect(before, expected, is_written):
+    async with client() as (kv, store):
+        for value in before:
+            store.put("a/key", value.encode())
+        write = Write("a/key", b"new", expected)
+        if is_written:
+            revision = await kv.write([write, Write("a/other", b"too")])
+            assert await kv.read("a/key") == Item("a/key", b"new", revision)
+            assert (await kv.read("a/other")).revision == revision
+            return
+        with pytest.raises(ConditionFailedError) as failed:
+            await kv.write([write, Write("a/other", b"too")])
+        assert {k: i.value for k, i in failed.value.items.items()} == (
+            {"a/key": before[-1].encode()} if before else {}
+        )
+        assert await kv.read("a/other") is None
+
+
+async def test_prefixes_come_whole_over_pages_and_watches_go_on_from_them():
+    async with client() as (kv, store):
+        for number in range(1_203):
+            store.put(f"p/{number:05}", b"%d" % number)
+        store.put("q/1", b"not below p")
+        batch = await kv.read_prefix("p/")
+        assert [int(item.value) for item in batch.items] == list(range(1_203))
+        store.put("p/00003", b"changed")
+        store.remove("p/00004")
+        changes = await kv.watch("p/", batch.revision, 1_000)
+        assert [(item.key, item.value) for item in changes.items] == [
+            ("p/00003", b"changed"),
+            ("p/00004", None),
+        ]
+        nothing = await kv.watch("p/", changes.revision, 30)
+        assert nothing.items == ()
+
+
+async def test_waiting_watch_hears_a_change_and_forgotten_history_is_said():
+    async with client() as (kv, store):
+        waiting = asyncio.create_task(kv.watch("p/", store.revision, 5_000))
+        await until(lambda: "/kv-watch" in store.calls)
+        store.put("p/1", b"now")
+        assert [item.value for item in (await waiting).items] == [b"now"]
+        store.put("p/1", b"later")
+        store.forget_history()
+        with pytest.raises(HistoryGoneError):
+            await kv.watch("p/", 1, 30)
+
+
+async def test_keys_of_a_lease_end_with_it():
+    async with client() as (kv, store):
+        lease = await kv.grant_lease(5_000)
+        await kv.write([Write("m/1", b"here", lease=lease)])
+        await kv.renew_lease(lease)
+        store.leases.clear()
+        with pytest.raises(LeaseGoneError):
+            await kv.renew_lease(lease)
+        with pytest.raises(LeaseGoneError):
+            await kv.write([Write("m/2", b"here", lease=lease)])
+
+
+@pytest.mark.parametrize(
+    ("faults", "may_have_run", "is_done"),
+    [
+        (StoreFaults(refuse_status=503), False, False),
+        (StoreFaults(refuse_status=429), False, False),
+        (StoreFaults(silent=True), True, False),
+        (StoreFaults(lose_writes=1), True, True),
+        (StoreFaults(late_writes=1), True, True),
+    ],
+    ids=["503", "429", "silent", "answer lost", "done later"],
+)
+async def test_failed_write_says_whether_it_may_have_run(faults, may_have_run, is_done):
+    async with client() as (kv, store):
+        store.faults = faults
+        with pytest.raises(StoreUnavailableError) as failed:
+            await kv.write([Write("a", b"1")])
+        assert failed.value.may_have_run is may_have_run
+        if is_done:
+            await until(lambda: store.value("a") == b"1")
+        else:
+            assert store.value("a") is None
+
+
+async def test_store_that_does_not_listen_has_done_nothing():
+    async with aiohttp.ClientSession() as session:
+        kv = PlatformStore("127.0.0.1:1", session, 300.0)
+        with pytest.raises(StoreUnavailableError) as failed:
+            await kv.write([Write("a", b"1")])
+        assert not failed.value.may_have_run
