--- a/celerypulley/contracts/desired_state.py
+++ b/celerypulley/contracts/desired_state.py
@@ -40,7 +40,6 @@
     keeps_history: bool = False
     retain_ms: float = 0.0
     timeout_ms: float = 30_000.0
-    latency_target_ms: float = 1_000.0
     attempts: int = 1
     priority: int = 0
     is_open: bool = False
@@ -65,8 +64,6 @@
 
     name: str
     tokens_per_event: int = 1
-    memory_tokens: int = 0
-    slots: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -82,12 +79,9 @@
 
 @attrs.frozen(kw_only=True)
 class CallerLimits:
-    """What a caller may send, and how long it may take."""
+    """What a caller may send."""
 
-    header_bytes: int = 16_384
     body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
 
 
 class DesiredState:
--- a/celerypulley/fleet_settings.py
+++ b/celerypulley/fleet_settings.py
@@ -31,7 +31,6 @@
     revoke_ms: float
     strict_revoke: bool
     grace_ms: float
-    contact_ms: float
     quota_window_ms: float
     data_dir: Path | None = None
     is_first_start: bool = False
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -9,7 +9,7 @@
 from celerypulley import __version__
 from celerypulley.backend_servers.server_entry import ServerEntry
 from celerypulley.clock import Clock
-from celerypulley.contracts.desired_state import DesiredState
+from celerypulley.contracts.desired_state import CallerLimits, DesiredState
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import Refusal
 from celerypulley.fleet_settings import FleetSettings
@@ -128,6 +128,7 @@
             settings.caller_address,
             names.dialect,
             self._run,
+            self._body_limit,
             settings.grace_ms - _LEAVE_BALANCER_MS - _STOP_MARGIN_MS,
             clock,
         )
@@ -154,8 +155,11 @@
             clock=self.clock,
             watch=self.watch,
         )
+        revoke_ms = self.settings.revoke_ms
+        if not self.settings.strict_revoke:
+            revoke_ms = float("inf")
         admission = Admission(
-            self.holder, self.meter, self.strikes, self.settings.revoke_ms, self.clock
+            self.holder, self.meter, self.strikes, revoke_ms, self.clock
         )
         streams = StreamForwarder(
             context,
@@ -200,6 +204,10 @@
             store=self.settings.store_address,
         )
 
+    def _body_limit(self) -> int:
+        limits = self.holder.state.limits if self.holder.state else CallerLimits()
+        return limits.body_bytes
+
     def _may_lead(self) -> bool:
         """Return whether the other hosts agree on the homes that this host knows."""
         return self.members.is_registered() and self.gossip.leads()
@@ -279,5 +287,7 @@
         _log.write("left", "requests have ended", active=self.server.active)
 
     async def on_shutdown(self) -> None:
-        """Close the connections to servers."""
+        """Close the connections to servers and keepers."""
         self.links.close()
+        if self.archive.pool is not None:
+            self.archive.pool.close()
--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -17,7 +17,6 @@
 __all__ = ["ForwardServer", "ForwardSink"]
 
 _HEADER_BYTES = 16_384  # the largest header that operators allow callers
-_BODY_BYTES = 4_194_304  # the largest body that operators allow callers
 _IDLE_TIMEOUT_S = 75.0  # above every idle timeout that operators set, 15 s
 _LISTEN_BACKLOG = 1_024  # a dropped opening packet costs its sender seconds
 _log = DecisionLog("callers")
@@ -92,14 +91,19 @@
         address: Address,
         dialect: Dialect,
         run: Callable[[OpaqueRequest, ForwardSink], Awaitable[Refusal | None]],
+        body_limit: Callable[[], int],
         drain_ms: float,
         clock: Clock,
     ) -> None:
-        """Hand decoded requests to `run`, which returns why there is no answer."""
+        """Hand decoded requests to `run`, which returns why there is no answer.
+
+        `body_limit()` is the largest body in bytes that is read now.
+        """
         super().__init__()
         self.address = address
         self.dialect = dialect
         self.run = run
+        self.body_limit = body_limit
         self.drain_ms = drain_ms
         self.clock = clock
         self.draining = False
@@ -143,9 +147,10 @@
         sink = ForwardSink(request, self.draining)
         self.active += 1
         try:
-            body = await _read_body(request)
+            limit = self.body_limit()
+            body = await _read_body(request, limit)
             if body is None:
-                detail = f"the body is above {_BODY_BYTES} bytes"
+                detail = f"the body is above {limit} bytes"
                 return self._refused(
                     sink, Refusal(ErrorKind.BODY_TOO_LARGE, detail), ""
                 )
@@ -169,7 +174,7 @@
         return sink.response
 
 
-async def _read_body(request: web.BaseRequest) -> bytes | None:
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
     """Return the whole body, None where it is too large."""
     if not request.can_read_body:
         return b""
@@ -180,6 +185,6 @@
         if not piece:
             return b"".join(pieces)
         size += len(piece)
-        if size > _BODY_BYTES:
+        if size > limit:
             return None
         pieces.append(piece)
--- a/celerypulley/platform/desired_state.py
+++ b/celerypulley/platform/desired_state.py
@@ -60,7 +60,6 @@
         keeps_history=bool(row.get("serverHistory")),
         retain_ms=float(row.get("retainS") or 0) * 1000,
         timeout_ms=float(row.get("timeoutMs") or 30_000),
-        latency_target_ms=float(row.get("sloMs") or 1_000),
         attempts=max(1, int(row.get("attempts") or 1)),
         priority=int(row.get("priority") or 0),
         is_open=bool(row.get("public")),
@@ -74,8 +73,6 @@
     return ServiceRule(
         name=row["name"],
         tokens_per_event=int(engine.get("chunkTokens") or 1),
-        memory_tokens=int(engine.get("kvCapacity") or 0),
-        slots=int(engine.get("slots") or 0),
     )
 
 
@@ -91,12 +88,8 @@
 
 
 def _limits(row: dict) -> CallerLimits:
-    plain = CallerLimits()
     return CallerLimits(
-        header_bytes=int(row.get("maxHeaderBytes") or plain.header_bytes),
-        body_bytes=int(row.get("maxBodyBytes") or plain.body_bytes),
-        header_timeout_ms=float(row.get("headerTimeoutMs") or plain.header_timeout_ms),
-        idle_timeout_ms=float(row.get("idleTimeoutMs") or plain.idle_timeout_ms),
+        body_bytes=int(row.get("maxBodyBytes") or CallerLimits().body_bytes)
     )
 
 
--- a/celerypulley/platform/settings_file.py
+++ b/celerypulley/platform/settings_file.py
@@ -35,7 +35,6 @@
         revoke_ms=_number(values, "bounds.revokeMs", 5_000.0),
         strict_revoke=values.get("bounds.strictRevoke", "true") == "true",
         grace_ms=_number(values, "bounds.graceS", 8.0) * 1000,
-        contact_ms=_number(values, "bounds.contactMs", 3_000.0),
         data_dir=Path(values["dataDir"]) if values.get("dataDir") else None,
         is_first_start=values.get("bootstrap") == "true",
         has_keepers=True,  # a role on machines with disks is always deployed
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -158,7 +158,6 @@
         "revoke_ms": 5_000.0,
         "strict_revoke": True,
         "grace_ms": 8_000.0,
-        "contact_ms": 3_000.0,
         "quota_window_ms": 5_000.0,
     }
     return FleetSettings(**{**values, **changes})
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -282,3 +282,12 @@
         await asyncio.gather(*callers)
         assert all((each.status, each.whole) == (200, True) for each in answers)
         assert len(fleet.servers[0].seen) == len(answers)
+
+
+@pytest.mark.parametrize(("size", "status"), [(1_000, 200), (1_001, 413)])
+async def test_body_above_the_operators_limit_is_refused(size, status):
+    state = desired_state(limits={"maxBodyBytes": 1_000})
+    async with running_fleet(state=state) as fleet:
+        answer = await fleet.call("/safe/x", body=b"x" * size)
+        assert answer.status == status
+        assert len(fleet.servers[0].seen) == (1 if status == 200 else 0)
