--- a/celerypulley/hosts/budget_desk.py
+++ b/celerypulley/hosts/budget_desk.py
@@ -70,22 +70,26 @@
             )
             return TurnBudget(most, reservation.give_back)
         if self.gossip.heard_lately(home):
-            try:
-                return await self._ask(home, organisation, program, budget, most)
-            except NoReplyError as error:
-                _log.write("asked in vain", str(error), program=program)
-                self._check_home_is_secure(home)
+            return await self._ask_home(home, organisation, program, budget, most)
         reservation = await self.escrow.reserve(
             organisation, program, budget, most, is_home=False
         )
         return TurnBudget(most, reservation.give_back)
 
-    def _check_home_is_secure(self, home: str) -> None:
-        """Refuse where the home may be spending beside the store's counter."""
-        if self.gossip.is_unsecured(home):
+    async def _ask_home(
+        self, home: str, organisation: str, program: str, budget: int, most: int
+    ) -> TurnBudget:
+        """Ask a home that is heard; it may be spending beside the store's counter.
+
+        So a home that does not answer is never passed over, and the turn is refused.
+        """
+        try:
+            return await self._ask(home, organisation, program, budget, most)
+        except NoReplyError as error:
+            _log.write("asked in vain", str(error), program=program)
             raise CallRefusedError.of(
-                ErrorKind.STATE_UNREACHABLE, f"{home} goes on without the store"
-            )
+                ErrorKind.STATE_UNREACHABLE, f"home {home} is heard and says nothing"
+            ) from error
 
     async def _ask(
         self, home: str, organisation: str, program: str, budget: int, most: int
--- a/celerypulley/hosts/budget_escrow.py
+++ b/celerypulley/hosts/budget_escrow.py
@@ -253,8 +253,12 @@
         """Add to the counters what was used without the service."""
         for key in list(self._owing):
             pool = self._pools[key]
-            async with pool.lock:
-                await self._secure_one(key, pool)
+            try:
+                # Turns wait for the lock: a slow store must not hold them up.
+                async with pool.lock, asyncio.timeout(_HOME_WAIT_S):
+                    await self._secure_one(key, pool)
+            except TimeoutError as error:
+                raise StoreUnavailableError("the service was slow") from error
 
     async def _secure_one(self, key: str, pool: _Pool) -> None:
         mark = secrets.token_hex(6)
--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -105,11 +105,6 @@
             told.append(orphaned)
         return max(told, default=0)
 
-    def is_unsecured(self, host: str) -> bool:
-        """Return whether a host has told that it goes on without the store."""
-        peer = self.peers.get(host)
-        return peer is not None and bool(peer.unsecured)
-
     def leads(self) -> bool:
         """Return whether more than half of the members are heard and agree on them.
 
--- a/tests/test_budget_desk.py
+++ b/tests/test_budget_desk.py
@@ -1,13 +1,15 @@
 """Who spends a program's budget when hosts do not reach each other or the store."""
 
 import attrs
+import msgpack
 import pytest
 
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.hosts.fleet_gossip import FleetGossip, PeerCounts
 from celerypulley.links.fleet_datagrams import FleetDatagrams, NoReplyError
+from celerypulley.links.key_value import StoreUnavailableError
 from tests.fleet import BUDGET, MOST, running_fleet
-from tests.harness import ManualClock
+from tests.harness import ManualClock, until
 
 
 @attrs.define
@@ -21,13 +23,9 @@
         raise NoReplyError(f"{host} says nothing")
 
 
-@pytest.mark.parametrize(
-    ("unsecured", "is_served"),
-    [({}, True), ({"budgets/kiosks/p1": 100}, False)],
-    ids=["home is only slow", "home goes on without the store"],
-)
-async def test_store_is_asked_only_beside_a_home_that_uses_it(
-    monkeypatch, unsecured, is_served
+@pytest.mark.parametrize("is_heard", [True, False])
+async def test_store_is_asked_only_beside_a_home_that_is_not_heard(
+    monkeypatch, is_heard
 ):
     async with running_fleet(hosts=2) as fleet:
         desk = fleet.hosts[0].forwarder.streams.budgets
@@ -38,19 +36,32 @@
         )
         silent = _Silent()
         monkeypatch.setattr(desk.datagrams, "ask", silent.ask)
-        known = desk.gossip.peers["host-1"]
-        desk.gossip.peers["host-1"] = attrs.evolve(
-            known, unsecured=unsecured, number=known.number + 1_000
-        )
-        if is_served:
+        monkeypatch.setattr(desk.gossip, "heard_lately", lambda _host: is_heard)
+        if not is_heard:
+            await desk.reserve("kiosks", program, BUDGET, MOST)
+            return
+        with pytest.raises(CallRefusedError) as refused:
             await desk.reserve("kiosks", program, BUDGET, MOST)
-        else:
-            with pytest.raises(CallRefusedError) as refused:
-                await desk.reserve("kiosks", program, BUDGET, MOST)
-            assert refused.value.refusal.kind is ErrorKind.STATE_UNREACHABLE
+        assert refused.value.refusal.kind is ErrorKind.STATE_UNREACHABLE
         assert silent.asked == 1
 
 
+async def test_home_answers_while_a_slow_store_is_told_what_was_used():
+    async with running_fleet() as fleet:
+        escrow = fleet.hosts[0].escrow
+        fleet.store.faults.refuse_status = 503
+        await escrow.reserve("o", "p", BUDGET, MOST, is_home=True)
+        fleet.store.faults.refuse_status = 0
+        fleet.store.faults.delay_ms = 400.0
+        with pytest.raises(StoreUnavailableError):
+            await escrow.secure()
+        assert escrow.unsecured() == {"budgets/o/p": MOST}
+        fleet.store.faults.delay_ms = 0.0
+        await until(lambda: escrow.unsecured() == {})
+        total, *_ = msgpack.unpackb(fleet.store.value("budgets/o/p"))
+        assert total == MOST
+
+
 def test_what_a_host_used_counts_also_after_it_started_anew():
     clock = ManualClock()
     datagrams = FleetDatagrams("me", "127.0.0.1", 1, {"me": ("", 1), "h": ("", 2)})
