Say that a request has not run only where every server that had it said so

Cause: plain_forwarder and stream_forwarder each had a loop over servers whose last failure became the answer. Where a first server had lost the answer of a request that may run again and the second one declined it, or the deadline passed before the second send, the answer was 503 with "not-run", which nobody knew.

Change: one loop, server_tries.try_servers; the trail counts the servers that declined, and a request that others were sent ends with 502, or 504 at the deadline.

Tests: four of the new rows of test_each_failure_of_a_server_gets_its_answer fail on the code before (503), all pass now.

--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -8,7 +8,7 @@
     ForwardRoute,
     OrganisationRule,
 )
-from celerypulley.errors import CallRefusedError, ErrorKind
+from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.hosts.crash_strikes import CrashStrikes, request_fingerprint
 from celerypulley.hosts.desired_state_holder import DesiredStateHolder
 from celerypulley.hosts.fleet_meter import FleetMeter
@@ -26,9 +26,21 @@
 
 @attrs.define(eq=False)
 class Trail:
-    """Where a request was sent so far."""
+    """Where a request was sent so far; `not_run` servers said they did not run it."""
 
     servers: list[str] = attrs.Factory(list)
+    not_run: int = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a server was sent the request and did not decline it."""
+        return len(self.servers) > self.not_run
+
+    def deadline_refusal(self, detail: str) -> Refusal:
+        """Return the refusal for a request whose deadline has passed."""
+        if self.may_have_run:
+            return Refusal(ErrorKind.DEADLINE_PASSED, detail)
+        return Refusal(ErrorKind.OVERLOADED, detail)
 
 
 @attrs.frozen
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -10,7 +10,7 @@
 from celerypulley.clock import Clock
 from celerypulley.contracts.desired_state import ForwardRoute
 from celerypulley.decision_log import DecisionLog
-from celerypulley.errors import CallRefusedError, ErrorKind, Refusal, RunState
+from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.hosts.admission import Admitted
 from celerypulley.hosts.crash_strikes import CrashStrikes
 from celerypulley.hosts.server_directory import ServerDirectory
@@ -116,15 +116,11 @@
         """Return the time left; raise CallRefusedError where nothing can be done."""
         remaining_ms = admitted.deadline_ms - self.clock.now_ms()
         if remaining_ms < _MIN_REMAINING_MS:
-            raise CallRefusedError.of(
-                ErrorKind.OVERLOADED, "the deadline has passed", RunState.NOT_RUN
+            raise CallRefusedError(
+                admitted.trail.deadline_refusal("the deadline has passed")
             )
         return remaining_ms
 
-    async def begin(self, server: EngineState) -> ServerCall:
-        """Return a connection to a server; raise ServerLinkError."""
-        return await self.links.begin(server.address)
-
     def send(
         self,
         call: ServerCall,
@@ -198,16 +194,13 @@
             failures=server.failures,
         )
 
-    def note_error_answer(
+    def error_answer(
         self, admitted: Admitted, server: EngineState, head: AnswerHead
-    ) -> None:
-        """Try elsewhere after a server's own failure."""
-        _log.write(
-            "retry elsewhere",
-            f"the server answered {head.status}",
-            request=admitted.request.request_id,
-            server=server.name,
-        )
+    ) -> Refusal:
+        """Return the refusal for a server's own failure that is tried elsewhere."""
+        detail = f"{server.name} answered {head.status}"
+        _log.write("retry elsewhere", detail, request=admitted.request.request_id)
+        return Refusal(ErrorKind.BACKEND_SERVER_FAILED, detail)
 
     def failure(self, server: EngineState, error: ServerLinkError) -> Refusal:
         """Return the refusal for a server that gave no whole answer."""
--- a/celerypulley/hosts/forwarder.py
+++ b/celerypulley/hosts/forwarder.py
@@ -5,7 +5,7 @@
 
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
-from celerypulley.errors import CallRefusedError, ErrorKind, Refusal, RunState
+from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.hosts.admission import Admission, Admitted
 from celerypulley.hosts.forward_metrics import ForwardMetrics
 from celerypulley.hosts.plain_forwarder import PlainForwarder
@@ -65,12 +65,10 @@
             async with asyncio.timeout(max(0.0, left_ms) / 1000):
                 await run(admitted, sink)
         except TimeoutError:
-            detail = f"no whole answer within {left_ms:.0f} ms"
-            if admitted.trail.servers:
-                raise CallRefusedError.of(ErrorKind.DEADLINE_PASSED, detail) from None
-            raise CallRefusedError.of(
-                ErrorKind.OVERLOADED, detail, RunState.NOT_RUN
-            ) from None
+            refusal = admitted.trail.deadline_refusal(
+                f"no whole answer within {left_ms:.0f} ms"
+            )
+            raise CallRefusedError(refusal) from None
 
     def _note(
         self,
--- a/celerypulley/hosts/plain_forwarder.py
+++ b/celerypulley/hosts/plain_forwarder.py
@@ -4,11 +4,10 @@
 
 from celerypulley.backend_servers.engine_state import EngineState
 from celerypulley.backend_servers.routing import choose_plain
-from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.hosts.admission import Admitted
 from celerypulley.hosts.forward_context import ForwardContext, pick_service
+from celerypulley.hosts.server_tries import FailedTry, Try, try_servers
 from celerypulley.links.forward_server import ForwardSink
-from celerypulley.links.server_connection import ServerLinkError
 
 __all__ = ["PlainForwarder"]
 
@@ -28,51 +27,31 @@
 
     async def run(self, admitted: Admitted, sink: ForwardSink) -> str:
         """Pass the answer of a server on; return its name, raise CallRefusedError."""
+        service = pick_service(admitted.route, random.random())
+
+        async def attempt(trying: Try) -> FailedTry | None:
+            return await self._attempt(admitted, trying, sink)
+
+        return await try_servers(self.context, admitted, service, choose_plain, attempt)
+
+    async def _attempt(
+        self, admitted: Admitted, trying: Try, sink: ForwardSink
+    ) -> FailedTry | None:
         context = self.context
-        route = admitted.route
-        service = pick_service(route, random.random())
-        avoid: frozenset[str] = frozenset()
-        sends = 0
-        failure = Refusal(ErrorKind.NO_BACKEND_SERVER, f"no server of {service}")
-        while sends < route.attempts:
-            server = context.choose(admitted, service, avoid, choose_plain)
-            if server is None:
-                break
-            avoid = avoid | {server.name}
-            call = None
-            begun_ms = context.clock.now_ms()
-            try:
-                with context.counted(server):
-                    call = await context.begin(server)
-                    sends += 1
-                    context.send(call, server, admitted)
-                    with context.watched(call, server, admitted, sends):
-                        head, says = await context.head(call, server, admitted)
-                        body = await call.body()
-                    call.finish()
-            except ServerLinkError as error:
-                context.note_failure(admitted, server, error)
-                if error.sent and not route.may_run_again:
-                    raise CallRefusedError.of(
-                        ErrorKind.BACKEND_SERVER_FAILED, f"{server.name}: {error}"
-                    ) from error
-                failure = context.failure(server, error)
-                continue
-            finally:
-                if call is not None and not call.is_finished:
-                    call.abort()
-            if says.not_run:
-                sends -= int(says.wrong_server)
-                failure = context.shed(server, head)
-                continue
-            if head.status >= 500 and route.may_run_again and sends < route.attempts:
-                context.note_error_answer(admitted, server, head)
-                continue
-            server.note_success()
-            self._note_pace(route.name, server, begun_ms)
-            await sink.whole(head.status, head.reason, says.headers, body)
-            return server.name
-        raise CallRefusedError(failure)
+        server, call = trying.server, trying.call
+        begun_ms = context.clock.now_ms()
+        context.send(call, server, admitted)
+        head, says = await context.head(call, server, admitted)
+        body = await call.body()
+        call.finish()
+        if says.not_run:
+            return FailedTry(context.shed(server, head), True, says.wrong_server)
+        if head.status >= 500 and admitted.route.may_run_again and not trying.is_last:
+            return FailedTry(context.error_answer(admitted, server, head))
+        server.note_success()
+        self._note_pace(admitted.route.name, server, begun_ms)
+        await sink.whole(head.status, head.reason, says.headers, body)
+        return None
 
     def _note_pace(self, route: str, server: EngineState, begun_ms: float) -> None:
         """Compare an answer's time with the route's mean over all servers."""
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -16,10 +16,11 @@
 )
 from celerypulley.contracts.declaration import Policy
 from celerypulley.decision_log import DecisionLog
-from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
+from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.hosts.admission import Admitted
 from celerypulley.hosts.budget_desk import BudgetDesk, TurnBudget
 from celerypulley.hosts.forward_context import ForwardContext, pick_service
+from celerypulley.hosts.server_tries import FailedTry, Try, try_servers
 from celerypulley.hosts.turn_archive import EndedTurn, TurnArchive
 from celerypulley.links.forward_server import ForwardSink
 from celerypulley.links.key_value import StoreUnavailableError
@@ -123,46 +124,21 @@
         )
 
     async def _run_turn(self, turn: _Turn, sink: ForwardSink) -> str:
-        context = self.context
-        admitted = turn.admitted
-        route = admitted.route
-        avoid: frozenset[str] = frozenset()
-        sends = 0
-        failure = Refusal(ErrorKind.NO_BACKEND_SERVER, f"no server of {turn.service}")
-        while sends < route.attempts:
-            server = context.choose(admitted, turn.service, avoid, _choose)
-            if server is None:
-                break
-            avoid = avoid | {server.name}
-            call = None
-            try:
-                fresh = admitted.request.prompt_tokens - cached_tokens(
-                    context.call_of(admitted), server
-                )
-                with context.counted(server, fresh):
-                    call = await context.begin(server)
-                    sends += 1
-                    with context.watched(call, server, admitted, sends):
-                        refused = await self._attempt(turn, server, call, sink)
-            except ServerLinkError as error:
-                context.note_failure(admitted, server, error)
-                if error.sent and not route.may_run_again:
-                    raise CallRefusedError(context.failure(server, error)) from error
-                failure = context.failure(server, error)
-                continue
-            finally:
-                if call is not None and not call.is_finished:
-                    call.abort()
-            if refused is not None:
-                sends -= int(refused.wrong_server)
-                failure = refused.refusal
-                continue
-            return server.name
-        raise CallRefusedError(failure)
+        call = self.context.call_of(turn.admitted)
+
+        async def attempt(trying: Try) -> FailedTry | None:
+            return await self._attempt(turn, trying.server, trying.call, sink)
+
+        def fresh_tokens(server: EngineState) -> float:
+            return call.prompt_tokens - cached_tokens(call, server)
+
+        return await try_servers(
+            self.context, turn.admitted, turn.service, _choose, attempt, fresh_tokens
+        )
 
     async def _attempt(
         self, turn: _Turn, server: EngineState, call: ServerCall, sink: ForwardSink
-    ) -> "_NotRun | None":
+    ) -> FailedTry | None:
         """Run the turn on one server; return why it did not run there."""
         context = self.context
         admitted = turn.admitted
@@ -183,7 +159,7 @@
         if says.not_run:
             await call.body()
             call.finish()
-            return _NotRun(context.shed(server, head), says.wrong_server)
+            return FailedTry(context.shed(server, head), True, says.wrong_server)
         if head.status != 200:
             body = await call.body()
             call.finish()
@@ -249,12 +225,6 @@
         )
 
 
-@attrs.frozen
-class _NotRun:
-    refusal: Refusal
-    wrong_server: bool
-
-
 def _whole_events(reader: EventReader, piece: bytes) -> list[Event]:
     try:
         return reader.feed(piece)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,7 +5,9 @@
 import aiohttp
 import pytest
 
+from celerypulley.errors import ErrorKind, RunState
 from celerypulley.hosts import fleet_host
+from celerypulley.hosts.admission import Trail
 from celerypulley.stand_ins.opaque_server import Mode
 from tests.fleet import desired_state, running_fleet
 from tests.harness import until
@@ -29,6 +31,12 @@
         ("/safe/x", [Mode.EARLIER_ANSWER], 200, 1),
         ("/safe/x", [Mode.RESET, Mode.RESET], 502, 2),
         ("/safe/x", [Mode.SHED, Mode.SHED], 503, 2),
+        ("/safe/x", [Mode.RESET, Mode.SHED], 502, 2),
+        ("/safe/x", [Mode.SHED, Mode.RESET], 502, 2),
+        ("/safe/x", [Mode.ERROR, Mode.SHED], 502, 2),
+        ("/safe/x", [Mode.ERROR, Mode.OTHER_INSTANCE], 502, 2),
+        ("/resumable/x", [Mode.RESET, Mode.SHED], 502, 2),
+        ("/resumable/x", [Mode.SHED, Mode.SHED], 503, 2),
         ("/unsafe/x", [Mode.WHOLE], 200, 1),
         ("/unsafe/x", [Mode.SHED, Mode.WHOLE], 200, 2),
         ("/unsafe/x", [Mode.OTHER_INSTANCE, Mode.WHOLE], 200, 2),
@@ -61,6 +69,25 @@
             assert float(answer.headers["Retry-After"]) > 0
 
 
+@pytest.mark.parametrize(
+    ("sent", "declined", "kind"),
+    [
+        (0, 0, ErrorKind.OVERLOADED),
+        (1, 1, ErrorKind.OVERLOADED),
+        (1, 0, ErrorKind.DEADLINE_PASSED),
+        (2, 1, ErrorKind.DEADLINE_PASSED),
+    ],
+)
+def test_refusal_at_the_deadline_says_not_run_only_where_it_is_known(
+    sent, declined, kind
+):
+    trail = Trail(["server"] * sent, declined)
+    refusal = trail.deadline_refusal("too late")
+    assert refusal.kind is kind
+    known = refusal.run is RunState.NOT_RUN
+    assert known == (sent == declined)
+
+
 async def test_stream_goes_on_at_another_server_after_the_last_whole_event():
     async with running_fleet(servers=2) as fleet:
         shared = [Mode.WITHIN_EVENT, Mode.STREAM]
