Confirm versions by reads, notice a store's return at once, send callers away in time

Keys were refused after 3.8 s of a bound of 5 s, because an empty watch may be up to a second behind. Callers on kept connections stayed at hosts that had left the balancer.

Change: the first watch after a failure waits 1 ms. KeyConfirmer reads the desired state each 1.5 s, at once where most hosts are not heard, and only that confirms a version; keys are refused after 4.9 s. The watch of the desired state waits 20 s. A host that is not ready answers with Connection: close.

Tests: test_version_that_no_watch_tells_comes_into_force, test_first_watch_after_an_ outage_is_answered_at_once, test_host_that_is_not_ready_sends_callers_to_other_hosts fail on the code before.

--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -16,11 +16,11 @@
 
 __all__ = ["Admission", "Admitted", "Trail"]
 
-# A key is refused when what is known of keys is older than the bound less the
-# second in which a service that drops its history tells watches nothing, and a
-# margin for the way.
-_REVOKE_MARGIN_MS = 1_200.0
-# A name that is not known here may have been added since: twice the watch's wait.
+# A key is refused when what is known of keys is older than the bound less a margin
+# for clocks that run at slightly different rates.
+_REVOKE_MARGIN_MS = 100.0
+# A name that is not known here may have been added since: more than one period of
+# the reads that confirm the version, 1.5 s.
 _UNSURE_AFTER_MS = 2_000.0
 
 
--- a/celerypulley/hosts/desired_state_holder.py
+++ b/celerypulley/hosts/desired_state_holder.py
@@ -5,13 +5,13 @@
 from celerypulley.clock import Clock
 from celerypulley.contracts.desired_state import DesiredState
 from celerypulley.decision_log import DecisionLog
+from celerypulley.links.key_confirmer import KeyConfirmer
 from celerypulley.links.key_value import Item, KeyValueStore
 from celerypulley.links.prefix_follower import PrefixFollower
 
 __all__ = ["DesiredStateHolder"]
 
-# Two answers within a third of the shortest bound on withdrawn keys, 5 s.
-_WATCH_WAIT_MS = 1_000
+_WATCH_WAIT_MS = 20_000  # changes come at once; below the longest wait, 30 s
 _log = DecisionLog("desired-state")
 
 
@@ -40,6 +40,7 @@
             self._take_snapshot,
             self._take_item,
         )
+        self.confirmer = KeyConfirmer(store, key, clock, self._take_item)
 
     @property
     def version(self) -> int:
@@ -48,7 +49,7 @@
 
     def age_ms(self) -> float:
         """Return how long ago the version in force was confirmed as the newest."""
-        return self.follower.age_ms()
+        return self.confirmer.age_ms()
 
     def _take_snapshot(self, items: tuple[Item, ...]) -> None:
         for item in items:
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -47,6 +47,7 @@
 _LEAVE_BALANCER_MS = 2_500.0
 _STOP_MARGIN_MS = 1_000.0  # between the last answer and the kill
 _SECURE_PERIOD_S = 0.5
+_READINESS_PERIOD_S = 0.25  # as often as hosts tell each other their counts
 _SUMMARY_PERIOD_S = 10.0
 _log = DecisionLog("host")
 
@@ -129,6 +130,7 @@
             names.dialect,
             self._run,
             self._body_limit,
+            lambda: not self._was_ready,
             settings.grace_ms - _LEAVE_BALANCER_MS - _STOP_MARGIN_MS,
             clock,
         )
@@ -193,6 +195,7 @@
             self.gossip,
             self.watch,
             self.holder.follower,
+            self.holder.confirmer,
             self.directory.follower,
             self.server,
         ):
@@ -232,24 +235,41 @@
             return False
         if not self.directory.servers:
             return False
-        if self.holder.follower.is_away and not self.gossip.leads():
-            # This part of a divided fleet has neither histories nor budgets.
+        if self.is_cut_off():
             return False
         return self.holder.age_ms() < self.settings.revoke_ms * _READY_PART
 
+    def is_cut_off(self) -> bool:
+        """Return whether this part of a divided fleet has neither turns nor budgets."""
+        return self.holder.confirmer.is_away and not self.gossip.leads()
+
     def _readiness(self) -> tuple[int, str]:
+        self._note_readiness()
+        return (200, "ready\n") if self._was_ready else (503, "not ready\n")
+
+    def _note_readiness(self) -> None:
         ready = self.is_ready()
-        if ready is not self._was_ready:
-            self._was_ready = ready
-            _log.write(
-                "ready" if ready else "not ready",
-                "asked by the balancer",
-                version=self.holder.version,
-                version_age_ms=str(round(min(self.holder.age_ms(), 1e9))),
-                servers=len(self.directory.servers),
-                draining=self.server.draining,
-            )
-        return (200, "ready\n") if ready else (503, "not ready\n")
+        if ready is self._was_ready:
+            return
+        self._was_ready = ready
+        _log.write(
+            "ready" if ready else "not ready",
+            "what this host knows of store, servers and hosts has changed",
+            version=self.holder.version,
+            version_age_ms=str(round(min(self.holder.age_ms(), 1e9))),
+            servers=len(self.directory.servers),
+            draining=self.server.draining,
+            store_away=self.holder.confirmer.is_away,
+            leads=self.gossip.leads(),
+        )
+
+    @Service.task
+    async def _watch_readiness(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_READINESS_PERIOD_S)
+            self._note_readiness()
+            if not self.gossip.leads():
+                self.holder.confirmer.ask_soon()
 
     @Service.task
     async def _secure_budgets(self) -> None:
--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -92,18 +92,21 @@
         dialect: Dialect,
         run: Callable[[OpaqueRequest, ForwardSink], Awaitable[Refusal | None]],
         body_limit: Callable[[], int],
+        sends_away: Callable[[], bool],
         drain_ms: float,
         clock: Clock,
     ) -> None:
         """Hand decoded requests to `run`, which returns why there is no answer.
 
-        `body_limit()` is the largest body in bytes that is read now.
+        `body_limit()` is the largest body in bytes that is read now; `sends_away()`
+        says whether callers should come back on another connection, to another host.
         """
         super().__init__()
         self.address = address
         self.dialect = dialect
         self.run = run
         self.body_limit = body_limit
+        self.sends_away = sends_away
         self.drain_ms = drain_ms
         self.clock = clock
         self.draining = False
@@ -144,7 +147,7 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         received_ms = self.clock.now_ms()
-        sink = ForwardSink(request, self.draining)
+        sink = ForwardSink(request, self.draining or self.sends_away())
         self.active += 1
         try:
             limit = self.body_limit()
--- a/celerypulley/links/prefix_follower.py
+++ b/celerypulley/links/prefix_follower.py
@@ -24,6 +24,7 @@
 _RETRY_MS = 100.0  # a store that answers in 4 ms is back long before the next try
 _MAX_RETRY_MS = 250.0  # a twentieth of the shortest revocation bound, 5 s
 _AWAY_AFTER_MS = 1_000.0  # silence that counts as an outage of the service
+_FIRST_WAIT_MS = 1  # the shortest watch: it is answered as soon as the service is back
 
 
 class PrefixFollower(Service):
@@ -51,6 +52,7 @@
         self.verified_ms = float("-inf")
         self.returned_ms = float("-inf")
         self._revision: int | None = None
+        self._has_failed = False
         self.is_away = False
         self._log = DecisionLog("follower")
 
@@ -69,11 +71,13 @@
                 self._revision = None
                 continue
             except StoreUnavailableError as error:
+                self._has_failed = True
                 self._note_away(str(error))
                 await asyncio.sleep(pause_ms * random.uniform(0.5, 1.5) / 1000)
                 pause_ms = min(_MAX_RETRY_MS, pause_ms * 2)
                 continue
             pause_ms = _RETRY_MS
+            self._has_failed = False
             self._note_heard(confirmed_ms)
 
     async def _step(self) -> float:
@@ -84,14 +88,16 @@
             self.on_snapshot(batch.items)
             self._revision = batch.revision
             return asked_ms
-        batch = await self.store.watch(self.prefix, self._revision, self.wait_ms)
+        # After a failure a long watch would only tell at its end that all is well.
+        wait_ms = _FIRST_WAIT_MS if self._has_failed else self.wait_ms
+        batch = await self.store.watch(self.prefix, self._revision, wait_ms)
         for item in batch.items:
             self.on_change(item)
         self._revision = max(self._revision, batch.revision)
         waited_ms = self.clock.now_ms() - asked_ms
         # An answer without changes was made when the wait had passed.
-        if not batch.items and waited_ms >= self.wait_ms:
-            return asked_ms + self.wait_ms
+        if not batch.items and waited_ms >= wait_ms:
+            return asked_ms + wait_ms
         return asked_ms
 
     def _note_away(self, reason: str) -> None:
--- a/celerypulley/stand_ins/fleet_store.py
+++ b/celerypulley/stand_ins/fleet_store.py
@@ -23,7 +23,8 @@
     `refuse_status` answers every call with that status; `silent` never answers;
     `delay_ms` slows every answer; `lose_writes` does the next writes but breaks the
     connection instead of an answer; `late_writes` breaks it first and does them
-    `late_ms` later, if their condition still holds.
+    `late_ms` later, if their condition still holds. `mute_watches` lets watches hear
+    nothing of changes.
     """
 
     refuse_status: int = 0
@@ -32,6 +33,7 @@
     lose_writes: int = 0
     late_writes: int = 0
     late_ms: float = 50.0
+    mute_watches: bool = False
 
 
 @attrs.define
@@ -55,6 +57,7 @@
         self.history: list[tuple[int, str, dict]] = []
         self.forgotten = 0
         self.calls: list[str] = []
+        self.watch_waits_ms: list[int] = []
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write as an operator or a server would."""
@@ -182,7 +185,9 @@
 async def _watch(store: FleetStore, request: web.Request) -> tuple[int, dict]:
     prefix = request.query["pathPrefix"]
     after = int(request.query["after"])
-    until_ms = store.clock.now_ms() + int(request.query["waitMs"])
+    wait_ms = int(request.query["waitMs"])
+    store.watch_waits_ms.append(wait_ms)
+    until_ms = store.clock.now_ms() + wait_ms
     while True:
         store.expire()
         if after < store.forgotten:
@@ -190,7 +195,9 @@
         events = [
             event
             for revision, key, event in store.history
-            if revision > after and key.startswith(prefix)
+            if revision > after
+            and key.startswith(prefix)
+            and not store.faults.mute_watches
         ]
         if events or store.clock.now_ms() >= until_ms:
             return 200, {"events": events, "currentRev": store.revision}
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -258,6 +258,36 @@
         assert (await fleet.call("/safe/x")).status == 200
 
 
+async def test_version_that_no_watch_tells_comes_into_force():
+    """A service that drops its history tells watches nothing for a while."""
+    async with running_fleet() as fleet:
+        fleet.store.faults.mute_watches = True
+        fleet.put_state(desired_state(version=2, tenants=[]))
+        await until(lambda: fleet.hosts[0].holder.version == 2)
+
+
+async def test_first_watch_after_an_outage_is_answered_at_once():
+    async with running_fleet() as fleet:
+        host = fleet.hosts[0]
+        fleet.store.faults.refuse_status = 503
+        followers = (host.holder.follower, host.directory.follower)
+        await until(lambda: all(each.is_away for each in followers))
+        fleet.store.watch_waits_ms.clear()
+        fleet.store.faults.refuse_status = 0
+        await until(lambda: fleet.store.watch_waits_ms.count(1) >= len(followers))
+
+
+async def test_host_that_is_not_ready_sends_callers_to_other_hosts():
+    async with running_fleet() as fleet, aiohttp.ClientSession() as session:
+        host = fleet.hosts[0]
+        fleet.session = session
+        await until(lambda: host._was_ready)
+        assert "Connection" not in (await fleet.call("/open/x")).headers
+        host.directory.servers.clear()
+        await until(lambda: not host._was_ready)
+        assert (await fleet.call("/open/x")).headers["Connection"] == "close"
+
+
 async def test_keys_are_not_believed_longer_than_the_bound_allows():
     async with running_fleet() as fleet:
         host = fleet.hosts[0]
@@ -282,7 +312,7 @@
         host.datagrams.addresses["host-9"] = ("127.0.0.1", 3)
         assert host.is_ready()
         fleet.store.faults.refuse_status = 503
-        await until(lambda: host.holder.follower.is_away)
+        await until(lambda: host.holder.confirmer.is_away)
         assert not host.is_ready()
         assert fleet.hosts[1].is_ready()
 
