Count what the whole fleet knew of for a host's part of the rate only

Cause: a host that hears a part of the fleet held the window's whole count against that part of the limit.

Change: requests that were admitted before the silence began, which every host counted, weigh as much as the host's part; those admitted since weigh whole. What the parts admit together stays below the limit: sum of part x (limit - known).

Tests: test_fleet_that_divides_holds_the_limit_and_refuses_little (low demand refused before, the limit held at high demand with up to a second until the cut is noticed) and test_hosts_that_start_together_use_their_parts_before_they_hear_others; six cases fail on the code before.

--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -93,6 +93,11 @@
         silent_ms = self.clock.now_ms() - peer.heard_ms
         return silent_ms < (_MISSED_MESSAGES + 1) * self.period_ms()
 
+    def heard_ms(self, host: str) -> float:
+        """Return when a host was last heard; before all time if it never was."""
+        peer = self.peers.get(host)
+        return peer.heard_ms if peer else float("-inf")
+
     def unsecured_elsewhere(self, key: str) -> int:
         """Return what other hosts used of a budget and did not add to its counter.
 
--- a/celerypulley/hosts/fleet_meter.py
+++ b/celerypulley/hosts/fleet_meter.py
@@ -2,7 +2,8 @@
 
 Every host counts for an organisation its own requests at once and those of other
 hosts as it hears of them. A host that does not hear some members leaves them their
-part of the rate, so that parts of a divided fleet never exceed the whole.
+part of the rate, so that parts of a divided fleet never exceed the whole. What the
+whole fleet knew of before it was divided, each part counts for its own part only.
 """
 
 import asyncio
@@ -30,6 +31,22 @@
 _log = DecisionLog("meter")
 
 
+@attrs.frozen
+class _Share:
+    """What one host may use of a limit: the part of the fleet that it hears.
+
+    All members knew of what was admitted until `known_ms`, so each part of the fleet
+    counts its own part of that, and all of what it admitted since.
+    """
+
+    part: float
+    known_ms: float
+
+    def weight(self, at_ms: float) -> float:
+        """Return how much a request that was admitted at `at_ms` counts."""
+        return self.part if at_ms <= self.known_ms else 1.0
+
+
 @attrs.define(eq=False)
 class _Account:
     """One organisation's requests: those of the last window, and a long-run bucket.
@@ -51,6 +68,10 @@
         self.in_window += count
         self.tokens -= count
 
+    def counted(self, share: _Share) -> float:
+        """Return what counts against a share of the limit."""
+        return sum(count * share.weight(at_ms) for at_ms, count in self.recent)
+
     def settle(self, now_ms: float, window_ms: float, rule: OrganisationRule) -> None:
         """Forget what has left the window and add what has come in."""
         while self.recent and self.recent[0][0] <= now_ms - window_ms:
@@ -60,15 +81,16 @@
         self.updated_ms = now_ms
 
     def wait_ms(
-        self, now_ms: float, window_ms: float, limit: float, rate_per_s: float
+        self, now_ms: float, window_ms: float, rule: OrganisationRule, share: _Share
     ) -> float:
         """Return how long the next request has to wait."""
+        rate_per_s = rule.rate_per_s * share.part
         wait_ms = max(0.0, (1.0 - self.tokens) / rate_per_s * 1000)
-        excess = self.in_window + 1.0 - limit
+        excess = self.counted(share) + 1.0 - _limit(rule, window_ms) * share.part
         for at_ms, count in self.recent:
             if excess <= 0.0:
                 break
-            excess -= count
+            excess -= count * share.weight(at_ms)
             wait_ms = max(wait_ms, at_ms + window_ms - now_ms)
         return wait_ms if excess <= 0.0 else window_ms
 
@@ -133,36 +155,35 @@
         """Count one request and return 0, or return the time to wait in ms."""
         if rule.rate_per_s > 0:
             now_ms = self.clock.now_ms()
-            part = self.heard_part()
-            limit = _limit(rule, self.window_ms) * part
+            share = self._share()
             account = self._account(rule)
             account.settle(now_ms, self.window_ms, rule)
-            wait_ms = account.wait_ms(
-                now_ms, self.window_ms, limit, rule.rate_per_s * part
-            )
+            wait_ms = account.wait_ms(now_ms, self.window_ms, rule, share)
             if wait_ms > 0.0:
                 return max(wait_ms, _MIN_WAIT_MS)
             account.note(now_ms, 1.0)
             account.untold += 1
-            self._tell_early(rule.name, account, limit)
+            left = _limit(rule, self.window_ms) * share.part - account.counted(share)
+            self._tell_early(rule.name, account, left)
         self.admitted[rule.name] = self.admitted.get(rule.name, 0) + 1
         return 0.0
 
     def _refuse(self, rule: OrganisationRule, wait_ms: float) -> None:
         self.refused += 1
         account = self._account(rule)
-        part = self.heard_part()
-        limit = _limit(rule, self.window_ms) * part
+        share = self._share()
+        limit = _limit(rule, self.window_ms) * share.part
         raise CallRefusedError(
             Refusal(
                 ErrorKind.RATE_EXCEEDED,
-                f"{rule.name} has {account.in_window:.0f} of {limit:.0f} in its "
-                f"window, {account.tokens:.0f} left, heard {part:.2f} of the fleet",
+                f"{rule.name} has {account.counted(share):.0f} of {limit:.0f} in its "
+                f"window, {account.tokens:.0f} left, "
+                f"heard {share.part:.2f} of the fleet",
                 retry_after_s=round(wait_ms / 1000, 2),
             )
         )
 
-    def _tell_early(self, organisation: str, account: _Account, limit: float) -> None:
+    def _tell_early(self, organisation: str, account: _Account, left: float) -> None:
         """Tell the others soon where hosts together might fill what is left untold.
 
         An organisation's requests come to a few hosts; those that are known to
@@ -171,7 +192,6 @@
         if self.gossip is None:
             return
         spenders = 1 + len(self._spenders.get(organisation, ()))
-        left = max(0.0, limit - account.in_window)
         if account.untold >= max(_UNTOLD_MIN, left / 2 / spenders):
             self.gossip.tell_soon()
 
@@ -183,11 +203,18 @@
 
     def heard_part(self) -> float:
         """Return the part of the fleet that this host hears, itself included."""
+        return self._share().part
+
+    def _share(self) -> _Share:
         if self.gossip is None:
-            return 1.0
+            return _Share(1.0, self.clock.now_ms())
         members = self.gossip.members
-        heard = sum(self.gossip.heard_lately(host) for host in members)
-        return heard / max(1, len(members))
+        silent = [host for host in members if not self.gossip.heard_lately(host)]
+        if not silent:
+            return _Share(1.0, self.clock.now_ms())
+        known_ms = min(self.gossip.heard_ms(host) for host in silent)
+        part = (len(members) - len(silent)) / len(members)
+        return _Share(part, max(known_ms, self._started_ms))
 
     def _account(self, rule: OrganisationRule) -> _Account:
         account = self._accounts.get(rule.name)
--- a/tests/test_fleet_meter.py
+++ b/tests/test_fleet_meter.py
@@ -27,11 +27,15 @@
 
     members: dict
     silent: set
+    silent_since_ms: float = float("-inf")
     hurries: int = 0
 
     def heard_lately(self, host: str) -> bool:
         return host not in self.silent
 
+    def heard_ms(self, host: str) -> float:
+        return self.silent_since_ms
+
     def tell_soon(self) -> None:
         self.hurries += 1
 
@@ -123,6 +127,58 @@
     assert most_in_window(admitted) <= MOST_IN_WINDOW
 
 
+@pytest.mark.parametrize("blind_ms", [0, 250, 1_000])
+@pytest.mark.parametrize("cut_off", [{0}, {0, 1}, {0, 1, 2}])
+@pytest.mark.parametrize(("demand_per_s", "refused_part"), [(10, 0.0), (600, 1.0)])
+def test_fleet_that_divides_holds_the_limit_and_refuses_little(
+    cut_off, blind_ms, demand_per_s, refused_part
+):
+    """Both parts go on from what all knew; `blind_ms` passes before they notice."""
+    clock = ManualClock()
+    fleet = meters(6, clock)
+    draw = random.Random(blind_ms + len(cut_off))
+    told: dict = {}
+    admitted: list[float] = []
+    refused = 0
+    cut_ms = clock.now + 7_000.0
+    for number in range(6):
+        tell(fleet, told, number, set())
+    for step in range(1_500):
+        clock.move(10.0)
+        is_cut = clock.now >= cut_ms
+        if is_cut and clock.now >= cut_ms + blind_ms:
+            _divide(fleet, cut_off, cut_ms)
+        for meter in fleet:
+            if draw.random() < demand_per_s / 100 / 6:
+                refused += not take(meter, clock.now, admitted)
+        for number, meter in enumerate(fleet):
+            if meter.gossip.hurries or step % 25 == number:
+                meter.gossip.hurries = 0
+                tell(fleet, told, number, _others(number, cut_off) if is_cut else set())
+    assert most_in_window(admitted) <= MOST_IN_WINDOW
+    assert refused <= refused_part * (refused + len(admitted))
+
+
+def _others(number: int, cut_off: set) -> set:
+    return set(range(6)) - cut_off if number in cut_off else cut_off
+
+
+def _divide(fleet: list[FleetMeter], cut_off: set, since_ms: float) -> None:
+    for number, meter in enumerate(fleet):
+        meter.gossip.silent = {f"host-{each}" for each in _others(number, cut_off)}
+        meter.gossip.silent_since_ms = since_ms
+
+
+def test_hosts_that_start_together_use_their_parts_before_they_hear_others():
+    clock = ManualClock()
+    fleet = meters(6, clock)
+    _divide(fleet, {0}, float("-inf"))
+    admitted: list[float] = []
+    for meter in fleet:
+        meter._started_ms = clock.now
+        assert take(meter, clock.now, admitted)
+
+
 def test_host_that_starts_supposes_that_most_was_spent():
     clock = ManualClock()
     (meter,) = meters(1, clock)
