Find turns without waiting for silent keepers; tell callers to come back when it helps

Programs in a zone that is cut off failed because callers came back after 0.5 s, three times, while the balancer leads them elsewhere only after some 3 s.

Change: the first keeper that has a record answers for all; far ones are asked after 40 ms; questions that nobody waits for go on, so that a silent connection is noticed. An emptied keeper ends its lease (KeyValueStore.end_lease). Refusals of a host that is not ready carry a Retry-After of the balancer's time, those for a silent home one second.

Tests: test_turn_is_found_without_waiting_for_a_silent_keeper, the Retry-After in test_host_that_is_not_ready_sends_callers_to_other_hosts and the registration in test_emptied_keeper_hands_its_turns_over_and_takes_no_more fail on the code before; a contract test for end_lease.

--- a/celerypulley/hosts/budget_desk.py
+++ b/celerypulley/hosts/budget_desk.py
@@ -9,7 +9,7 @@
 import attrs
 
 from celerypulley.decision_log import DecisionLog
-from celerypulley.errors import CallRefusedError, ErrorKind
+from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.failure_domains.placement import rendezvous
 from celerypulley.hosts.budget_escrow import BudgetEscrow, Reservation
 from celerypulley.hosts.fleet_gossip import FleetGossip
@@ -19,6 +19,8 @@
 
 _RESERVE = "reserve"
 _SETTLE = "settle"
+# A home that is down is not heard any more after four periods of 250 ms.
+_SILENT_HOME_RETRY_S = 1.0
 _log = DecisionLog("budget-desk")
 
 
@@ -87,9 +89,12 @@
             return await self._ask(home, organisation, program, budget, most)
         except NoReplyError as error:
             _log.write("asked in vain", str(error), program=program)
-            raise CallRefusedError.of(
-                ErrorKind.STATE_UNREACHABLE, f"home {home} is heard and says nothing"
-            ) from error
+            refusal = Refusal(
+                ErrorKind.STATE_UNREACHABLE,
+                f"home {home} is heard and says nothing",
+                retry_after_s=_SILENT_HOME_RETRY_S,
+            )
+            raise CallRefusedError(refusal) from error
 
     async def _ask(
         self, home: str, organisation: str, program: str, budget: int, most: int
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -11,7 +11,7 @@
 from celerypulley.clock import Clock
 from celerypulley.contracts.desired_state import CallerLimits, DesiredState
 from celerypulley.decision_log import DecisionLog
-from celerypulley.errors import Refusal
+from celerypulley.errors import Refusal, RunState
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.admission import Admission
 from celerypulley.hosts.budget_desk import BudgetDesk
@@ -227,7 +227,14 @@
         )
 
     async def _run(self, request: OpaqueRequest, sink: ForwardSink) -> Refusal | None:
-        return await self.forwarder.run(request, sink)
+        refusal = await self.forwarder.run(request, sink)
+        if refusal is None or self._was_ready or refusal.run is not RunState.NOT_RUN:
+            return refusal
+        if refusal.retry_after_s is None:
+            return refusal
+        # Callers who come back sooner are led to hosts like this one.
+        retry_after_s = max(refusal.retry_after_s, _LEAVE_BALANCER_MS / 1000)
+        return attrs.evolve(refusal, retry_after_s=retry_after_s)
 
     def is_ready(self) -> bool:
         """Return whether new connections should come to this host."""
--- a/celerypulley/hosts/fleet_members.py
+++ b/celerypulley/hosts/fleet_members.py
@@ -74,6 +74,7 @@
         self.on_change: list[Callable[[], None]] = []
         self.clock = clock
         self._lease = 0
+        self._is_leaving = False
         self._renewed_ms = float("-inf")
         self._count(me)
         self.follower = PrefixFollower(
@@ -152,7 +153,7 @@
 
     @Service.task
     async def _stay_registered(self) -> None:
-        while not self.should_stop:
+        while not self.should_stop and not self._is_leaving:
             asked_ms = self.clock.now_ms()
             try:
                 if self._lease:
@@ -188,3 +189,13 @@
         self.me = me
         if self._lease:
             await self._write_entry()
+
+    async def leave(self) -> None:
+        """End this process's registration for good.
+
+        Raise StoreUnavailableError where that is not known yet.
+        """
+        self._is_leaving = True
+        if self._lease:
+            await self.store.end_lease(self._lease)
+        _log.write("left", "this process is not needed any more", member=self.me.name)
--- a/celerypulley/hosts/keeper_pool.py
+++ b/celerypulley/hosts/keeper_pool.py
@@ -1,6 +1,7 @@
 """The keepers of turn records as a host sees them: which to write to, which to ask."""
 
 import asyncio
+from collections.abc import Iterable
 
 import attrs
 
@@ -52,6 +53,7 @@
         self.clock = clock
         self._links: dict[str, KeeperLink] = {}
         self._rests_until_ms: dict[str, float] = {}
+        self._late: set[asyncio.Task] = set()
 
     def _link(self, keeper: FleetMember) -> KeeperLink:
         address = (keeper.ip, keeper.port)
@@ -131,8 +133,7 @@
                 if self._are_enough(kept):
                     return True
         finally:
-            for task in pending:
-                task.cancel()
+            self._let_end(pending)
         return False
 
     def _are_enough(self, keepers: list[FleetMember]) -> bool:
@@ -140,22 +141,42 @@
         return len(keepers) >= self.copies and len(domains) >= _MIN_DOMAINS
 
     async def find(self, key: str) -> ChainAnswer:
-        """Return what the keepers know of the chain that ends with `key`."""
+        """Return what the keepers know of the chain that ends with `key`.
+
+        Near keepers are asked first. The first that has the record answers for all;
+        only if none has it are all answers waited for.
+        """
         keepers = self.members.of_kind(KEEPER)
         near = [each for each in keepers if each.domain == self.domain]
         far = [each for each in keepers if each.domain != self.domain]
+        pending = self._ask_all(near, key)
         answers: list[object] = []
-        for group in (near, far):
-            asked = [self._ask(each, GetChain(key)) for each in group]
-            answers += await asyncio.gather(*asked)
-            best = _best(answers)
-            if best is not None:
-                return ChainAnswer(True, best.parts, best.missing, True)
+        try:
+            while pending or far:
+                done, pending = await _first_of(pending, _HEDGE_MS)
+                answers += [task.result() for task in done]
+                best = _best(answers)
+                if best is not None:
+                    return ChainAnswer(True, best.parts, best.missing, True)
+                if far and (not pending or not done):
+                    pending |= self._ask_all(far, key)
+                    far = []
+        finally:
+            self._let_end(pending)
         sure = bool(keepers) and all(
             isinstance(each, KeptChain) and each.is_complete for each in answers
         )
         return ChainAnswer(False, [], key, sure)
 
+    def _ask_all(self, keepers: list[FleetMember], key: str) -> set[asyncio.Task]:
+        return {asyncio.create_task(self._ask(each, GetChain(key))) for each in keepers}
+
+    def _let_end(self, pending: Iterable[asyncio.Task]) -> None:
+        """Let questions end that nobody waits for: silence shows a bad connection."""
+        for task in pending:
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+
     async def _ask(self, keeper: FleetMember, question: object) -> object:
         """Return a keeper's answer, or None where it gave none."""
         try:
@@ -171,6 +192,17 @@
             link.close()
 
 
+async def _first_of(
+    pending: set[asyncio.Task], timeout_ms: float
+) -> tuple[set[asyncio.Task], set[asyncio.Task]]:
+    """Return the tasks that are done and those that are not, when some are or late."""
+    if not pending:
+        return set(), set()
+    return await asyncio.wait(
+        pending, timeout=timeout_ms / 1000, return_when=asyncio.FIRST_COMPLETED
+    )
+
+
 def _best(answers: list[object]) -> KeptChain | None:
     best = None
     for answer in answers:
--- a/celerypulley/hosts/record_keeper.py
+++ b/celerypulley/hosts/record_keeper.py
@@ -121,9 +121,10 @@
             link.close()
 
     async def empty(self) -> None:
-        """Hand every record to the other keepers; return when they have them.
+        """Hand every record to the other keepers, and leave the members.
 
-        New records are refused from the beginning on.
+        New records are refused from the beginning on. Hosts would ask a keeper that is
+        gone but still registered for every turn, and wait.
         """
         self.is_leaving = True
         closed = attrs.evolve(self.members.me, is_open=False)
@@ -131,6 +132,7 @@
             try:
                 await self.members.change(closed)
                 handed = await self._hand_over()
+                await self.members.leave()
             except (KeeperLinkError, StoreUnavailableError, LeaseGoneError) as error:
                 _log.write("not empty yet", str(error))
                 await asyncio.sleep(_RETRY_S)
--- a/celerypulley/links/key_value.py
+++ b/celerypulley/links/key_value.py
@@ -110,3 +110,6 @@
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raise LeaseGoneError where it has ended."""
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease with its keys; one that has ended already does no harm."""
--- a/celerypulley/platform/store.py
+++ b/celerypulley/platform/store.py
@@ -106,6 +106,10 @@
         if status == 404:
             raise LeaseGoneError(f"lease {lease} has ended")
 
+    async def end_lease(self, lease: int) -> None:
+        """End a lease with its keys; one that has ended already does no harm."""
+        await self._call("DELETE", f"/kv-lease-end/{lease}")
+
     async def _call(
         self,
         method: str,
--- a/celerypulley/stand_ins/fleet_store.py
+++ b/celerypulley/stand_ins/fleet_store.py
@@ -116,7 +116,11 @@
         }
         for lease in ended:
             del self.leases[lease]
-        gone = [key for key, row in self.rows.items() if row.lease in ended]
+        self.end_keys(ended)
+
+    def end_keys(self, leases: set[int]) -> None:
+        """Remove the keys of leases."""
+        gone = [key for key, row in self.rows.items() if row.lease in leases]
         if gone:
             self._apply([], gone)
 
@@ -145,6 +149,7 @@
     add("POST", "/kv-txn", _handler(store, _write))
     add("POST", "/kv-lease", _handler(store, _grant))
     add("POST", "/kv-keep/{lease}", _handler(store, _keep))
+    add("DELETE", "/kv-lease-end/{lease}", _handler(store, _end))
     return app
 
 
@@ -240,3 +245,11 @@
     ttl_ms, _ = store.leases[lease]
     store.leases[lease] = (ttl_ms, store.clock.now_ms())
     return 200, {"ttlMs": ttl_ms}
+
+
+async def _end(store: FleetStore, request: web.Request) -> tuple[int, dict]:
+    lease = int(request.match_info["lease"])
+    if store.leases.pop(lease, None) is None:
+        return 404, {}
+    store.end_keys({lease})
+    return 200, {}
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -285,7 +285,10 @@
         assert "Connection" not in (await fleet.call("/open/x")).headers
         host.directory.servers.clear()
         await until(lambda: not host._was_ready)
-        assert (await fleet.call("/open/x")).headers["Connection"] == "close"
+        answer = await fleet.call("/open/x")
+        assert (answer.status, answer.headers["Connection"]) == (503, "close")
+        # The balancer leads callers elsewhere after two misses, a second apart.
+        assert float(answer.headers["Retry-After"]) > 2.0
 
 
 async def test_keys_are_not_believed_longer_than_the_bound_allows():
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -15,6 +15,7 @@
 from celerypulley.hosts.keeper_pool import KeeperPool
 from celerypulley.hosts.record_shelf import RecordShelf, TurnRecord
 from celerypulley.hosts.turn_archive import EndedTurn, TurnArchive
+from celerypulley.links.keeper_messages import NotKept
 from celerypulley.links.key_value import StoreUnavailableError
 from celerypulley.platform.store import PlatformStore
 from celerypulley.stand_ins.fleet_store import FleetStore
@@ -238,9 +239,30 @@
             await disks.save(number)
         leaving = disks.keepers["keeper-a"]
         await leaving.keeper.empty()
-        await until(lambda: not disks.members.others["keeper-a"].is_open)
+        await until(lambda: "keeper-a" not in disks.members.others)
         await disks.save(6)
         assert disks.holders(6) == {"keeper-b", "keeper-c"}
         await disks.stop("keeper-a", wipe=True)
         for number in range(1, 7):
             assert disks.holders(number) == {"keeper-b", "keeper-c"}
+
+
+@pytest.mark.parametrize(
+    ("silent", "holder"), [("keeper-a", "keeper-b"), ("keeper-b", "keeper-c")]
+)
+async def test_turn_is_found_without_waiting_for_a_silent_keeper(
+    tmp_path, silent, holder
+):
+    async with running_disks(tmp_path) as disks:
+        await disks.keepers[holder].shelf.put([record(1)])
+        release = asyncio.Event()
+
+        async def say_nothing(_question: object) -> object:
+            await release.wait()
+            return NotKept("too late")
+
+        disks.keepers[silent].server.answer = say_nothing
+        assert (await disks.pool.find("turns/o/1")).found
+        assert silent not in disks.pool._rests_until_ms
+        await until(lambda: silent in disks.pool._rests_until_ms)
+        release.set()
--- a/tests/test_key_value_store.py
+++ b/tests/test_key_value_store.py
@@ -90,6 +90,18 @@
             await kv.watch("p/", 1, 30)
 
 
+async def test_lease_that_is_ended_takes_its_keys_along():
+    async with client() as (kv, store):
+        lease = await kv.grant_lease(5_000)
+        await kv.write([Write("m/1", b"here", lease=lease), Write("m/2", b"stays")])
+        await kv.end_lease(lease)
+        assert await kv.read("m/1") is None
+        assert await kv.read("m/2") is not None
+        await kv.end_lease(lease)
+        with pytest.raises(LeaseGoneError):
+            await kv.renew_lease(lease)
+
+
 async def test_keys_of_a_lease_end_with_it():
     async with client() as (kv, store):
         lease = await kv.grant_lease(5_000)
