Let a home go on without the store only while most of the fleet hears it

Cause, found by reading (no run shows it): a home counted the hosts that it hears. Where messages are lost in one direction only, the others do not hear it, go to the store, and both spend the same tokens. What a home used without the store was told at the next message, up to 250 ms later, so a killed home could take it along.

Change: each message names the members that its sender misses, after two periods, while the sender itself acts on silence after four; a home leads only where most hear it. What is used without the store is told within 25 ms, before the turn's first token. Removed: FleetMembers.on_change, which nobody listened to. A turn that cannot be kept because of its name leaves a line.

--- a/celerypulley/hosts/budget_escrow.py
+++ b/celerypulley/hosts/budget_escrow.py
@@ -96,12 +96,14 @@
         clock: Clock,
         unsecured_elsewhere: Callable[[str], int] = lambda _key: 0,
         may_lead: Callable[[], bool] = lambda: True,
+        tell_soon: Callable[[], None] = lambda: None,
     ) -> None:
         """Take parts of budgets through `store`."""
         self.store = store
         self.clock = clock
         self.unsecured_elsewhere = unsecured_elsewhere
         self.may_lead = may_lead
+        self.tell_soon = tell_soon
         self._pools: OrderedDict[str, _Pool] = OrderedDict()
         self._owing: set[str] = set()
         self._away_until_ms = float("-inf")
@@ -247,6 +249,7 @@
             _refuse(key, pool, budget, most)
         pool.unsecured += missing
         self._owing.add(key)
+        self.tell_soon()
         _log.write("unsecured", reason, program=key, tokens=missing)
 
     async def secure(self) -> None:
--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -23,6 +23,9 @@
 _MIN_PERIOD_MS = 25.0  # a host that spends fast speaks at most this often
 _PERIOD_MS_PER_PEER = 8.0  # larger fleets speak less often: messages grow with n
 _MISSED_MESSAGES = 3
+# A host tells that it misses another before it acts on that, so that the other one
+# stops to lead first, also where messages are lost in one direction only.
+_MISSED_BEFORE_TOLD = 1
 _TOLD_TIMES = 4  # as many messages in a row as may be missing, and one
 _WHOLE_EVERY = 20  # a host that has just started hears all totals within seconds
 _ORPHANED_MS = 120_000.0  # twice the longest time that turns are kept, 60 s
@@ -36,7 +39,7 @@
     `admitted` are totals since its start by organisation, `in_flight` its calls
     under way by server, `strikes` its lost servers by request fingerprint.
     `unsecured` are tokens that it used while the store was away, by budget. Hosts
-    with the same `view` know the same members.
+    with the same `view` know the same members; `unheard` are those that it misses.
     """
 
     host: str
@@ -48,6 +51,7 @@
     strikes: dict[str, int] = attrs.Factory(dict)
     unsecured: dict[str, int] = attrs.Factory(dict)
     view: int = 0
+    unheard: frozenset[str] = frozenset()
 
 
 class FleetGossip(Service):
@@ -83,15 +87,15 @@
         """Return the time between two messages."""
         return max(_PERIOD_MS, _PERIOD_MS_PER_PEER * len(self.members))
 
-    def heard_lately(self, host: str) -> bool:
-        """Return whether at most three messages in a row of a host are missing."""
+    def heard_lately(self, host: str, missed: int = _MISSED_MESSAGES) -> bool:
+        """Return whether at most `missed` messages in a row of a host are missing."""
         if host == self.datagrams.host:
             return True
         peer = self.peers.get(host)
         if peer is None:
             return False
         silent_ms = self.clock.now_ms() - peer.heard_ms
-        return silent_ms < (_MISSED_MESSAGES + 1) * self.period_ms()
+        return silent_ms < (missed + 1) * self.period_ms()
 
     def heard_ms(self, host: str) -> float:
         """Return when a host was last heard; before all time if it never was."""
@@ -111,9 +115,10 @@
         return max(told, default=0)
 
     def leads(self) -> bool:
-        """Return whether more than half of the members are heard and agree on them.
+        """Return whether more than half of the members agree with this host on them.
 
-        At most one part of a divided fleet does.
+        They are heard, hear this host and know the same members. At most one part of a
+        divided fleet does.
         """
         agreeing = sum(self._agrees(host) for host in self.members)
         return agreeing * 2 > len(self.members)
@@ -121,7 +126,10 @@
     def _agrees(self, host: str) -> bool:
         if host == self.datagrams.host:
             return True
-        return self.heard_lately(host) and self.peers[host].view == self.read_view()
+        if not self.heard_lately(host):
+            return False
+        peer = self.peers[host]
+        return peer.view == self.read_view() and self.datagrams.host not in peer.unheard
 
     def silent_domains(self, domains: dict[str, str]) -> frozenset[str]:
         """Return the failure domains of members (`domains`) none of which is heard.
@@ -132,13 +140,15 @@
         return frozenset(set(domains.values()) - heard)
 
     def _take(self, host: str, payload: list) -> None:
-        start, number, admitted, in_flight, strikes, unsecured, view = payload
+        start, number, admitted, in_flight, strikes, unsecured, view, unheard = payload
         tables = (admitted, in_flight, strikes, unsecured)
         if not all(isinstance(table, dict) for table in tables):
             raise ValueError("counts are tables")
         if not isinstance(start, str) or not isinstance(number, int):
             raise ValueError("a start has a name, a message a number")
-        counts = (in_flight, strikes, unsecured, view)
+        if not isinstance(unheard, list):
+            raise ValueError("unheard members are a list")
+        counts = (in_flight, strikes, unsecured, view, frozenset(map(str, unheard)))
         known = self.peers.get(host)
         if known is not None and known.start == start:
             if number <= known.number:
@@ -177,9 +187,16 @@
         self._number += 1
         admitted, *counts = self.read_own()
         message = [self.datagrams.start_name, self._number]
-        message += [self._changed(admitted), *counts, self.read_view()]
+        message += [self._changed(admitted), *counts, self.read_view(), self._unheard()]
         self.datagrams.tell_all(_KIND, message)
 
+    def _unheard(self) -> list[str]:
+        return [
+            host
+            for host in self.members
+            if not self.heard_lately(host, _MISSED_BEFORE_TOLD)
+        ]
+
     def _changed(self, admitted: dict[str, int]) -> dict[str, int]:
         """Return the totals that changed in the last messages, now and then all.
 
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -115,7 +115,11 @@
         self.gossip.on_message += [self.meter.take_peer, self.directory.take_peer]
         self.holder.on_change.append(self.meter.take_desired_state)
         self.escrow = BudgetEscrow(
-            store, clock, self.gossip.unsecured_elsewhere, self._may_lead
+            store,
+            clock,
+            self.gossip.unsecured_elsewhere,
+            self._may_lead,
+            self.gossip.tell_soon,
         )
         self.watch = SilenceWatch(clock)
         pool = None
--- a/celerypulley/hosts/fleet_members.py
+++ b/celerypulley/hosts/fleet_members.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
 
 import attrs
 import msgpack
@@ -71,7 +70,6 @@
         self.others: dict[str, FleetMember] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
         self.domains: dict[str, str] = {}
-        self.on_change: list[Callable[[], None]] = []
         self.clock = clock
         self._lease = 0
         self._is_leaving = False
@@ -137,7 +135,6 @@
             ip=member.ip,
             is_open=member.is_open,
         )
-        self._tell_listeners()
 
     def _remove(self, name: str) -> None:
         if self.others.pop(name, None) is None:
@@ -145,11 +142,6 @@
         self.addresses.pop(name, None)
         self.domains.pop(name, None)
         _log.write("left", "its lease has ended", member=name)
-        self._tell_listeners()
-
-    def _tell_listeners(self) -> None:
-        for listener in self.on_change:
-            listener()
 
     @Service.task
     async def _stay_registered(self) -> None:
--- a/celerypulley/hosts/turn_archive.py
+++ b/celerypulley/hosts/turn_archive.py
@@ -108,6 +108,9 @@
         """Return when a turn is durable; the caller bounds the time."""
         key = _key(turn.organisation, turn.name)
         if key is None:
+            _log.write(
+                "not kept", "the turn's name is too long for a key", request=turn.name
+            )
             return
         kept_until_ms = self.clock.wall_ms() + turn.retain_ms + _KEEP_SLACK_MS
         previous = _key(turn.organisation, turn.previous) if turn.previous else ""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -221,6 +221,7 @@
     return (
         host.is_ready()
         and heard
+        and host.gossip.leads()
         and len(host.members.addresses) == len(fleet.hosts)
         and len(host.directory.servers) == len(fleet.servers)
     )
--- a/tests/test_budget_desk.py
+++ b/tests/test_budget_desk.py
@@ -67,9 +67,9 @@
     datagrams = FleetDatagrams("me", "127.0.0.1", 1, {"me": ("", 1), "h": ("", 2)})
     gossip = FleetGossip(datagrams, lambda: ({}, {}, {}, {}), lambda: 1, clock.clock)
     key = "budgets/o/p"
-    gossip._take("h", ["first", 1, {}, {}, {}, {key: 300}, 1])
+    gossip._take("h", ["first", 1, {}, {}, {}, {key: 300}, 1, []])
     assert gossip.unsecured_elsewhere(key) == 300
-    gossip._take("h", ["second", 1, {}, {}, {}, {}, 1])
+    gossip._take("h", ["second", 1, {}, {}, {}, {}, 1, []])
     assert gossip.unsecured_elsewhere(key) == 300
     assert isinstance(gossip.peers["h"], PeerCounts)
     clock.move(121_000.0)
@@ -77,29 +77,64 @@
 
 
 @pytest.mark.parametrize(
-    ("silent", "views", "leads"),
+    ("silent", "views", "deaf", "leads"),
     [
-        (set(), {}, True),
-        ({"h1"}, {}, True),
-        ({"h1", "h2"}, {}, True),
-        ({"h1", "h2", "h3"}, {}, False),
-        (set(), {"h1": 2, "h2": 2, "h3": 2}, False),
-        ({"h1"}, {"h2": 2}, True),
-        ({"h1"}, {"h2": 2, "h3": 2}, False),
+        (set(), {}, set(), True),
+        ({"h1"}, {}, set(), True),
+        ({"h1", "h2"}, {}, set(), True),
+        ({"h1", "h2", "h3"}, {}, set(), False),
+        (set(), {"h1": 2, "h2": 2, "h3": 2}, set(), False),
+        ({"h1"}, {"h2": 2}, set(), True),
+        ({"h1"}, {"h2": 2, "h3": 2}, set(), False),
+        (set(), {}, {"h1", "h2"}, True),
+        (set(), {}, {"h1", "h2", "h3"}, False),
+        ({"h1"}, {"h2": 2}, {"h3"}, False),
+    ],
+    ids=[
+        *("all", "one", "two", "three silent", "others know others", "4", "3"),
+        *("two hear nothing", "three hear nothing", "one of each"),
     ],
-    ids=["all", "one", "two", "three silent", "others know others", "4", "3"],
 )
-def test_only_a_host_on_which_most_agree_leads(silent, views, leads):
+def test_only_a_host_on_which_most_agree_leads(silent, views, deaf, leads):
     """A host whose lease ran out behind a cut is no member for the others any more."""
     clock = ManualClock()
     members = {"me": ("", 1), **{f"h{number}": ("", 2) for number in range(1, 5)}}
     datagrams = FleetDatagrams("me", "127.0.0.1", 1, members)
     gossip = FleetGossip(datagrams, lambda: ({}, {}, {}, {}), lambda: 1, clock.clock)
     for host in set(members) - {"me"} - silent:
-        gossip._take(host, ["s", 1, {}, {}, {}, {}, views.get(host, 1)])
+        unheard = ["me"] if host in deaf else []
+        gossip._take(host, ["s", 1, {}, {}, {}, {}, views.get(host, 1), unheard])
     assert gossip.leads() is leads
 
 
+def test_host_tells_that_it_misses_another_before_it_acts_on_that():
+    clock = ManualClock()
+    members = {"me": ("", 1), "h": ("", 2)}
+    datagrams = FleetDatagrams("me", "127.0.0.1", 1, members)
+    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}, {}), lambda: 1, clock.clock)
+    sent: list[list] = []
+    datagrams.tell_all = lambda _kind, message: sent.append(message)
+    gossip._take("h", ["s", 1, {}, {}, {}, {}, 1, []])
+    gossip.tell_once()
+    clock.move(2.1 * gossip.period_ms())
+    gossip.tell_once()
+    assert gossip.heard_lately("h")
+    assert [message[-1] for message in sent] == [[], ["h"]]
+
+
+async def test_what_is_used_without_the_store_is_told_at_once():
+    async with running_fleet(hosts=2) as fleet:
+        fleet.store.faults.refuse_status = 503
+        host, other = fleet.hosts
+        told: list[dict] = []
+        host.gossip.tell_soon = host.escrow.tell_soon = lambda: told.append(
+            host.escrow.unsecured()
+        )
+        await host.escrow.reserve("o", "p", BUDGET, MOST, is_home=True)
+        assert told == [{"budgets/o/p": MOST}]
+        await until(lambda: other.gossip.unsecured_elsewhere("budgets/o/p") == MOST)
+
+
 async def test_host_that_cannot_renew_its_lease_stops_to_lead():
     async with running_fleet(hosts=3) as fleet:
         host = fleet.hosts[0]
