Let a keeper that is emptied end its lease although an answer was lost

Found in the last read: after the end of its lease had been done but not answered, the next pass wrote the keeper's entry again, was told that the lease has ended, and began anew for ever, so the operator was never told that the machine is empty.

Test: test_emptied_keeper_hands_its_turns_over_and_takes_no_more with lost answers hangs on the code before.

--- a/celerypulley/hosts/fleet_members.py
+++ b/celerypulley/hosts/fleet_members.py
@@ -179,7 +179,7 @@
         Raise StoreUnavailableError or LeaseGoneError where that is not known yet.
         """
         self.me = me
-        if self._lease:
+        if self._lease and not self._is_leaving:
             await self._write_entry()
 
     async def leave(self) -> None:
--- a/celerypulley/stand_ins/fleet_store.py
+++ b/celerypulley/stand_ins/fleet_store.py
@@ -24,7 +24,8 @@
     `delay_ms` slows every answer; `lose_writes` does the next writes but breaks the
     connection instead of an answer; `late_writes` breaks it first and does them
     `late_ms` later, if their condition still holds. `mute_watches` lets watches hear
-    nothing of changes.
+    nothing of changes; `lose_lease_ends` ends the next leases without an
+    answer.
     """
 
     refuse_status: int = 0
@@ -34,6 +35,7 @@
     late_writes: int = 0
     late_ms: float = 50.0
     mute_watches: bool = False
+    lose_lease_ends: int = 0
 
 
 @attrs.define
@@ -249,7 +251,9 @@
 
 async def _end(store: FleetStore, request: web.Request) -> tuple[int, dict]:
     lease = int(request.match_info["lease"])
-    if store.leases.pop(lease, None) is None:
-        return 404, {}
+    is_known = store.leases.pop(lease, None) is not None
     store.end_keys({lease})
-    return 200, {}
+    if store.faults.lose_lease_ends > 0:
+        store.faults.lose_lease_ends -= 1
+        _break(request)
+    return (200 if is_known else 404), {}
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -233,12 +233,19 @@
         assert await disks.load(2) == b"in 1 out 1\nin 2 out 2\n"
 
 
-async def test_emptied_keeper_hands_its_turns_over_and_takes_no_more(tmp_path):
+# The client sends the call once more by itself where a kept connection ends.
+@pytest.mark.parametrize("lost_answers", [0, 2])
+async def test_emptied_keeper_hands_its_turns_over_and_takes_no_more(
+    tmp_path, lost_answers
+):
     async with running_disks(tmp_path) as disks:
         for number in range(1, 6):
             await disks.save(number)
         leaving = disks.keepers["keeper-a"]
-        await leaving.keeper.empty()
+        disks.store.faults.lose_lease_ends = lost_answers
+        emptying = asyncio.create_task(leaving.keeper.empty())
+        await until(emptying.done)
+        await emptying
         await until(lambda: "keeper-a" not in disks.members.others)
         await disks.save(6)
         assert disks.holders(6) == {"keeper-b", "keeper-c"}
