Look at the members once for each question who leads, and count windows at once

FleetGossip.leads made the digest of all members anew for each member, four times a second since readiness is watched; FleetMeter summed the window's entries at each request also where the whole fleet is heard, though the account keeps that sum. Answers stay the same.

--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -120,16 +120,17 @@
         They are heard, hear this host and know the same members. At most one part of a
         divided fleet does.
         """
-        agreeing = sum(self._agrees(host) for host in self.members)
+        view = self.read_view()
+        agreeing = sum(self._agrees(host, view) for host in self.members)
         return agreeing * 2 > len(self.members)
 
-    def _agrees(self, host: str) -> bool:
+    def _agrees(self, host: str, view: int) -> bool:
         if host == self.datagrams.host:
             return True
         if not self.heard_lately(host):
             return False
         peer = self.peers[host]
-        return peer.view == self.read_view() and self.datagrams.host not in peer.unheard
+        return peer.view == view and self.datagrams.host not in peer.unheard
 
     def silent_domains(self, domains: dict[str, str]) -> frozenset[str]:
         """Return the failure domains of members (`domains`) none of which is heard.
--- a/celerypulley/hosts/fleet_meter.py
+++ b/celerypulley/hosts/fleet_meter.py
@@ -70,6 +70,8 @@
 
     def counted(self, share: _Share) -> float:
         """Return what counts against a share of the limit."""
+        if share.part == 1.0:
+            return self.in_window
         return sum(count * share.weight(at_ms) for at_ms, count in self.recent)
 
     def settle(self, now_ms: float, window_ms: float, rule: OrganisationRule) -> None:
