Log what is known of a budget with each grant, and count overcommitted tokens

The logs of the incident could not tell a coordinator that forgot its own usage from one that never knew another's: `unrecorded` of a `granted` line was read after the write, when it is 0, and `granted without the store` had neither the budget nor the totals. The gauge budget_tokens_overcommitted rises when a counter is raised above a budget and one turn.

--- a/celerypulley/hosts/budget_escrow.py
+++ b/celerypulley/hosts/budget_escrow.py
@@ -88,7 +88,8 @@
     `unrecorded_on_other_hosts(key)` returns the tokens that other hosts used without
     the store and have not recorded yet. `may_coordinate()` tells whether this host, as
     coordinator, may reserve tokens without the store. `announce_soon()` is called when
-    unrecorded usage has grown.
+    unrecorded usage has grown. `overcommitted_tokens` counts the tokens by which this
+    host raised counters above a budget and one turn.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self.unrecorded_on_other_hosts = unrecorded_on_other_hosts
         self.may_coordinate = may_coordinate
         self.announce_soon = announce_soon
+        self.overcommitted_tokens = 0
         self._pools: OrderedDict[str, _Pool] = OrderedDict()
         self._unrecorded_keys: set[str] = set()
         self._store_unavailable_until_ms = float("-inf")
@@ -191,13 +193,14 @@
             total = pool.granted_to_all + grant_tokens + pool.unrecorded
             grant = _Grant(grant_tokens + pool.unrecorded, pool.unrecorded)
             if await self._write_counter(key, pool, mark, grant, total):
+                self.overcommitted_tokens += max(0, total - budget - max_tokens)
                 _log.write(
                     "granted",
                     "too few tokens left on this host for a turn",
                     program=key,
                     budget=budget,
                     tokens=grant_tokens,
-                    unrecorded=pool.unrecorded,
+                    unrecorded=grant.unrecorded,
                     unrecorded_on_other_hosts=unrecorded_on_others,
                     granted_to_all=total,
                     max_tokens=max_tokens,
@@ -260,15 +263,24 @@
     ) -> None:
         """Grant tokens without the store, up to the budget as known to this host."""
         missing = max_tokens - pool.available()
-        known_total = (
-            pool.granted_to_all + pool.unrecorded + self.unrecorded_on_other_hosts(key)
-        )
+        unrecorded_on_others = self.unrecorded_on_other_hosts(key)
+        known_total = pool.granted_to_all + pool.unrecorded + unrecorded_on_others
         if known_total >= budget:
             _refuse_exhausted(key, pool, budget, max_tokens)
         pool.unrecorded += missing
         self._unrecorded_keys.add(key)
         self.announce_soon()
-        _log.write("granted without the store", reason, program=key, tokens=missing)
+        _log.write(
+            "granted without the store",
+            reason,
+            program=key,
+            budget=budget,
+            tokens=missing,
+            unrecorded=pool.unrecorded,
+            unrecorded_on_other_hosts=unrecorded_on_others,
+            granted_to_all=pool.granted_to_all,
+            max_tokens=max_tokens,
+        )
 
     async def record_usage(self) -> None:
         """Add unrecorded usage to the counters; raise StoreUnavailableError."""
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -202,6 +202,7 @@
         gauges["rate_delays"] = lambda: self.meter.delayed
         gauges["rate_refusals"] = lambda: self.meter.refused
         gauges["requests_active"] = lambda: self.server.active
+        gauges["budget_tokens_overcommitted"] = lambda: self.escrow.overcommitted_tokens
 
     async def on_start(self) -> None:
         """Start all services; the server for callers comes last."""
