Subtract a coordinator's own unrecorded usage before it acquires a grant

Cause: a coordinator that had used tokens without the store computed what was left as budget - counter - usage of other hosts, without its own usage.

test_coordinator_overspends_after_an_outage failed before this change with 6 and 8 turns during the outage (800 tokens of 600 + 100), and passes now.

--- a/celerypulley/hosts/budget_escrow.py
+++ b/celerypulley/hosts/budget_escrow.py
@@ -185,8 +185,9 @@
                 return
             unrecorded_on_others = self.unrecorded_on_other_hosts(key)
             missing = max_tokens - pool.available()
-            remaining = budget - pool.granted_to_all - unrecorded_on_others
-            if pool.revision and remaining <= 0:
+            unrecorded = pool.unrecorded + unrecorded_on_others
+            remaining = budget - pool.granted_to_all - unrecorded
+            if remaining <= 0:
                 # The counter only grows, so an outdated total is enough to refuse.
                 _refuse_exhausted(key, pool, budget, max_tokens)
             grant_tokens = max(missing, min(remaining, wanted))
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -210,6 +210,22 @@
         assert 4 * MAX_TOKENS < spent <= BUDGET_TOKENS + MAX_TOKENS
 
 
+@pytest.mark.parametrize("turns_without_store", [1, 4, 6, 8])
+async def test_coordinator_overspends_after_an_outage(turns_without_store):
+    """Its own usage without the store counts before it is recorded."""
+    async with AsyncExitStack() as stack:
+        escrows = await _make_escrows(stack, 1)
+        escrows.store.faults.error_status = 503
+        spent = 0
+        for _ in range(turns_without_store):
+            spent += await escrows.reserve_turn(0)
+        escrows.store.faults.error_status = 0
+        escrows.escrows[0]._store_unavailable_until_ms = 0.0
+        for _ in range(20):
+            spent += await escrows.reserve_turn(0)
+        assert BUDGET_TOKENS <= spent <= BUDGET_TOKENS + MAX_TOKENS
+
+
 async def test_coordinator_in_a_minority_needs_the_store():
     async with AsyncExitStack() as stack:
         escrows = await _make_escrows(stack, 1)
