Spend tokens of a budget only out of grants that the store shows

Cause: a coordinator spent tokens without the store and recorded them later. Until then only the memory of processes held what it had spent, and only their view of who is reachable kept two of them from spending at once.

Change: a host spends only tokens that the counter in the store shows as granted to it, so a budget holds whoever is killed and whatever is cut. The recording, its gossip, the retained usage of restarted hosts and the rule for who may spend without the store are gone. A reservation whose requester gave up is returned.

The price is programs that begin while the whole store is away; where only some hosts lose the store, more programs are served.

Hosts of the former version drop the gossip of this one, and the reverse.

--- a/celerypulley/hosts/budget_coordinator.py
+++ b/celerypulley/hosts/budget_coordinator.py
@@ -1,16 +1,18 @@
 """Reserve token budgets of turns at the coordinator of their program.
 
-One host coordinates the budget of a program; which one follows from the program's name
-and the members, by rendezvous hashing. While the store is unavailable, only the
-coordinator reserves tokens, so that hosts never spend the same tokens twice.
+One host coordinates the budget of a program, so that few grants serve all its turns. It
+follows from the program's name and the reachable hosts, by rendezvous hashing. Hosts
+that choose different coordinators acquire separate grants, so that tokens may remain
+unused, but the budget holds.
 """
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
 
 from celerypulley.decision_log import DecisionLog
-from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
+from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.failure_domains.placement import rendezvous
 from celerypulley.hosts.budget_escrow import BudgetEscrow, Reservation
 from celerypulley.hosts.fleet_gossip import FleetGossip
@@ -20,8 +22,7 @@
 
 _RESERVE = "reserve"
 _SETTLE = "settle"
-# A coordinator that is down counts as unreachable after four gossip periods of 250 ms.
-_COORDINATOR_RETRY_S = 1.0
+_COORDINATORS = 2  # hosts that are tried before this one: the coordinator and a deputy
 _log = DecisionLog("budget-desk")
 
 
@@ -55,96 +56,95 @@
         self.escrow = escrow
         self.datagrams = datagrams
         self.gossip = gossip
-        self._remote_reservations: dict[tuple[str, int], Reservation] = {}
+        # None: the reservation is still being made.
+        self._remote_reservations: dict[tuple[str, int], Reservation | None] = {}
         self._last_number = 0
         datagrams.handlers[_RESERVE] = self._handle_reserve
         datagrams.handlers[_SETTLE] = self._handle_settle
 
-    def coordinator_of(self, program: str) -> str:
-        """Return the host that coordinates a program's budget."""
-        return rendezvous(program, list(self.gossip.members))
+    def hosts_to_try(self, program: str) -> list[str]:
+        """Return the hosts that may reserve tokens for a program, by preference.
+
+        The coordinator comes first, this host last.
+        """
+        own_name = self.datagrams.host
+        reachable = set(filter(self.gossip.is_reachable, self.gossip.members))
+        preferred: list[str] = []
+        while reachable and len(preferred) < _COORDINATORS:
+            host = rendezvous(program, reachable)
+            reachable.remove(host)
+            preferred.append(host)
+            if host == own_name:
+                return preferred
+        return [*preferred, own_name]
 
     async def reserve(
         self, organisation: str, program: str, budget: int, max_tokens: int
     ) -> TurnBudget:
         """Reserve `max_tokens` of a program's `budget` for one turn.
 
-        If the coordinator is unreachable, this host acquires its own grant from the
-        store. Raise CallRefusedError where the budget is exhausted or unreachable.
+        Raise CallRefusedError where the budget is exhausted, or where no host that is
+        tried has enough tokens or can acquire them.
         """
-        coordinator = self.coordinator_of(program)
-        own_name = self.datagrams.host
-        if coordinator == own_name:
-            reservation = await self.escrow.reserve(
-                organisation, program, budget, max_tokens, is_coordinator=True
-            )
-            return TurnBudget(max_tokens, reservation.release)
-        if self.gossip.is_reachable(coordinator):
-            return await self._reserve_at_coordinator(
-                coordinator, organisation, program, budget, max_tokens
-            )
-        reservation = await self.escrow.reserve(
-            organisation, program, budget, max_tokens, is_coordinator=False
-        )
-        return TurnBudget(max_tokens, reservation.release)
-
-    async def _reserve_at_coordinator(
+        *others, last = self.hosts_to_try(program)
+        for host in others:
+            try:
+                return await self._reserve_at(
+                    host, organisation, program, budget, max_tokens
+                )
+            except NoReplyError as error:
+                _log.write("coordinator did not reply", str(error), program=program)
+            except CallRefusedError as error:
+                if error.refusal.kind is not ErrorKind.STATE_UNREACHABLE:
+                    raise
+        return await self._reserve_at(last, organisation, program, budget, max_tokens)
+
+    async def _reserve_at(
         self,
-        coordinator: str,
+        host: str,
         organisation: str,
         program: str,
         budget: int,
         max_tokens: int,
     ) -> TurnBudget:
-        """Reserve at a reachable coordinator; raise CallRefusedError without a reply.
-
-        The coordinator may be spending tokens that the store's counter does not show
-        yet, so the store is no substitute for its reply.
-        """
-        try:
-            return await self._request_reservation(
-                coordinator, organisation, program, budget, max_tokens
-            )
-        except NoReplyError as error:
-            _log.write("coordinator did not reply", str(error), program=program)
-            refusal = Refusal(
-                ErrorKind.STATE_UNREACHABLE,
-                f"budget coordinator {coordinator} is reachable but did not reply",
-                retry_after_s=_COORDINATOR_RETRY_S,
+        """Reserve at one host; raise CallRefusedError, or NoReplyError at another."""
+        if host == self.datagrams.host:
+            reservation = await self.escrow.reserve(
+                organisation, program, budget, max_tokens
             )
-            raise CallRefusedError(refusal) from error
-
-    async def _request_reservation(
-        self,
-        coordinator: str,
-        organisation: str,
-        program: str,
-        budget: int,
-        max_tokens: int,
-    ) -> TurnBudget:
+            return TurnBudget(max_tokens, reservation.release)
         self._last_number += 1
         number = self._last_number
         instance_id = self.datagrams.instance_id
-        request = [instance_id, number, organisation, program, budget, max_tokens]
-        refusal = await self.datagrams.request(coordinator, _RESERVE, request)
-        if refusal:
-            kind, detail = refusal
-            raise CallRefusedError.of(ErrorKind(kind), f"{coordinator}: {detail}")
 
         def release(tokens: int) -> None:
-            self.datagrams.send(coordinator, _SETTLE, [instance_id, number, tokens])
+            self.datagrams.send(host, _SETTLE, [instance_id, number, tokens])
 
+        request = [instance_id, number, organisation, program, budget, max_tokens]
+        try:
+            refusal = await self.datagrams.request(host, _RESERVE, request)
+        except (NoReplyError, asyncio.CancelledError):
+            release(max_tokens)  # the tokens may be reserved all the same
+            raise
+        if refusal:
+            kind, detail = refusal
+            raise CallRefusedError.of(ErrorKind(kind), f"{host}: {detail}")
         return TurnBudget(max_tokens, release)
 
     async def _handle_reserve(self, _sender: str, request: list) -> list:
         instance_id, number, organisation, program, budget, max_tokens = request
+        self._remote_reservations[instance_id, number] = None
         try:
             reservation = await self.escrow.reserve(
-                organisation, program, budget, max_tokens, is_coordinator=True
+                organisation, program, budget, max_tokens
             )
         except CallRefusedError as error:
+            self._remote_reservations.pop((instance_id, number), None)
             return [error.refusal.kind.value, error.refusal.detail]
-        self._remote_reservations[instance_id, number] = reservation
+        if (instance_id, number) in self._remote_reservations:
+            self._remote_reservations[instance_id, number] = reservation
+        else:
+            reservation.release(max_tokens)  # settled while it was being made
         return []
 
     def _handle_settle(self, _sender: str, payload: list) -> None:
--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -28,7 +28,6 @@
 _MISSED_BEFORE_ANNOUNCED = 1
 _CHANGE_REPEATS = 4  # one more than the missed messages that are tolerated
 _FULL_EVERY_MESSAGES = 20  # a restarted host receives all totals within seconds
-_ORPHAN_RETENTION_MS = 120_000.0  # twice the longest retention of turns, 60 s
 _KIND = "counts"
 
 
@@ -38,9 +37,8 @@
 
     `number` counts the messages. `admitted` are totals of admitted requests since the
     start, by organisation; `in_flight` the current calls, by server; `crash_counts` the
-    numbers of servers lost, by request fingerprint; `unrecorded` the tokens used while
-    the store was unavailable, by budget. Hosts with the same `view` know the same
-    members; `unreachable` are the members from which the host receives nothing.
+    numbers of servers lost, by request fingerprint. Hosts with the same `view` know the
+    same members; `unreachable` are the members from which the host receives nothing.
     """
 
     host: str
@@ -50,7 +48,6 @@
     admitted: dict[str, int] = attrs.Factory(dict)
     in_flight: dict[str, int] = attrs.Factory(dict)
     crash_counts: dict[str, int] = attrs.Factory(dict)
-    unrecorded: dict[str, int] = attrs.Factory(dict)
     view: int = 0
     unreachable: frozenset[str] = frozenset()
 
@@ -64,14 +61,13 @@
     def __init__(
         self,
         datagrams: FleetDatagrams,
-        read_own_counts: Callable[[], tuple[dict, dict, dict, dict]],
+        read_own_counts: Callable[[], tuple[dict, dict, dict]],
         read_view: Callable[[], int],
         clock: Clock,
     ) -> None:
         """Send what `read_own_counts()` and `read_view()` return.
 
-        The counts are admitted requests, calls in flight, crashes and unrecorded
-        tokens, in this order.
+        The counts are admitted requests, calls in flight and crashes, in this order.
         """
         super().__init__()
         self.datagrams = datagrams
@@ -82,7 +78,6 @@
         self.on_message: list[Callable[[PeerCounts, PeerCounts | None], None]] = []
         self._number = 0
         self._recent_totals: deque[dict[str, int]] = deque(maxlen=_CHANGE_REPEATS)
-        self._orphaned_usage: dict[str, tuple[int, float]] = {}
         self._send_now = asyncio.Event()
         datagrams.handlers[_KIND] = self._on_counts
 
@@ -110,18 +105,6 @@
         peer = self.peers.get(host)
         return peer.received_ms if peer else float("-inf")
 
-    def unrecorded_on_other_hosts(self, key: str) -> int:
-        """Return the tokens of a budget that other hosts have not recorded yet.
-
-        A budget has one coordinator at a time, so the largest value is the newest.
-        What a host reported before it restarted counts for `_ORPHAN_RETENTION_MS`.
-        """
-        reported = [peer.unrecorded.get(key, 0) for peer in self.peers.values()]
-        orphaned, until_ms = self._orphaned_usage.get(key, (0, 0.0))
-        if self.clock.now_ms() < until_ms:
-            reported.append(orphaned)
-        return max(reported, default=0)
-
     def has_quorum(self) -> bool:
         """Return whether more than half of all hosts, including this one, agree.
 
@@ -156,11 +139,10 @@
             admitted,
             in_flight,
             crash_counts,
-            unrecorded,
             view,
             unreachable,
         ) = payload
-        tables = (admitted, in_flight, crash_counts, unrecorded)
+        tables = (admitted, in_flight, crash_counts)
         if not all(isinstance(table, dict) for table in tables):
             raise ValueError("counts must be dictionaries")
         if not isinstance(instance_id, str) or not isinstance(number, int):
@@ -170,7 +152,6 @@
         counts = (
             in_flight,
             crash_counts,
-            unrecorded,
             view,
             frozenset(map(str, unreachable)),
         )
@@ -187,10 +168,6 @@
 
     def _replace_counts(self, peer: PeerCounts, previous: PeerCounts | None) -> None:
         self.peers[peer.host] = peer
-        if previous is not None and previous.instance_id != peer.instance_id:
-            until_ms = self.clock.now_ms() + _ORPHAN_RETENTION_MS
-            for key, tokens in previous.unrecorded.items():
-                self._orphaned_usage[key] = (tokens, until_ms)
         for listener in self.on_message:
             listener(peer, previous)
 
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -33,7 +33,7 @@
 from celerypulley.links.fleet_datagrams import FleetDatagrams
 from celerypulley.links.forward_dialect import Dialect
 from celerypulley.links.forward_server import ForwardServer, ForwardSink
-from celerypulley.links.key_value import KeyValueStore, StoreUnavailableError
+from celerypulley.links.key_value import KeyValueStore
 from celerypulley.links.probe_server import ProbeServer
 from celerypulley.links.server_connection import ServerLinks
 from celerypulley.programs.opaque_request import OpaqueRequest
@@ -46,7 +46,6 @@
 # The balancer probes once a second and removes a host after two failed probes.
 _LEAVE_BALANCER_MS = 2_500.0
 _STOP_MARGIN_MS = 1_000.0  # between the last response and SIGKILL
-_RECORD_USAGE_PERIOD_S = 0.5
 _READINESS_PERIOD_S = 0.25  # the gossip period
 _SUMMARY_PERIOD_S = 10.0
 _log = DecisionLog("host")
@@ -123,13 +122,7 @@
             self.directory.on_peer_counts,
         ]
         self.desired_state.on_change.append(self.meter.on_desired_state)
-        self.escrow = BudgetEscrow(
-            store,
-            clock,
-            self.gossip.unrecorded_on_other_hosts,
-            self._may_coordinate,
-            self.gossip.announce_soon,
-        )
+        self.escrow = BudgetEscrow(store, clock)
         self.stall_monitor = StallMonitor(clock)
         pool = None
         if settings.has_storage_hosts:
@@ -235,22 +228,14 @@
         )
         return limits.max_body_bytes
 
-    def _may_coordinate(self) -> bool:
-        """Return whether this host may coordinate budgets without the store.
-
-        Its lease is valid, and a majority of hosts derives the same coordinators.
-        """
-        return self.members.is_registered() and self.gossip.has_quorum()
-
     def _peer_crash_counts(self) -> list[dict[str, int]]:
         return [peer.crash_counts for peer in self.gossip.peers.values()]
 
-    def _own_counts(self) -> tuple[dict, dict, dict, dict]:
+    def _own_counts(self) -> tuple[dict, dict, dict]:
         return (
             self.meter.totals_to_announce(),
             self.directory.in_flight(),
             dict(self.crash_counts.own_counts),
-            self.escrow.unrecorded_usage(),
         )
 
     async def _run(self, request: OpaqueRequest, sink: ForwardSink) -> Refusal | None:
@@ -314,15 +299,6 @@
             if not self.gossip.has_quorum():
                 self.desired_state.confirmer.poll_now()
 
-    @Service.task
-    async def _record_budget_usage(self) -> None:
-        while not self.should_stop:
-            await self.sleep(_RECORD_USAGE_PERIOD_S)
-            try:
-                await self.escrow.record_usage()
-            except StoreUnavailableError as error:
-                _log.write("budget usage not recorded", str(error))
-
     @Service.task
     async def _log_summary(self) -> None:
         while not self.should_stop:
--- a/celerypulley/hosts/fleet_members.py
+++ b/celerypulley/hosts/fleet_members.py
@@ -25,7 +25,6 @@
 STORAGE_HOST = "keeper"
 _WATCH_WAIT_MS = 20_000  # at most 30 s are allowed; changes arrive at once
 _LEASE_TTL_MS = 20_000  # the rate share of a host that died is unused for this long
-_LEASE_MARGIN_MS = 1_000.0  # clocks of host and store run at slightly different rates
 _RENEW_PERIOD_MS = 4_000  # two renewals may be lost before the lease expires
 _RETRY_MS = 300.0
 _log = DecisionLog("members")
@@ -78,7 +77,6 @@
         self.clock = clock
         self._lease = 0
         self._is_deregistering = False
-        self._renewed_ms = float("-inf")
         self._index_host(own_member)
         self.follower = PrefixFollower(
             "members",
@@ -94,11 +92,6 @@
         """Return the other members of a kind, HOST or STORAGE_HOST."""
         return [each for each in self.others.values() if each.kind == kind]
 
-    def is_registered(self) -> bool:
-        """Return whether the lease of this process is certainly still valid."""
-        age_ms = self.clock.now_ms() - self._renewed_ms
-        return age_ms < _LEASE_TTL_MS - _LEASE_MARGIN_MS
-
     def view_digest(self) -> int:
         """Return a checksum of the known hosts, the same for the same view."""
         return zlib.crc32("\0".join(sorted(self.addresses)).encode())
@@ -151,7 +144,6 @@
     @Service.task
     async def _maintain_registration(self) -> None:
         while not self.should_stop and not self._is_deregistering:
-            requested_ms = self.clock.now_ms()
             try:
                 if self._lease:
                     await self.store.renew_lease(self._lease)
@@ -166,7 +158,6 @@
                 _log.write("registration failed", str(error))
                 await asyncio.sleep(_RETRY_MS / 1000)
                 continue
-            self._renewed_ms = requested_ms
             await self.sleep(_RENEW_PERIOD_MS / 1000)
 
     async def _write_entry(self) -> None:
--- a/tests/test_budget_coordinator.py
+++ b/tests/test_budget_coordinator.py
@@ -1,80 +1,138 @@
 """Budgets of programs if hosts cannot reach each other or the key-value store."""
 
-import attrs
-import msgpack
+import asyncio
+
+import aiohttp
 import pytest
 
+from celerypulley.clock import Clock
 from celerypulley.errors import CallRefusedError, ErrorKind
-from celerypulley.hosts.fleet_gossip import FleetGossip, PeerCounts
+from celerypulley.hosts.budget_coordinator import BudgetCoordinator
+from celerypulley.hosts.budget_escrow import BudgetEscrow
+from celerypulley.hosts.fleet_gossip import FleetGossip
 from celerypulley.links.fleet_datagrams import FleetDatagrams, NoReplyError
-from celerypulley.links.key_value import StoreUnavailableError
-from tests.fleet import BUDGET_TOKENS, MAX_TOKENS, running_fleet
+from celerypulley.platform.store import PlatformStore
+from tests.fleet import BUDGET_TOKENS, MAX_TOKENS, running_fleet, running_store
 from tests.harness import ManualClock, wait_until
 
 
-@attrs.define
-class _UnresponsiveCoordinator:
-    """Datagrams to a coordinator that never replies."""
+class _Datagrams(FleetDatagrams):
+    """Datagrams of which some requests get no reply, and those that were sent."""
 
-    request_count: int = 0
+    def __init__(self, silent_hosts: set[str], members: dict) -> None:
+        super().__init__("host-0", "127.0.0.1", 1, members)
+        self.silent_hosts = silent_hosts
+        self.requested: list[str] = []
+        self.sent: list[tuple[str, str, list]] = []
 
     async def request(self, host: str, kind: str, payload: list) -> list:
-        self.request_count += 1
-        raise NoReplyError(f"no reply from {host}")
+        self.requested.append(host)
+        if host in self.silent_hosts:
+            raise NoReplyError(f"no reply from {host}")
+        return []
+
+    def send(self, host: str, kind: str, payload: list) -> None:
+        self.sent.append((host, kind, payload))
+
+
+def _program_of(budgets: BudgetCoordinator, hosts: list[str]) -> str:
+    """Return a program for which `budgets` tries exactly these hosts."""
+    names = (f"p{number}" for number in range(1, 1_000))
+    return next(name for name in names if budgets.hosts_to_try(name) == hosts)
 
 
-@pytest.mark.parametrize("is_reachable", [True, False])
-async def test_store_is_used_only_if_the_coordinator_is_unreachable(
-    monkeypatch, is_reachable
+@pytest.mark.parametrize(
+    ("unreachable", "silent", "requested"),
+    [
+        (set(), set(), ["host-1"]),
+        (set(), {"host-1"}, ["host-1", "host-2"]),
+        (set(), {"host-1", "host-2"}, ["host-1", "host-2"]),
+        ({"host-1"}, set(), ["host-2"]),
+        ({"host-1", "host-2", "host-3"}, set(), []),
+    ],
+    ids=["coordinator", "deputy", "this host", "unreachable coordinator", "isolated"],
+)
+async def test_turn_is_lost_if_only_its_coordinator_fails(
+    unreachable, silent, requested
 ):
+    """Any host may acquire tokens, so another one takes over."""
+    members = {f"host-{number}": ("127.0.0.1", 1) for number in range(4)}
+    datagrams = _Datagrams(silent, members)
+    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}), lambda: 1, Clock())
+    async with running_store() as (_, address), aiohttp.ClientSession() as session:
+        escrow = BudgetEscrow(PlatformStore(address, session, 500.0), Clock())
+        budgets = BudgetCoordinator(escrow, datagrams, gossip)
+        gossip.is_reachable = lambda _host: True
+        program = _program_of(budgets, ["host-1", "host-2", "host-0"])
+        gossip.is_reachable = lambda host: host not in unreachable
+        turn = await budgets.reserve("o", program, BUDGET_TOKENS, MAX_TOKENS)
+        assert turn.max_tokens == MAX_TOKENS
+        assert datagrams.requested == requested
+        # The tokens that a silent host may have reserved are returned to it.
+        assert [(host, payload[2]) for host, _, payload in datagrams.sent] == [
+            (host, MAX_TOKENS) for host in requested if host in silent
+        ]
+
+
+async def test_hosts_that_cannot_reach_each_other_overspend():
+    """Each is its own coordinator then, and the store is the only thing they share."""
+    async with running_fleet(hosts=3) as fleet:
+        for host in fleet.hosts:
+            host.gossip.is_reachable = lambda name, own=host.datagrams.host: name == own
+        budgets = [host.forwarder.streams.budgets for host in fleet.hosts]
+        spent = 0
+        for number in range(30):
+            if number == 5:
+                fleet.store.faults.error_status = 503
+            if number == 15:
+                fleet.store.faults.error_status = 0
+                for host in fleet.hosts:
+                    host.escrow._next_attempt_ms = 0.0
+            try:
+                await budgets[number % 3].reserve("o", "p", BUDGET_TOKENS, MAX_TOKENS)
+            except CallRefusedError:
+                continue
+            spent += MAX_TOKENS
+        assert BUDGET_TOKENS <= spent <= BUDGET_TOKENS + MAX_TOKENS
+
+
+async def test_coordinator_without_the_store_refuses_a_turn_that_another_host_can_run():
+    async with running_fleet(hosts=3) as fleet:
+        for unavailable in fleet.hosts[1:]:
+            unavailable.escrow._is_store_unavailable = True
+            unavailable.escrow._next_attempt_ms = float("inf")
+        budgets = fleet.hosts[0].forwarder.streams.budgets
+        for number in range(20):
+            await budgets.reserve("o", f"p{number}", BUDGET_TOKENS, MAX_TOKENS)
+
+
+async def test_coordinator_replies_while_the_store_is_slow():
+    """Its reply comes before the requesting host gives up waiting."""
     async with running_fleet(hosts=2) as fleet:
         budgets = fleet.hosts[0].forwarder.streams.budgets
-        program = next(
-            name
-            for name in (f"p{number}" for number in range(1, 100))
-            if budgets.coordinator_of(name) == "host-1"
-        )
-        coordinator = _UnresponsiveCoordinator()
-        monkeypatch.setattr(budgets.datagrams, "request", coordinator.request)
-        monkeypatch.setattr(budgets.gossip, "is_reachable", lambda _host: is_reachable)
-        if not is_reachable:
-            await budgets.reserve("kiosks", program, BUDGET_TOKENS, MAX_TOKENS)
-            return
+        program = _program_of(budgets, ["host-1", "host-0"])
+        fleet.store.faults.hang = True
         with pytest.raises(CallRefusedError) as refused:
-            await budgets.reserve("kiosks", program, BUDGET_TOKENS, MAX_TOKENS)
+            await budgets._reserve_at("host-1", "o", program, 600, MAX_TOKENS)
         assert refused.value.refusal.kind is ErrorKind.STATE_UNREACHABLE
-        assert coordinator.request_count == 1
-
-
-async def test_coordinator_replies_while_a_slow_store_records_usage():
-    async with running_fleet() as fleet:
-        escrow = fleet.hosts[0].escrow
-        fleet.store.faults.error_status = 503
-        await escrow.reserve("o", "p", BUDGET_TOKENS, MAX_TOKENS, is_coordinator=True)
-        fleet.store.faults.error_status = 0
-        fleet.store.faults.delay_ms = 400.0
-        with pytest.raises(StoreUnavailableError):
-            await escrow.record_usage()
-        assert escrow.unrecorded_usage() == {"budgets/o/p": MAX_TOKENS}
-        fleet.store.faults.delay_ms = 0.0
-        await wait_until(lambda: escrow.unrecorded_usage() == {})
-        recorded, *_ = msgpack.unpackb(fleet.store.value("budgets/o/p"))
-        assert recorded == MAX_TOKENS
 
 
-def test_unrecorded_usage_counts_after_a_restart():
-    """A restarted host no longer announces the usage that it could not record."""
-    clock = ManualClock()
-    datagrams = FleetDatagrams("me", "127.0.0.1", 1, {"me": ("", 1), "h": ("", 2)})
-    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}, {}), lambda: 1, clock.clock)
-    key = "budgets/o/p"
-    gossip._on_counts("h", ["first", 1, {}, {}, {}, {key: 300}, 1, []])
-    assert gossip.unrecorded_on_other_hosts(key) == 300
-    gossip._on_counts("h", ["second", 1, {}, {}, {}, {}, 1, []])
-    assert gossip.unrecorded_on_other_hosts(key) == 300
-    assert isinstance(gossip.peers["h"], PeerCounts)
-    clock.advance(121_000.0)
-    assert gossip.unrecorded_on_other_hosts(key) == 0
+async def test_reservation_leaks_if_it_is_settled_while_it_is_made():
+    """The requesting host gave up before the coordinator had acquired the tokens."""
+    async with running_fleet(hosts=2) as fleet:
+        budgets = fleet.hosts[0].forwarder.streams.budgets
+        program = _program_of(budgets, ["host-1", "host-0"])
+        fleet.store.faults.delay_ms = 200.0
+        reserving = asyncio.create_task(
+            budgets.reserve("o", program, BUDGET_TOKENS, MAX_TOKENS)
+        )
+        coordinator = fleet.hosts[1].forwarder.streams.budgets
+        await wait_until(lambda: coordinator._remote_reservations)
+        reserving.cancel()
+        await wait_until(lambda: not coordinator._remote_reservations)
+        fleet.store.faults.delay_ms = 0.0
+        pool = fleet.hosts[1].escrow._pools[f"budgets/o/{program}"]
+        await wait_until(lambda: pool.granted > 0 and pool.used == 0)
 
 
 @pytest.mark.parametrize(
@@ -105,11 +163,11 @@
     clock = ManualClock()
     members = {"me": ("", 1), **{f"h{number}": ("", 2) for number in range(1, 5)}}
     datagrams = FleetDatagrams("me", "127.0.0.1", 1, members)
-    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}, {}), lambda: 1, clock.clock)
+    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}), lambda: 1, clock.clock)
     for host in set(members) - {"me"} - unreachable:
         unreachable_for_host = ["me"] if host in not_receiving else []
         gossip._on_counts(
-            host, ["s", 1, {}, {}, {}, {}, views.get(host, 1), unreachable_for_host]
+            host, ["s", 1, {}, {}, {}, views.get(host, 1), unreachable_for_host]
         )
     assert gossip.has_quorum() is has_quorum
 
@@ -119,42 +177,12 @@
     clock = ManualClock()
     members = {"me": ("", 1), "h": ("", 2)}
     datagrams = FleetDatagrams("me", "127.0.0.1", 1, members)
-    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}, {}), lambda: 1, clock.clock)
+    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}), lambda: 1, clock.clock)
     sent: list[list] = []
     datagrams.broadcast = lambda _kind, message: sent.append(message)
-    gossip._on_counts("h", ["s", 1, {}, {}, {}, {}, 1, []])
+    gossip._on_counts("h", ["s", 1, {}, {}, {}, 1, []])
     gossip.announce()
     clock.advance(2.1 * gossip.period_ms())
     gossip.announce()
     assert gossip.is_reachable("h")
     assert [message[-1] for message in sent] == [[], ["h"]]
-
-
-async def test_unrecorded_usage_is_announced_at_once():
-    async with running_fleet(hosts=2) as fleet:
-        fleet.store.faults.error_status = 503
-        host, other = fleet.hosts
-        announced: list[dict] = []
-        host.gossip.announce_soon = host.escrow.announce_soon = lambda: (
-            announced.append(host.escrow.unrecorded_usage())
-        )
-        await host.escrow.reserve(
-            "o", "p", BUDGET_TOKENS, MAX_TOKENS, is_coordinator=True
-        )
-        assert announced == [{"budgets/o/p": MAX_TOKENS}]
-        await wait_until(
-            lambda: other.gossip.unrecorded_on_other_hosts("budgets/o/p") == MAX_TOKENS
-        )
-
-
-async def test_host_that_cannot_renew_its_lease_loses_its_quorum():
-    async with running_fleet(hosts=3) as fleet:
-        host = fleet.hosts[0]
-        assert host._may_coordinate()
-        host.members._renewed_ms -= 19_500.0
-        assert not host._may_coordinate()
-        fleet.store.faults.error_status = 503
-        with pytest.raises(CallRefusedError):
-            await host.escrow.reserve(
-                "kiosks", "p", BUDGET_TOKENS, MAX_TOKENS, is_coordinator=True
-            )
--- a/tests/test_fleet_meter.py
+++ b/tests/test_fleet_meter.py
@@ -213,14 +213,14 @@
     sent: list[list] = []
     sender = FleetGossip(
         FleetDatagrams("a", "", 1, members),
-        lambda: (totals, {}, {}, {}),
+        lambda: (totals, {}, {}),
         lambda: 1,
         clock.clock,
     )
     sender.datagrams.broadcast = lambda _kind, message: sent.append(message)
     receiver = FleetGossip(
         FleetDatagrams("b", "", 2, members),
-        lambda: ({}, {}, {}, {}),
+        lambda: ({}, {}, {}),
         lambda: 1,
         clock.clock,
     )
--- a/tests/test_outside_bytes.py
+++ b/tests/test_outside_bytes.py
@@ -101,7 +101,7 @@
 def test_counts_of_another_form_are_dropped(payload, number):
     members = {"me": ("127.0.0.1", 1), "h": ("127.0.0.1", 2)}
     datagrams = FleetDatagrams("me", "127.0.0.1", 1, members)
-    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}, {}), lambda: 1, Clock())
+    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}), lambda: 1, Clock())
     raw = msgpack.packb(("counts", "h", number, payload))
     asyncio.run(_receive(datagrams, raw))
     assert gossip.peers == {}
