Accept a datagram's reply only in the start that sent the request

A host that restarts numbers its requests from 1 again, and replies were matched by number alone. A late reply to a request of the earlier start was taken for the reply to the new one, so a turn could run on tokens that no coordinator had reserved for it. Found by reading, no run shows it.

Replies now carry the instance of the requester, as requests do. test_reply_to_an_earlier_start_is_taken_for_a_reservation failed before (the request got the reply of the earlier start).

--- a/celerypulley/links/fleet_datagrams.py
+++ b/celerypulley/links/fleet_datagrams.py
@@ -27,9 +27,10 @@
 class FleetDatagrams(Service, asyncio.DatagramProtocol):
     """One UDP socket, with a handler for each kind of message.
 
-    A message is [kind, sender, number, payload]. A request is resent until its reply
-    arrives or it times out; the responder caches replies, so that it processes a
-    request once.
+    A message is [kind, sender, identifier, payload]. Only requests and their replies
+    have an identifier, the requester's instance and a number. A request is resent until
+    its reply arrives or it times out; the responder caches replies, so that it
+    processes a request once.
     """
 
     def __init__(
@@ -113,18 +114,18 @@
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Pass a message to its handler; drop one that cannot be decoded."""
         try:
-            kind, sender, number, payload = msgpack.unpackb(data)
+            kind, sender, identifier, payload = msgpack.unpackb(data)
             if kind == "reply":
-                self._receive_reply(number, payload)
+                self._receive_reply(identifier, payload)
                 return
             handler = self.handlers[kind]
         except (ValueError, KeyError, TypeError, msgpack.UnpackException) as error:
             _log.write("datagram dropped", f"unreadable: {error!r}", sender=addr[0])
             return
-        if number is None:
+        if identifier is None:
             self._handle_message(handler, sender, payload)
             return
-        request_id = (sender, *number)
+        request_id = (sender, *identifier)
         if request_id in self._cached_replies:
             self._send_reply(sender, self._cached_replies[request_id])
             return
@@ -144,13 +145,13 @@
     async def _handle_request(
         self, handler: Handler, request_id: tuple, payload: list
     ) -> None:
-        sender, _instance_id, number = request_id
+        sender, *identifier = request_id
         try:
             reply = await handler(sender, payload)
         except (ValueError, TypeError, AttributeError) as error:
             _log.write("request dropped", f"invalid payload: {error!r}", sender=sender)
             return
-        message = msgpack.packb(("reply", self.host, number, reply))
+        message = msgpack.packb(("reply", self.host, identifier, reply))
         self._cached_replies[request_id] = message
         self._send_reply(sender, message)
 
@@ -158,7 +159,10 @@
         if message is not None:
             self._send_packet(host, message)
 
-    def _receive_reply(self, number: int, payload: list) -> None:
+    def _receive_reply(self, identifier: list, payload: list) -> None:
+        """Store a reply; ignore one to a request of an earlier start of this host."""
+        instance_id, number = identifier
         reply = self._pending.get(number)
-        if reply is not None and not reply.done():
-            reply.set_result(payload)
+        if instance_id != self.instance_id or reply is None or reply.done():
+            return
+        reply.set_result(payload)
