Tell a host that is at work on a request from one that is dead

Callers were refused turns when the store was slow: a coordinator that waited 350 ms for it was given up after 440 ms, and one that had been killed was waited for just as long.

A responder now answers a resent request that it is still working on. A request with a malformed identifier is dropped with a log line instead of raising in the socket's callback.

--- a/celerypulley/links/fleet_datagrams.py
+++ b/celerypulley/links/fleet_datagrams.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 
+import attrs
 import msgpack
 from mode import Service
 
@@ -13,7 +14,11 @@
 __all__ = ["FleetDatagrams", "NoReplyError"]
 
 _RESEND_INTERVAL_MS = 40.0  # ten round trips between failure domains
-_REQUEST_TIMEOUT_MS = 440.0  # over twice a responder's wait for the store, 200 ms
+# A host that is still working on a request says so each time the request is resent.
+_MAX_SENDS_UNHEARD = 6  # 240 ms
+_MAX_SENDS = 20  # 800 ms, more than a responder's wait for the store, 600 ms
+_REPLY = "reply"
+_IN_PROGRESS = "in progress"
 _MAX_CACHED_REPLIES = 2_000  # one second of requests at the busiest host
 _log = DecisionLog("datagrams")
 
@@ -24,6 +29,14 @@
     """No reply arrived in time; the request may have been processed."""
 
 
+@attrs.define(eq=False)
+class _PendingRequest:
+    """A request without a reply, and the times it was sent since its host was heard."""
+
+    reply: asyncio.Future
+    sends_unheard: int = 0
+
+
 class FleetDatagrams(Service, asyncio.DatagramProtocol):
     """One UDP socket, with a handler for each kind of message.
 
@@ -50,8 +63,8 @@
         self.bytes_sent = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._last_number = 0
-        self._pending: dict[int, asyncio.Future] = {}
-        self._cached_replies: OrderedDict[tuple, bytes | None] = OrderedDict()
+        self._pending: dict[int, _PendingRequest] = {}
+        self._cached_replies: OrderedDict[tuple, bytes] = OrderedDict()
         self._tasks: set[asyncio.Task] = set()
 
     async def on_start(self) -> None:
@@ -92,17 +105,23 @@
         self._last_number += 1
         number = self._last_number
         message = msgpack.packb((kind, self.host, (self.instance_id, number), payload))
-        reply = asyncio.get_running_loop().create_future()
-        self._pending[number] = reply
+        pending = _PendingRequest(asyncio.get_running_loop().create_future())
+        self._pending[number] = pending
         try:
-            for _ in range(int(_REQUEST_TIMEOUT_MS / _RESEND_INTERVAL_MS)):
+            for _ in range(_MAX_SENDS):
                 self._send_packet(host, message)
-                await asyncio.wait([reply], timeout=_RESEND_INTERVAL_MS / 1000)
-                if reply.done():
-                    return reply.result()
+                pending.sends_unheard += 1
+                await asyncio.wait([pending.reply], timeout=_RESEND_INTERVAL_MS / 1000)
+                if pending.reply.done():
+                    return pending.reply.result()
+                if pending.sends_unheard >= _MAX_SENDS_UNHEARD:
+                    break
         finally:
             del self._pending[number]
-        raise NoReplyError(f"{host} did not reply within {_REQUEST_TIMEOUT_MS:.0f} ms")
+        unheard_ms = pending.sends_unheard * _RESEND_INTERVAL_MS
+        raise NoReplyError(
+            f"{host} did not reply; nothing was heard for {unheard_ms:.0f} ms"
+        )
 
     def _send_packet(self, host: str, message: bytes) -> None:
         address = self.addresses.get(host)
@@ -115,21 +134,25 @@
         """Pass a message to its handler; drop one that cannot be decoded."""
         try:
             kind, sender, identifier, payload = msgpack.unpackb(data)
-            if kind == "reply":
-                self._receive_reply(identifier, payload)
+            if kind in (_REPLY, _IN_PROGRESS):
+                self._receive_reply(kind, identifier, payload)
                 return
             handler = self.handlers[kind]
+            if identifier is None:
+                self._handle_message(handler, sender, payload)
+                return
+            instance_id, number = identifier
+            request_id = (sender, instance_id, number)
+            cached_reply = self._cached_replies.get(request_id)
         except (ValueError, KeyError, TypeError, msgpack.UnpackException) as error:
             _log.write("datagram dropped", f"unreadable: {error!r}", sender=addr[0])
             return
-        if identifier is None:
-            self._handle_message(handler, sender, payload)
-            return
-        request_id = (sender, *identifier)
-        if request_id in self._cached_replies:
-            self._send_reply(sender, self._cached_replies[request_id])
+        if cached_reply is not None:
+            self._send_packet(sender, cached_reply)
             return
-        self._cached_replies[request_id] = None
+        self._cached_replies[request_id] = msgpack.packb(
+            (_IN_PROGRESS, self.host, identifier, None)
+        )
         while len(self._cached_replies) > _MAX_CACHED_REPLIES:
             self._cached_replies.popitem(last=False)
         task = asyncio.create_task(self._handle_request(handler, request_id, payload))
@@ -151,18 +174,16 @@
         except (ValueError, TypeError, AttributeError) as error:
             _log.write("request dropped", f"invalid payload: {error!r}", sender=sender)
             return
-        message = msgpack.packb(("reply", self.host, identifier, reply))
+        message = msgpack.packb((_REPLY, self.host, identifier, reply))
         self._cached_replies[request_id] = message
-        self._send_reply(sender, message)
-
-    def _send_reply(self, host: str, message: bytes | None) -> None:
-        if message is not None:
-            self._send_packet(host, message)
+        self._send_packet(sender, message)
 
-    def _receive_reply(self, identifier: list, payload: list) -> None:
+    def _receive_reply(self, kind: str, identifier: list, payload: list) -> None:
         """Store a reply; ignore one to a request of an earlier start of this host."""
         instance_id, number = identifier
-        reply = self._pending.get(number)
-        if instance_id != self.instance_id or reply is None or reply.done():
+        pending = self._pending.get(number)
+        if instance_id != self.instance_id or pending is None:
             return
-        reply.set_result(payload)
+        pending.sends_unheard = 0
+        if kind == _REPLY and not pending.reply.done():
+            pending.reply.set_result(payload)
