Wake the reader of a response whose connection is aborted

Callers of resumable streams got no further event and no end until their deadline when a server fell silent within the stream, although another server could have resumed it.

Cause: the stall monitor aborts the call, and aiohttp's abort() forgets the payload before the connection is lost, so the task that waits for the next bytes is never woken. The protocol now aborts the transport alone and lets connection_lost() wake both the reader of the head and that of the body.

--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -54,6 +54,14 @@
 
     connection_error: BaseException | None = None
 
+    def abort(self) -> None:
+        """Close the connection at once.
+
+        The base class forgets the body first, so that its reader would never be woken.
+        """
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Store the error that ended the connection, or None."""
         self.connection_error = exc
--- a/celerypulley/stand_ins/opaque_server.py
+++ b/celerypulley/stand_ins/opaque_server.py
@@ -21,7 +21,8 @@
     SHED and OTHER_INSTANCE state that the request was not executed. The body of a
     CLOSE_DELIMITED response ends with the connection. EXTRA_RESPONSE sends a second
     response after the right one, EARLIER_RESPONSE one with another request's
-    identifier before it.
+    identifier before it. The ENDLESS modes repeat bytes until the caller closes the
+    connection.
     """
 
     COMPLETE = "whole"
@@ -33,6 +34,7 @@
     CLOSE = "close"
     TRUNCATED = "truncated"
     RESET_WITHIN_EVENT = "within an event"
+    HANG_WITHIN_EVENT = "silent within an event"
     CLOSE_DELIMITED = "unframed"
     CLOSE_DELIMITED_RESET = "unframed, then reset"
     NO_SEAL = "no seal"
@@ -40,6 +42,30 @@
     HANG = "hang"
     EXTRA_RESPONSE = "extra answer"
     EARLIER_RESPONSE = "answer to an earlier request first"
+    ENDLESS_BYTES = "endless bytes that are not http"
+    ENDLESS_LINES = "endless empty lines"
+    ENDLESS_INTERIM = "endless interim responses"
+    ENDLESS_HEADER = "endless header line"
+    ENDLESS_HEADERS = "endless header lines"
+    ENDLESS_BODY = "endless body"
+    ENDLESS_EARLIER = "endless body of an answer to an earlier request"
+
+
+_ENDLESS_CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+_CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nServer-Seal: s\r\n"
+# The bytes that come first, with REQUEST_ID for the identifier, and those repeated.
+_ENDLESS: dict[Mode, tuple[str, bytes]] = {
+    Mode.ENDLESS_BYTES: ("", b"no response" * 1_000),
+    Mode.ENDLESS_LINES: ("", b"\r\n" * 5_000),
+    Mode.ENDLESS_INTERIM: ("", b"HTTP/1.1 102 Processing\r\n\r\n" * 500),
+    Mode.ENDLESS_HEADER: ("HTTP/1.1 200 OK\r\nX: ", b"x" * 10_000),
+    Mode.ENDLESS_HEADERS: ("HTTP/1.1 200 OK\r\n", b"X: x\r\n" * 1_000),
+    Mode.ENDLESS_BODY: (
+        f"{_CHUNKED_HEAD}Request-Id: REQUEST_ID\r\n\r\n",
+        _ENDLESS_CHUNK,
+    ),
+    Mode.ENDLESS_EARLIER: (f"{_CHUNKED_HEAD}Request-Id: other\r\n\r\n", _ENDLESS_CHUNK),
+}
 
 
 @attrs.frozen
@@ -71,6 +97,7 @@
     event_interval_s: float = 0.0
     received: list[ReceivedRequest] = attrs.Factory(list)
     client_disconnects: int = 0
+    endless_bytes_sent: int = 0
     connection_count: int = 0
     address: str = ""
     _server: asyncio.Server | None = None
@@ -127,8 +154,10 @@
         complete = self._complete_response(
             200, request.request_id, b"the answer of " + request.body
         )
-        if mode is Mode.STREAM or mode is Mode.RESET_WITHIN_EVENT:
+        if mode in (Mode.STREAM, Mode.RESET_WITHIN_EVENT, Mode.HANG_WITHIN_EVENT):
             return await self._respond_streaming(mode, request, writer)
+        if mode in _ENDLESS:
+            return await self._respond_endlessly(mode, request, writer)
         if mode is Mode.HANG:
             await asyncio.sleep(3_600)
         if mode is Mode.RESET:
@@ -169,6 +198,19 @@
         await writer.drain()
         return True
 
+    async def _respond_endlessly(
+        self, mode: Mode, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        head, repeated = _ENDLESS[mode]
+        writer.write(head.replace("REQUEST_ID", request.request_id).encode())
+        while not writer.is_closing():
+            writer.write(repeated)
+            await writer.drain()
+            self.endless_bytes_sent += len(repeated)
+            await asyncio.sleep(0)
+        self.client_disconnects += 1
+        return False
+
     def _complete_response(
         self, status: int, request_id: str, body: bytes, not_executed: bool = False
     ) -> bytes:
@@ -194,10 +236,10 @@
         first = int(request.headers.get("last-event-id") or 0) + 1
         for number in range(first, self.event_count + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            if mode is Mode.RESET_WITHIN_EVENT and number == self.event_count // 2 + 1:
+            if mode is not Mode.STREAM and number == self.event_count // 2 + 1:
                 _write_chunk(writer, event[: len(event) // 2])
                 await writer.drain()
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(3_600 if mode is Mode.HANG_WITHIN_EVENT else 0.02)
                 _reset_connection(writer)
                 return False
             _write_chunk(writer, event)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -102,6 +102,16 @@
         assert sorted(resumed, key=str) == ["2", None]
 
 
+async def test_stream_that_stalls_within_an_event_is_never_resumed():
+    async with running_fleet(servers=2) as fleet:
+        modes = [Mode.HANG_WITHIN_EVENT, Mode.STREAM]
+        for server in fleet.servers:
+            server.next_modes = modes
+        response = await fleet.call("/resumable/x")
+        assert response.complete
+        assert response.body == EVENTS
+
+
 async def test_stream_that_may_not_resume_never_looks_complete():
     async with running_fleet(servers=2) as fleet:
         for server in fleet.servers:
