Limit what a server may send in a head and a body

A plain call collected such a body until its deadline, and empty lines and late responses to other requests were read without a limit, so one server could fill the memory of a host.

A connection is closed after 1 MiB without the head of the response, and a body that is collected may have 4 MiB; an incomplete event had its limit already. Such a response counts as lost, so the request goes to another server where it may run again, else the caller gets 502 at once.

--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -24,6 +24,8 @@
 _DEFAULT_IDLE_MS = 1_000.0  # if no timeout is stated: the smallest that could be
 _MAX_RESPONSES_READ = 3  # late responses to earlier requests are discarded
 _MAX_HEADER_BYTES = 16_384  # the largest header that operators allow callers to send
+_MAX_BYTES_BEFORE_HEAD = 1024 * 1024  # with late responses to earlier requests
+_MAX_BODY_BYTES = 4 * 1024 * 1024  # a thirtieth of the memory of the smallest host
 
 
 class ServerCallError(Exception):
@@ -50,9 +52,22 @@
 
 
 class _ServerProtocol(ResponseHandler):
-    """aiohttp's client protocol, which also tells a reset from an orderly close."""
+    """aiohttp's client protocol with a limit on what a server may send.
+
+    It also tells a reset from an orderly close. `bytes_left` is what the server may
+    send before the head of its response has been read; then it is infinite.
+    """
 
     connection_error: BaseException | None = None
+    bytes_left: float = _MAX_BYTES_BEFORE_HEAD
+
+    def data_received(self, data: bytes) -> None:
+        """Parse `data`, or close the connection if the server sends too much."""
+        self.bytes_left -= len(data)
+        if self.bytes_left < 0:
+            self.abort()
+            return
+        super().data_received(data)
 
     def abort(self) -> None:
         """Close the connection at once.
@@ -100,6 +115,7 @@
             raise ServerCallError(
                 "the connection closed before the request was sent", False
             )
+        self.connection.protocol.bytes_left = _MAX_BYTES_BEFORE_HEAD
         transport.write(request)
 
     async def read_head(
@@ -115,6 +131,7 @@
                 if message.code < 200:
                     continue
                 if belongs_to_request(message.headers):
+                    self.connection.protocol.bytes_left = float("inf")
                     self._payload = payload
                     self._head = ResponseHead(
                         message.code,
@@ -154,8 +171,17 @@
         return "Content-Length" not in headers and "Transfer-Encoding" not in headers
 
     async def read_body(self) -> bytes:
-        """Return the complete body; raise ServerCallError if it is cut off."""
-        return b"".join([chunk async for chunk in self.iter_chunks()])
+        """Return the complete body; raise ServerCallError if cut off or too long."""
+        chunks = []
+        size = 0
+        async for chunk in self.iter_chunks():
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > _MAX_BODY_BYTES:
+                raise ServerCallError(
+                    f"the body exceeds {_MAX_BODY_BYTES} bytes", sent=True
+                )
+        return b"".join(chunks)
 
     def release(self) -> None:
         """Return the connection to the pool after a complete response, or close it."""
