Give no window from a host that was suspended or cut off

A host that has just woken up has heard nobody for seconds, so its window lacks what others admitted, and a host that starts then would have copied it. Found by reading. It gives none until it hears most hosts. test_window_is_copied_from_a_host_that_was_suspended failed before.

--- a/celerypulley/hosts/window_copier.py
+++ b/celerypulley/hosts/window_copier.py
@@ -48,7 +48,7 @@
         return random.choice(candidates) if candidates else None
 
     async def _copy_from(self, host: str) -> bool:
-        """Copy the window of one host; return False if it does not know it."""
+        """Copy the window of one host; return False if it gives none."""
         try:
             knows_window, table = await self.datagrams.request(host, _KIND, [])
         except (NoReplyError, ValueError) as error:
@@ -66,6 +66,8 @@
         return True
 
     async def _handle_request(self, _sender: str, _payload: list) -> list:
-        if not self.meter.knows_window():
+        # A host that was suspended or cut off has not heard what others admitted since.
+        hears_most = self.meter.reachable_fraction() > 0.5
+        if not self.meter.knows_window() or not hears_most:
             return [False, {}]
         return [True, self.meter.window_counts()]
--- a/tests/test_fleet_meter.py
+++ b/tests/test_fleet_meter.py
@@ -12,6 +12,7 @@
 )
 from celerypulley.hosts.fleet_gossip import FleetGossip, PeerCounts
 from celerypulley.hosts.fleet_meter import FleetMeter
+from celerypulley.hosts.window_copier import WindowCopier
 from celerypulley.links.fleet_datagrams import FleetDatagrams
 from tests.fleet import API_KEY, desired_state, running_fleet
 from tests.harness import ManualClock, wait_until
@@ -255,3 +256,17 @@
         for meter in meters:
             # The requests are in the copied window, and may be in a later message too.
             assert sum(meter.window_counts()["kiosks"]) in (5, 10)
+
+
+@pytest.mark.parametrize(
+    ("unreachable", "is_given"), [(set(), True), ({"host-1"}, True), (None, False)]
+)
+async def test_window_is_copied_from_a_host_that_was_suspended(unreachable, is_given):
+    """It has heard nobody since it woke up, so its window lacks their requests."""
+    clock = ManualClock()
+    meter = make_meters(5, clock)[0]
+    others = set(meter.gossip.members) - {"host-0"}
+    meter.gossip.unreachable = others if unreachable is None else unreachable
+    datagrams = FleetDatagrams("host-0", "", 1, meter.gossip.members)
+    copier = WindowCopier(meter, datagrams, meter.gossip)
+    assert await copier._handle_request("host-1", []) == [is_given, {}]
