Limit what a server may send on an idle connection

Answers that a server sends after the right one, without end, were parsed and kept while the connection waited in the pool. An idle connection is closed after 1 MiB, as one that waits for a head is.

test_endless_answers_on_an_idle_connection_fill_the_memory_of_a_host failed before.

--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -55,7 +55,7 @@
     """aiohttp's client protocol with a limit on what a server may send.
 
     It also tells a reset from an orderly close. `bytes_left` is what the server may
-    send before the head of its response has been read; then it is infinite.
+    send; it is infinite from the head of a response to its end.
     """
 
     connection_error: BaseException | None = None
@@ -248,6 +248,7 @@
         if connection.idle_limit_ms <= 0 or connection.protocol.should_close:
             connection.protocol.close()
             return
+        connection.protocol.bytes_left = _MAX_BYTES_BEFORE_HEAD
         self._idle.setdefault(address, []).append(connection)
 
     def close_idle(self, address: str) -> None:
--- a/celerypulley/stand_ins/opaque_server.py
+++ b/celerypulley/stand_ins/opaque_server.py
@@ -49,10 +49,12 @@
     ENDLESS_HEADERS = "endless header lines"
     ENDLESS_BODY = "endless body"
     ENDLESS_EARLIER = "endless body of an answer to an earlier request"
+    ENDLESS_AFTERWARDS = "endless answers after the right one"
 
 
 _ENDLESS_CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
 _CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nServer-Seal: s\r\n"
+_SEALED_HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nServer-Seal: s\r\n"
 # The bytes that come first, with REQUEST_ID for the identifier, and those repeated.
 _ENDLESS: dict[Mode, tuple[str, bytes]] = {
     Mode.ENDLESS_BYTES: ("", b"no response" * 1_000),
@@ -65,6 +67,10 @@
         _ENDLESS_CHUNK,
     ),
     Mode.ENDLESS_EARLIER: (f"{_CHUNKED_HEAD}Request-Id: other\r\n\r\n", _ENDLESS_CHUNK),
+    Mode.ENDLESS_AFTERWARDS: (
+        f"{_SEALED_HEAD}Request-Id: REQUEST_ID\r\n\r\nright",
+        f"{_SEALED_HEAD}\r\nwrong".encode() * 200,
+    ),
 }
 
 
@@ -203,6 +209,8 @@
     ) -> bool:
         head, repeated = _ENDLESS[mode]
         writer.write(head.replace("REQUEST_ID", request.request_id).encode())
+        if mode is Mode.ENDLESS_AFTERWARDS:
+            await asyncio.sleep(0.1)  # the host returns the connection to its pool
         while not writer.is_closing():
             writer.write(repeated)
             await writer.drain()
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -8,7 +8,11 @@
 
 # An eighth of the memory of the smallest host, 128 MB.
 MAX_BYTES_TAKEN = 16 * 1024 * 1024
-ENDLESS = [mode for mode in Mode if mode.name.startswith("ENDLESS")]
+ENDLESS = [
+    mode
+    for mode in Mode
+    if mode.name.startswith("ENDLESS") and mode is not Mode.ENDLESS_AFTERWARDS
+]
 
 
 @pytest.mark.parametrize("mode", ENDLESS)
@@ -32,3 +36,14 @@
         )
         sent = sum(server.endless_bytes_sent for server in fleet.servers)
         assert sent <= MAX_BYTES_TAKEN
+
+
+async def test_endless_answers_on_an_idle_connection_fill_the_memory_of_a_host():
+    async with running_fleet() as fleet:
+        (server,) = fleet.servers
+        server.next_modes = [Mode.ENDLESS_AFTERWARDS]
+        response = await fleet.call("/unsafe/x")
+        assert (response.status, response.body) == (200, b"right")
+        await wait_until(lambda: server.client_disconnects == 1)
+        assert server.endless_bytes_sent <= MAX_BYTES_TAKEN
+        assert (await fleet.call("/unsafe/x")).status == 200
