Hold the budget of turns that state no limit, and of programs with a budget of 0

A turn with Token-Budget 0 counted as one without a budget, and one without an output limit reserved nothing, so programs could run past their budget (BUDGET). A missing budget now differs from 0, and a turn without a limit reserves the whole budget.

test_turn_without_a_limit_is_free failed before in all three cases (40 turns of 40 tokens with budgets of 0 and 600).

--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -119,13 +119,15 @@
         request = admitted.request
         if not admitted.route.is_turn or not request.program:
             return None
-        if request.token_budget <= 0:
+        if request.token_budget is None:
             return None
+        # A turn without a limit of its own may use the whole budget.
+        max_tokens = request.max_tokens or request.token_budget
         return await self.budgets.reserve(
             admitted.organisation_name,
             request.program,
             request.token_budget,
-            request.max_tokens,
+            max_tokens,
         )
 
     async def _run_turn(self, turn: _Turn, sink: ForwardSink) -> str:
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -56,7 +56,7 @@
         prefix_parts=_parse_prefix(headers.get("Prefix-Hash", "")),
         program=_parse_program_id(headers.get("Program-Id", "")),
         program_deadline_ms=now_ms + program_wait_ms if program_wait_ms else 0.0,
-        token_budget=_parse_integer(headers.get("Token-Budget", ""), 0),
+        token_budget=_parse_integer(headers.get("Token-Budget", ""), None),
         previous_turn=headers.get("Previous-Turn", ""),
     )
 
@@ -87,7 +87,7 @@
     return _parse_integer(first.strip(), 0), _parse_integer(second.strip(), 0)
 
 
-def _parse_integer(text: str, default: int) -> int:
+def _parse_integer(text: str, default: int | None) -> int | None:
     return int(text) if text.isdigit() else default
 
 
--- a/celerypulley/programs/opaque_request.py
+++ b/celerypulley/programs/opaque_request.py
@@ -19,7 +19,8 @@
 
     `headers` are those to forward. `deadline_ms`, `program_deadline_ms` and
     `received_ms`, the time when the request head was read, are monotonic times of
-    this host. Token counts are 0 and strings empty where the caller declared none.
+    this host. Token counts are 0 and strings empty where the caller declared none;
+    `token_budget` is None then, since a budget of 0 allows no turn.
     """
 
     request_id: str
@@ -38,7 +39,7 @@
     prefix_parts: tuple[PrefixPart, ...] = ()
     program: str = ""
     program_deadline_ms: float = 0.0
-    token_budget: int = 0
+    token_budget: int | None = None
     previous_turn: str = ""
 
     @property
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -105,6 +105,29 @@
         assert len(fleet.servers[0].received) == len(served)
 
 
+@pytest.mark.parametrize(
+    ("headers", "max_turns"),
+    [
+        ({"Token-Budget": "0"}, 0),
+        ({"Token-Usage": ""}, 1),
+        ({"Token-Usage": "10,0"}, 1),
+    ],
+    ids=["budget of 0", "no limit of the turn", "limit of 0"],
+)
+async def test_turn_without_a_limit_is_free(headers, max_turns):
+    """Turns at the same time, each of which may use all that is left."""
+    async with running_fleet() as fleet:
+        fleet.servers[0].mode = Mode.STREAM
+        calls = [
+            fleet.call("/turns/x", headers={**turn_headers(number), **headers})
+            for number in range(1, 41)
+        ]
+        responses = await asyncio.gather(*calls)
+        served = sum(response.status == 200 for response in responses)
+        assert {response.status for response in responses} <= {200, 402}
+        assert served * 40 <= max_turns * BUDGET_TOKENS + MAX_TOKENS
+
+
 async def test_used_budget_stays_used_after_all_hosts_restart():
     async with running_fleet() as fleet:
         fleet.servers[0].mode = Mode.STREAM
