--- a/celerypulley/hosts/crash_counts.py
+++ b/celerypulley/hosts/crash_counts.py
@@ -1,17 +1,9 @@
-"""Crashes of backend servers by request, counted across the fleet.
-
-Each crash has a random mark, and hosts relay the marks that they have heard. So a crash
-counts once, and none is forgotten with the host that saw it while another one lives.
-"""
+"""Crashes of backend servers by request, counted across the fleet."""
 
 import hashlib
-import heapq
-import secrets
 from collections import OrderedDict
+from collections.abc import Callable, Iterable
 
-import attrs
-
-from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.programs.opaque_request import OpaqueRequest
@@ -19,11 +11,7 @@
 __all__ = ["CrashCounts", "request_fingerprint"]
 
 _CRASH_LIMIT = 3  # one request may crash at most three servers
-_MAX_FINGERPRINTS = 1_024
-# Recent crashes are part of all messages of this time, older ones of some, in turn.
-_ANNOUNCED_FOR_MS = 2_000.0
-_OLDER_PER_MESSAGE = 16
-_RECENT_PER_MESSAGE = 128  # 6 KB with three marks each
+_MAX_FINGERPRINTS = 256
 _log = DecisionLog("strikes")
 
 
@@ -38,76 +26,34 @@
     return hasher.hexdigest()
 
 
-@attrs.define(eq=False)
-class _Crashes:
-    """The marks of one request's crashes, and when the last one was learned."""
-
-    marks: set[str]
-    changed_ms: float
-
-
 class CrashCounts:
     """Count servers that were lost while they ran a request, by its fingerprint."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Start without crashes."""
-        self.clock = clock
-        self._crashes: OrderedDict[str, _Crashes] = OrderedDict()
-        self._next_older = 0
-
-    def count(self, fingerprint: str) -> int:
-        """Return how many servers a request is known to have crashed."""
-        crashes = self._crashes.get(fingerprint)
-        return len(crashes.marks) if crashes else 0
+    def __init__(
+        self, read_peer_counts: Callable[[], Iterable[dict[str, int]]]
+    ) -> None:
+        """Add the counts that `read_peer_counts()` returns to those of this host."""
+        self.read_peer_counts = read_peer_counts
+        self.own_counts: OrderedDict[str, int] = OrderedDict()
 
     def record_crash(self, fingerprint: str, server: str) -> None:
         """Count a server that was lost while it ran a request."""
-        self._add(fingerprint, {secrets.token_hex(4)})
+        self.own_counts[fingerprint] = self.own_counts.get(fingerprint, 0) + 1
+        self.own_counts.move_to_end(fingerprint)
+        while len(self.own_counts) > _MAX_FINGERPRINTS:
+            self.own_counts.popitem(last=False)
         _log.write(
             "crash counted",
             "server lost during request",
             server=server,
             request=fingerprint,
-            crashes=self.count(fingerprint),
         )
 
-    def merge(self, table: dict[str, list[str]]) -> None:
-        """Add the crashes that another host has announced."""
-        for fingerprint, marks in table.items():
-            self._add(fingerprint, set(map(str, marks)))
-
-    def _add(self, fingerprint: str, marks: set[str]) -> None:
-        crashes = self._crashes.get(fingerprint, _Crashes(set(), 0.0))
-        if marks <= crashes.marks or len(crashes.marks) >= _CRASH_LIMIT:
-            return
-        crashes.marks |= marks
-        crashes.changed_ms = self.clock.now_ms()
-        self._crashes[fingerprint] = crashes
-        self._crashes.move_to_end(fingerprint)
-        while len(self._crashes) > _MAX_FINGERPRINTS:
-            # The oldest of the requests with the fewest crashes.
-            del self._crashes[min(self._crashes, key=self.count)]
-
-    def to_announce(self) -> dict[str, list[str]]:
-        """Return the crashes for the next message to other hosts."""
-        recent_since_ms = self.clock.now_ms() - _ANNOUNCED_FOR_MS
-        fingerprints = list(self._crashes)
-        total = len(fingerprints)
-        announced = set()
-        for _ in range(min(total, _OLDER_PER_MESSAGE)):
-            self._next_older = (self._next_older + 1) % total
-            announced.add(fingerprints[self._next_older])
-        recent = [
-            fingerprint
-            for fingerprint in fingerprints
-            if self._crashes[fingerprint].changed_ms >= recent_since_ms
-        ]
-        announced.update(heapq.nlargest(_RECENT_PER_MESSAGE, recent, key=self.count))
-        return {each: sorted(self._crashes[each].marks) for each in announced}
-
     def check(self, fingerprint: str) -> None:
         """Raise CallRefusedError if a request has crashed too many servers."""
-        count = self.count(fingerprint)
+        count = self.own_counts.get(fingerprint, 0)
+        for peer_counts in self.read_peer_counts():
+            count += peer_counts.get(fingerprint, 0)
         if count >= _CRASH_LIMIT:
             raise CallRefusedError.of(
                 ErrorKind.QUARANTINED, f"{count} servers were lost during this request"
--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/hosts/fleet_gossip.py
@@ -36,9 +36,9 @@
     """The newest message of one instance of a host, that is, of one start.
 
     `number` counts the messages. `admitted` are totals of admitted requests since the
-    start, by organisation; `in_flight` the current calls, by server; `crashes` marks of
-    crashes, by request fingerprint. Hosts with the same `view` know the same members;
-    `unreachable` are the members from which the host receives nothing.
+    start, by organisation; `in_flight` the current calls, by server; `crash_counts` the
+    numbers of servers lost, by request fingerprint. Hosts with the same `view` know the
+    same members; `unreachable` are the members from which the host receives nothing.
     `uptime_ms` is the time since the start. `has_all_totals` tells whether `admitted`
     lacks only organisations without requests.
     """
@@ -49,7 +49,7 @@
     received_ms: float
     admitted: dict[str, int] = attrs.Factory(dict)
     in_flight: dict[str, int] = attrs.Factory(dict)
-    crashes: dict[str, list[str]] = attrs.Factory(dict)
+    crash_counts: dict[str, int] = attrs.Factory(dict)
     view: int = 0
     unreachable: frozenset[str] = frozenset()
     uptime_ms: float = float("inf")
@@ -143,12 +143,12 @@
             number,
             admitted,
             in_flight,
-            crashes,
+            crash_counts,
             view,
             unreachable,
             uptime_ms,
         ) = payload
-        tables = (admitted, in_flight, crashes)
+        tables = (admitted, in_flight, crash_counts)
         if not all(isinstance(table, dict) for table in tables):
             raise ValueError("counts must be dictionaries")
         if not isinstance(instance_id, str) or not isinstance(number, int):
@@ -159,7 +159,7 @@
             raise ValueError("uptime must be an integer")
         counts = (
             in_flight,
-            crashes,
+            crash_counts,
             view,
             frozenset(map(str, unreachable)),
             uptime_ms,
