Move members, datagrams, gossip and rate meters of the fleet to fleet/

Moves only, with the imports that follow and two import rules: fleet/ knows neither hosts/ nor the platform, and links/ does not know fleet/.

--- a/celerypulley/hosts/fleet_gossip.py
+++ b/celerypulley/fleet/fleet_gossip.py
@@ -14,7 +14,7 @@
 from mode import Service
 
 from celerypulley.clock import Clock
-from celerypulley.links.fleet_datagrams import FleetDatagrams
+from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 
 __all__ = ["FleetGossip", "PeerCounts"]
 
--- a/celerypulley/hosts/fleet_meter.py
+++ b/celerypulley/fleet/fleet_meter.py
@@ -18,7 +18,7 @@
 from celerypulley.contracts.desired_state import DesiredState, OrganisationRule
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
-from celerypulley.hosts.fleet_gossip import FleetGossip, PeerCounts
+from celerypulley.fleet.fleet_gossip import FleetGossip, PeerCounts
 
 __all__ = ["FleetMeter"]
 
--- a/celerypulley/hosts/window_copier.py
+++ b/celerypulley/fleet/window_copier.py
@@ -5,9 +5,9 @@
 from mode import Service
 
 from celerypulley.decision_log import DecisionLog
-from celerypulley.hosts.fleet_gossip import FleetGossip
-from celerypulley.hosts.fleet_meter import FleetMeter
-from celerypulley.links.fleet_datagrams import FleetDatagrams, NoReplyError
+from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
+from celerypulley.fleet.fleet_gossip import FleetGossip
+from celerypulley.fleet.fleet_meter import FleetMeter
 
 __all__ = ["WindowCopier"]
 
--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -9,9 +9,9 @@
     OrganisationRule,
 )
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
-from celerypulley.hosts.crash_counts import CrashCounts, request_fingerprint
+from celerypulley.fleet.crash_counts import CrashCounts, request_fingerprint
+from celerypulley.fleet.fleet_meter import FleetMeter
 from celerypulley.hosts.desired_state_cache import DesiredStateCache
-from celerypulley.hosts.fleet_meter import FleetMeter
 from celerypulley.programs.opaque_request import OpaqueRequest
 
 __all__ = ["Admission", "AdmittedRequest", "Attempts"]
--- a/celerypulley/hosts/budget_coordinator.py
+++ b/celerypulley/hosts/budget_coordinator.py
@@ -14,9 +14,9 @@
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.failure_domains.placement import rendezvous
+from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
+from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.hosts.budget_escrow import BudgetEscrow, Reservation
-from celerypulley.hosts.fleet_gossip import FleetGossip
-from celerypulley.links.fleet_datagrams import FleetDatagrams, NoReplyError
 
 __all__ = ["BudgetCoordinator", "TurnBudget"]
 
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -12,15 +12,17 @@
 from celerypulley.contracts.desired_state import CallerLimits, DesiredState
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import Refusal, RunState
+from celerypulley.fleet.crash_counts import CrashCounts
+from celerypulley.fleet.fleet_datagrams import FleetDatagrams
+from celerypulley.fleet.fleet_gossip import FleetGossip
+from celerypulley.fleet.fleet_members import HOST, FleetMember, FleetMembers
+from celerypulley.fleet.fleet_meter import FleetMeter
+from celerypulley.fleet.window_copier import WindowCopier
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.admission import Admission
 from celerypulley.hosts.budget_coordinator import BudgetCoordinator
 from celerypulley.hosts.budget_escrow import BudgetEscrow
-from celerypulley.hosts.crash_counts import CrashCounts
 from celerypulley.hosts.desired_state_cache import DesiredStateCache
-from celerypulley.hosts.fleet_gossip import FleetGossip
-from celerypulley.hosts.fleet_members import HOST, FleetMember, FleetMembers
-from celerypulley.hosts.fleet_meter import FleetMeter
 from celerypulley.hosts.forward_context import ForwardContext
 from celerypulley.hosts.forward_metrics import ForwardMetrics
 from celerypulley.hosts.forwarder import Forwarder
@@ -30,8 +32,6 @@
 from celerypulley.hosts.storage_host_pool import StorageHostPool
 from celerypulley.hosts.stream_forwarder import StreamForwarder
 from celerypulley.hosts.turn_archive import TurnArchive
-from celerypulley.hosts.window_copier import WindowCopier
-from celerypulley.links.fleet_datagrams import FleetDatagrams
 from celerypulley.links.forward_dialect import Dialect
 from celerypulley.links.forward_server import ForwardServer, ForwardSink
 from celerypulley.links.key_value import KeyValueStore
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -11,8 +11,8 @@
 from celerypulley.contracts.desired_state import ForwardRoute
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
+from celerypulley.fleet.crash_counts import CrashCounts
 from celerypulley.hosts.admission import AdmittedRequest
-from celerypulley.hosts.crash_counts import CrashCounts
 from celerypulley.hosts.server_directory import ServerDirectory
 from celerypulley.hosts.stall_monitor import StallMonitor
 from celerypulley.links.forward_dialect import Dialect, ForwardedCall, ResponseMetadata
--- a/celerypulley/hosts/record_service.py
+++ b/celerypulley/hosts/record_service.py
@@ -12,7 +12,7 @@
 
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
-from celerypulley.hosts.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
+from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
 from celerypulley.hosts.record_store import RecordStore, TurnRecord
 from celerypulley.links.key_value import LeaseExpiredError, StoreUnavailableError
 from celerypulley.links.storage_link import StorageLink, StorageLinkError
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -12,7 +12,7 @@
 from celerypulley.backend_servers.server_entry import ServerEntry
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
-from celerypulley.hosts.fleet_gossip import PeerCounts
+from celerypulley.fleet.fleet_gossip import PeerCounts
 from celerypulley.links.key_value import Item, KeyValueStore
 from celerypulley.links.prefix_follower import PrefixFollower
 from celerypulley.links.server_connection import ServerLinks
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -5,8 +5,8 @@
 from celerypulley import __version__
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
+from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
 from celerypulley.fleet_settings import FleetSettings
-from celerypulley.hosts.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
 from celerypulley.hosts.record_service import RecordService
 from celerypulley.hosts.record_store import RecordStore
 from celerypulley.links.key_value import KeyValueStore
--- a/celerypulley/hosts/storage_host_pool.py
+++ b/celerypulley/hosts/storage_host_pool.py
@@ -8,7 +8,7 @@
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.failure_domains.placement import rendezvous
-from celerypulley.hosts.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
+from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
 from celerypulley.hosts.record_store import TurnRecord
 from celerypulley.links.storage_link import StorageLink, StorageLinkError
 from celerypulley.links.storage_messages import (
--- a/tests/test_budget_coordinator.py
+++ b/tests/test_budget_coordinator.py
@@ -7,10 +7,10 @@
 
 from celerypulley.clock import Clock
 from celerypulley.errors import CallRefusedError, ErrorKind
+from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
+from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.hosts.budget_coordinator import BudgetCoordinator
 from celerypulley.hosts.budget_escrow import BudgetEscrow
-from celerypulley.hosts.fleet_gossip import FleetGossip
-from celerypulley.links.fleet_datagrams import FleetDatagrams, NoReplyError
 from celerypulley.platform.store import PlatformStore
 from tests.fleet import BUDGET_TOKENS, MAX_TOKENS, running_fleet, running_store
 from tests.harness import ManualClock, wait_until
--- a/tests/test_fleet_datagrams.py
+++ b/tests/test_fleet_datagrams.py
@@ -7,7 +7,7 @@
 import msgpack
 import pytest
 
-from celerypulley.links.fleet_datagrams import FleetDatagrams, NoReplyError
+from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
 from tests.fleet import free_udp_port
 
 _LOOPBACK = "127.0.0.1"
--- a/tests/test_fleet_meter.py
+++ b/tests/test_fleet_meter.py
@@ -10,10 +10,10 @@
     DesiredState,
     OrganisationRule,
 )
-from celerypulley.hosts.fleet_gossip import FleetGossip, PeerCounts
-from celerypulley.hosts.fleet_meter import FleetMeter
-from celerypulley.hosts.window_copier import WindowCopier
-from celerypulley.links.fleet_datagrams import FleetDatagrams
+from celerypulley.fleet.fleet_datagrams import FleetDatagrams
+from celerypulley.fleet.fleet_gossip import FleetGossip, PeerCounts
+from celerypulley.fleet.fleet_meter import FleetMeter
+from celerypulley.fleet.window_copier import WindowCopier
 from tests.fleet import API_KEY, desired_state, running_fleet
 from tests.harness import ManualClock, wait_until
 
--- a/tests/test_outside_bytes.py
+++ b/tests/test_outside_bytes.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 
 from celerypulley.clock import Clock
-from celerypulley.hosts.fleet_gossip import FleetGossip
-from celerypulley.hosts.fleet_members import FleetMember
+from celerypulley.fleet.fleet_datagrams import FleetDatagrams
+from celerypulley.fleet.fleet_gossip import FleetGossip
+from celerypulley.fleet.fleet_members import FleetMember
 from celerypulley.hosts.record_store import TurnRecord
-from celerypulley.links.fleet_datagrams import FleetDatagrams
 from celerypulley.platform.desired_state import decode_desired_state, decode_server
 from celerypulley.platform.settings_file import read_settings
 from celerypulley.programs.event_stream import EventReader
--- a/tests/test_rates_over_restarts.py
+++ b/tests/test_rates_over_restarts.py
@@ -10,9 +10,9 @@
     DesiredState,
     OrganisationRule,
 )
-from celerypulley.hosts.fleet_gossip import FleetGossip
-from celerypulley.hosts.fleet_meter import FleetMeter
-from celerypulley.links.fleet_datagrams import FleetDatagrams
+from celerypulley.fleet.fleet_datagrams import FleetDatagrams
+from celerypulley.fleet.fleet_gossip import FleetGossip
+from celerypulley.fleet.fleet_meter import FleetMeter
 from tests.harness import ManualClock
 from tests.test_fleet_meter import WINDOW_MS, max_in_window
 
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -10,7 +10,7 @@
 import pytest
 
 from celerypulley.clock import Clock
-from celerypulley.hosts.fleet_members import HOST, FleetMember, FleetMembers
+from celerypulley.fleet.fleet_members import HOST, FleetMember, FleetMembers
 from celerypulley.hosts.record_store import RecordStore, TurnRecord
 from celerypulley.hosts.storage_host import StorageHost
 from celerypulley.hosts.storage_host_pool import StorageHostPool
--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -25,7 +25,12 @@
 
 _ENCODING_LIBRARIES = ("aiohttp", "msgpack", "uvloop")
 _PLATFORM_PACKAGE = "celerypulley.platform"
-_UPPER_LAYERS = ("celerypulley.hosts", "celerypulley.operators", "celerypulley.load")
+_UPPER_LAYERS = (
+    "celerypulley.fleet",
+    "celerypulley.hosts",
+    "celerypulley.operators",
+    "celerypulley.load",
+)
 _RULES = (
     Rule(
         "celerypulley.contracts",
@@ -49,7 +54,11 @@
         "celerypulley.hosts",
         ("celerypulley.stand_ins", "celerypulley.load", _PLATFORM_PACKAGE),
     ),
-    Rule("celerypulley.links", (_PLATFORM_PACKAGE,)),
+    Rule(
+        "celerypulley.fleet",
+        ("celerypulley.hosts", "celerypulley.stand_ins", _PLATFORM_PACKAGE),
+    ),
+    Rule("celerypulley.links", ("celerypulley.fleet", _PLATFORM_PACKAGE)),
     Rule("celerypulley.backend_servers", (_PLATFORM_PACKAGE,)),
     Rule("celerypulley.contracts", (_PLATFORM_PACKAGE,)),
     Rule("celerypulley.programs", (_PLATFORM_PACKAGE,)),
