Send which members are unreachable as bits

Cause: each message of the gossip listed unreachable members by name. At the start all are, so a message to 171 hosts took 170 x 3.7 KB, more than a link can queue; what got lost made more members unreachable.

Change: one bit for each member, in the order of names; the checksum of the members already tells whether both sides number them alike.

--- a/celerypulley/fleet/fleet_gossip.py
+++ b/celerypulley/fleet/fleet_gossip.py
@@ -38,7 +38,8 @@
     `number` counts the messages. `admitted` are totals of admitted requests since the
     start, by organisation; `in_flight` the current calls, by server; `crash_counts` the
     numbers of servers lost, by request fingerprint. Hosts with the same `view` know the
-    same members; `unreachable` are the members from which the host receives nothing.
+    same members; `unreachable` are those of them from which the host receives nothing,
+    a bit for each in the order of their names, empty if there are none.
     `uptime_ms` is the time since the start. `has_all_totals` tells whether `admitted`
     lacks only organisations without requests.
     """
@@ -51,7 +52,7 @@
     in_flight: dict[str, int] = attrs.Factory(dict)
     crash_counts: dict[str, int] = attrs.Factory(dict)
     view: int = 0
-    unreachable: frozenset[str] = frozenset()
+    unreachable: bytes = b""
     uptime_ms: float = float("inf")
     has_all_totals: bool = False
 
@@ -117,16 +118,18 @@
         the same members. Of the parts of a partitioned fleet, at most one has a quorum.
         """
         view = self.read_view()
-        agreeing = sum(self._agrees(host, view) for host in self.members)
+        own_index = sorted(self.members).index(self.datagrams.host)
+        agreeing = sum(self._agrees(host, view, own_index) for host in self.members)
         return agreeing * 2 > len(self.members)
 
-    def _agrees(self, host: str, view: int) -> bool:
+    def _agrees(self, host: str, view: int, own_index: int) -> bool:
         if host == self.datagrams.host:
             return True
         if not self.is_reachable(host):
             return False
         peer = self.peers[host]
-        return peer.view == view and self.datagrams.host not in peer.unreachable
+        # With the same view, both number the members alike.
+        return peer.view == view and not _has_bit(peer.unreachable, own_index)
 
     def unreachable_domains(self, domains: dict[str, str]) -> frozenset[str]:
         """Return the failure domains without a reachable host.
@@ -153,15 +156,15 @@
             raise ValueError("counts must be dictionaries")
         if not isinstance(instance_id, str) or not isinstance(number, int):
             raise ValueError("instance must be a string and message number an integer")
-        if not isinstance(unreachable, list):
-            raise ValueError("unreachable members must be a list")
+        if not isinstance(unreachable, bytes):
+            raise ValueError("unreachable members must be bytes")
         if not isinstance(uptime_ms, int):
             raise ValueError("uptime must be an integer")
         counts = (
             in_flight,
             crash_counts,
             view,
-            frozenset(map(str, unreachable)),
+            unreachable,
             uptime_ms,
         )
         has_all_totals = _has_all_totals(number)
@@ -199,9 +202,17 @@
             pause_ms = self.period_ms() * random.uniform(0.9, 1.1) - _MIN_PERIOD_MS
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._send_now.wait(), pause_ms / 1000)
-            self._send_now.clear()
-            self._clear_unreachable_calls()
-            self.announce()
+            self.announce_due()
+
+    def is_announcement_requested(self) -> bool:
+        """Return whether the next message should be sent before its period ends."""
+        return self._send_now.is_set()
+
+    def announce_due(self) -> None:
+        """Send the message that is due, regular or requested."""
+        self._send_now.clear()
+        self._clear_unreachable_calls()
+        self.announce()
 
     def announce(self) -> None:
         """Send one message to every other host."""
@@ -217,12 +228,12 @@
         ]
         self.datagrams.broadcast(_KIND, message)
 
-    def _unreachable_members(self) -> list[str]:
-        return [
-            host
-            for host in self.members
-            if not self.is_reachable(host, _MISSED_BEFORE_ANNOUNCED)
-        ]
+    def _unreachable_members(self) -> bytes:
+        bits = 0
+        for index, host in enumerate(sorted(self.members)):
+            if not self.is_reachable(host, _MISSED_BEFORE_ANNOUNCED):
+                bits |= 1 << index
+        return bits.to_bytes((bits.bit_length() + 7) // 8, "little")
 
     def _changed_totals(self, admitted: dict[str, int]) -> dict[str, int]:
         """Return the totals that changed recently, or all in every twentieth message.
@@ -247,5 +258,9 @@
                 self._replace_counts(attrs.evolve(peer, in_flight={}), peer)
 
 
+def _has_bit(bits: bytes, index: int) -> bool:
+    return bool(int.from_bytes(bits, "little") >> index & 1)
+
+
 def _has_all_totals(message_number: int) -> bool:
     return message_number % _FULL_EVERY_MESSAGES == 1
