Relay gossip between failure domains through one host a domain

Cause: every host sent each message to every other host, so 137 copies of it crossed failure domains in a fleet of 171 hosts in five domains, and bytes between domains grew with the square of the fleet.

Change: in a fleet of more than 16 hosts, a message goes to the hosts of its own domain and to one host of each other domain, which passes it to its domain. The relay is another one for each message, in turn among those that are reachable: no election, and a relay that is lost stops no two messages in a row.

With 35% of 171 hosts cut off, the others still reach each other.

--- a/celerypulley/fleet/fleet_datagrams.py
+++ b/celerypulley/fleet/fleet_datagrams.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 from collections import OrderedDict, deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 import msgpack
@@ -103,9 +103,18 @@
 
     def broadcast(self, kind: str, payload: list) -> None:
         """Send a message to every other member, in bursts that leave links free."""
-        message = msgpack.packb((kind, self.host, None, payload))
-        for host in self.addresses:
-            if host != self.host:
+        self.multicast(self.addresses, kind, payload)
+
+    def multicast(
+        self, hosts: Iterable[str], kind: str, payload: list, origin: str = ""
+    ) -> None:
+        """Send a message to `hosts` but this one, in bursts that leave links free.
+
+        `origin` is the host that wrote the message, if it is another one.
+        """
+        message = msgpack.packb((kind, origin or self.host, None, payload))
+        for host in hosts:
+            if host not in (self.host, origin):
                 self._broadcasts.append((host, message))
         self._has_broadcasts.set()
 
--- a/celerypulley/fleet/fleet_gossip.py
+++ b/celerypulley/fleet/fleet_gossip.py
@@ -2,18 +2,24 @@
 
 Messages repeat totals that changed recently, so that lost messages do no harm.
 Durable state is never sent this way.
+
+In a large fleet a host sends a message to the hosts of its own failure domain and to
+one host of each other domain, which relays it to the rest of that domain. Each message
+has other relays, so that one that is lost stops no two messages in a row.
 """
 
 import asyncio
 import random
+import zlib
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 
 import attrs
 from mode import Service
 
 from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 
 __all__ = ["FleetGossip", "PeerCounts"]
@@ -29,6 +35,9 @@
 _CHANGE_REPEATS = 4  # one more than the missed messages that are tolerated
 _FULL_EVERY_MESSAGES = 20  # a restarted host receives all totals within seconds
 _KIND = "counts"
+_RELAYED_KIND = "relayed counts"
+_MAX_DIRECT_HOSTS = 16  # a larger fleet has relays between its failure domains
+_log = DecisionLog("gossip")
 
 
 @attrs.frozen
@@ -69,13 +78,16 @@
         read_own_counts: Callable[[], tuple[dict, dict, dict]],
         read_view: Callable[[], int],
         clock: Clock,
+        domains: Mapping[str, str] | None = None,
     ) -> None:
         """Send what `read_own_counts()` and `read_view()` return.
 
         The counts are admitted requests, calls in flight and crashes, in this order.
+        `domains` are the failure domains by host; without them no message is relayed.
         """
         super().__init__()
         self.datagrams = datagrams
+        self.domains = {} if domains is None else domains
         self.read_own_counts = read_own_counts
         self.read_view = read_view
         self.clock = clock
@@ -86,6 +98,7 @@
         self._recent_totals: deque[dict[str, int]] = deque(maxlen=_CHANGE_REPEATS)
         self._send_now = asyncio.Event()
         datagrams.handlers[_KIND] = self._on_counts
+        datagrams.handlers[_RELAYED_KIND] = self._relay_counts
 
     @property
     def members(self) -> dict[str, tuple[str, int]]:
@@ -226,7 +239,40 @@
             self._unreachable_members(),
             round(self.clock.now_ms() - self._started_ms),
         ]
-        self.datagrams.broadcast(_KIND, message)
+        if len(self.members) <= _MAX_DIRECT_HOSTS or not self.domains:
+            self.datagrams.broadcast(_KIND, message)
+            return
+        self.datagrams.multicast(self._hosts_of_own_domain(), _KIND, message)
+        self.datagrams.multicast(self._pick_relays(), _RELAYED_KIND, message)
+
+    def _hosts_of_own_domain(self) -> list[str]:
+        own_domain = self.domains.get(self.datagrams.host)
+        return [h for h, domain in self.domains.items() if domain == own_domain]
+
+    def _pick_relays(self) -> list[str]:
+        """Return a host of each other domain, another one for each message.
+
+        Unreachable hosts are picked only where a domain has no others.
+        """
+        own_domain = self.domains.get(self.datagrams.host)
+        candidates: dict[str, list[str]] = {}
+        for host in sorted(self.domains):
+            if self.domains[host] != own_domain:
+                candidates.setdefault(self.domains[host], []).append(host)
+        relays = []
+        for hosts in candidates.values():
+            reachable = [host for host in hosts if self.is_reachable(host)] or hosts
+            turn = zlib.crc32(self.datagrams.host.encode()) + self._number
+            relays.append(reachable[turn % len(reachable)])
+        return relays
+
+    def _relay_counts(self, host: str, payload: list) -> None:
+        """Handle counts, and pass them to the other hosts of this domain."""
+        if host not in self.members:
+            _log.write("message not relayed", "unknown member", sender=host)
+            return
+        self._on_counts(host, payload)
+        self.datagrams.multicast(self._hosts_of_own_domain(), _KIND, payload, host)
 
     def _unreachable_members(self) -> bytes:
         bits = 0
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -115,7 +115,11 @@
             self.members.addresses,
         )
         self.gossip = FleetGossip(
-            self.datagrams, self._own_counts, self.members.view_digest, clock
+            self.datagrams,
+            self._own_counts,
+            self.members.view_digest,
+            clock,
+            self.members.domains,
         )
         self.meter.gossip = self.gossip
         self.window_copier = WindowCopier(self.meter, self.datagrams, self.gossip)
--- a/tests/test_fleet_gossip.py
+++ b/tests/test_fleet_gossip.py
@@ -5,6 +5,7 @@
 from tools.emulated_fleet import EmulatedFleet
 
 MAX_BURST_BYTES = 3_750  # what a link of 15 Mbit/s carries in 2 ms
+MAX_BYTES_PER_S = 8_192  # control of one host, of which gossip is a part
 
 
 @pytest.mark.parametrize("hosts", [10, 60, 171])
@@ -26,3 +27,31 @@
     fleet.run(4_000.0)
     bursts = [host.traffic.max_burst_bytes for host in fleet.hosts]
     assert max(bursts) <= MAX_BURST_BYTES
+
+
+@pytest.mark.parametrize("hosts", [60, 171, 300])
+def test_bytes_between_domains_grow_with_the_fleet(hosts):
+    """Links between domains are the most expensive part of what control sends."""
+    fleet = EmulatedFleet(hosts)
+    fleet.run(6_000.0)
+    fleet.reset_traffic()
+    fleet.run(4_000.0)
+    sent = [host.traffic.bytes_between_domains for host in fleet.hosts]
+    assert sum(sent) / len(sent) / 4.0 <= MAX_BYTES_PER_S / 4
+
+
+@pytest.mark.parametrize(("hosts", "cut_share"), [(60, 0.2), (171, 0.2), (171, 0.35)])
+def test_cut_hosts_take_others_with_them(hosts, cut_share):
+    """Messages that cut hosts should have relayed must come another way."""
+    fleet = EmulatedFleet(hosts, has_callers=False)
+    fleet.run(8_000.0)
+    fleet.cut = set(fleet.draws.sample(list(fleet.addresses), round(cut_share * hosts)))
+    rest = [host for host in fleet.hosts if host.name not in fleet.cut]
+    fleet.run(8 * rest[0].gossip.period_ms())
+    for host in rest:
+        unheard = {
+            each for each in fleet.addresses if not host.gossip.is_reachable(each)
+        }
+        assert unheard == fleet.cut
+    lone = next(host for host in fleet.hosts if host.name in fleet.cut)
+    assert not lone.gossip.has_quorum()
--- a/tools/emulated_fleet.py
+++ b/tools/emulated_fleet.py
@@ -74,7 +74,8 @@
 class EmulatedFleet:
     """Hosts that gossip over an emulated network.
 
-    `admitted` has the times of the requests of the overloaded organisation.
+    Datagrams to and from the hosts in `cut` are lost. `admitted` has the times of the
+    requests of the overloaded organisation.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         self.now_ms = 1_000_000.0
         self.loss = loss
         self.has_callers = has_callers
+        self.cut: set[str] = set()
         self.draws = random.Random(count)
         self.clock = Clock(self._read_ns, self._read_ns)
         self.domains = {
@@ -122,6 +124,7 @@
             lambda: (meter.totals_to_announce(), {}, {}),
             lambda: 1,
             self.clock,
+            self.domains,
         )
         meter.gossip = gossip
         gossip.on_message.append(meter.on_peer_counts)
@@ -142,7 +145,7 @@
         if queued_ms * _LINK_BYTES_PER_MS + size > _LINK_QUEUE_BYTES:
             return
         source.link_free_ms = self.now_ms + queued_ms + size / _LINK_BYTES_PER_MS
-        if self.draws.random() < self.loss:
+        if self.draws.random() < self.loss or self.cut & {source.name, target.name}:
             return
         arrival_ms = source.link_free_ms + _LATENCY_MS
         heapq.heappush(self._in_transit, (arrival_ms, sender, port, message))
