Let members that join together be read in one response

Change: the follower of members waits 10 ms for each member that it knows before the next watch, which returns at once with all that has changed.

--- a/celerypulley/fleet/fleet_members.py
+++ b/celerypulley/fleet/fleet_members.py
@@ -27,6 +27,8 @@
 _LEASE_TTL_MS = 20_000  # the rate share of a host that died is unused for this long
 _RENEW_PERIOD_MS = 4_000  # two renewals may be lost before the lease expires
 _RETRY_MS = 300.0
+# While a large fleet starts, each response then has many of the hosts that join.
+_READ_PAUSE_MS_PER_MEMBER = 10.0
 _log = DecisionLog("members")
 
 
@@ -86,6 +88,7 @@
             clock,
             self._on_snapshot,
             self._on_item,
+            lambda: len(self.others) * _READ_PAUSE_MS_PER_MEMBER,
         )
 
     def of_kind(self, kind: str) -> list[FleetMember]:
--- a/celerypulley/links/prefix_follower.py
+++ b/celerypulley/links/prefix_follower.py
@@ -39,11 +39,13 @@
         clock: Clock,
         on_snapshot: Callable[[tuple[Item, ...]], None],
         on_change: Callable[[Item], None],
+        read_pause_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Follow `prefix` with watches of at most `wait_ms`.
 
         `on_snapshot` receives all items after every full read, `on_change` each later
-        change. `name` appears in the log.
+        change. `name` appears in the log. After a response, the next watch begins
+        `read_pause_ms()` later and returns at once what has changed meanwhile.
         """
         super().__init__()
         self.name = name
@@ -53,6 +55,7 @@
         self.clock = clock
         self.on_snapshot = on_snapshot
         self.on_change = on_change
+        self.read_pause_ms = read_pause_ms
         self.confirmed_ms = float("-inf")
         self.recovered_ms = float("-inf")
         self._revision: int | None = None
@@ -83,6 +86,7 @@
             pause_ms = _RETRY_DELAY_MS
             self._has_failed = False
             self._record_success(confirmed_ms)
+            await asyncio.sleep(self.read_pause_ms() / 1000)
 
     async def _poll_once(self) -> float:
         """Read or watch once; return the time at which the result was current."""
