Let one host of a failure domain confirm the desired state for it

Change: in a fleet of more than 16 hosts one host of each domain, by rendezvous hashing among those that are reachable, reads it every 0.6 s. The others ask that host each second. Age to the asker is the age in the answer plus the time since the request was sent, an upper bound without equal clocks. An answer with another version, of a source that has lost the store, or none at all: the host reads the store itself, as before.

--- /dev/null
+++ b/celerypulley/fleet/confirmations.py
@@ -0,0 +1,85 @@
+"""Confirmations of the desired state, read by one host for its failure domain.
+
+In a large fleet one host of each domain, its source, reads the store and the others ask
+it. An answer has the version that the source confirmed and the age of its confirmation.
+To the asker this age is what the answer says plus the time since it sent the request,
+so that it is never too low, whatever the clocks and however late the answer.
+"""
+
+import math
+from collections.abc import Callable
+
+from celerypulley.decision_log import DecisionLog
+from celerypulley.failure_domains.placement import rendezvous
+from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
+from celerypulley.fleet.fleet_gossip import FleetGossip
+
+__all__ = ["Confirmations"]
+
+_KIND = "confirmation"
+_SOURCE_KEY = "desired state"
+_DIRECT_PAUSE_MS = 1_500.0  # three reads within the shortest revocation limit, 5 s
+# Both pauses together stay below the age at which unknown routes get no 404, 2 s.
+_SOURCE_PAUSE_MS = 600.0
+_ASK_PAUSE_MS = 1_000.0
+# A source whose confirmation is older has lost the store, which others may reach.
+_MAX_SOURCE_AGE_MS = 1_000
+_log = DecisionLog("confirmations")
+
+
+class Confirmations:
+    """Ask the source of this host's domain, and answer the hosts that ask this one.
+
+    The answer is the version in force and the age of its confirmation in ms.
+    """
+
+    def __init__(
+        self,
+        datagrams: FleetDatagrams,
+        gossip: FleetGossip,
+        read_version: Callable[[], int],
+        read_age_ms: Callable[[], float],
+    ) -> None:
+        """Answer with `read_version()` and `read_age_ms()`."""
+        self.datagrams = datagrams
+        self.gossip = gossip
+        self.read_version = read_version
+        self.read_age_ms = read_age_ms
+        datagrams.handlers[_KIND] = self._handle_request
+
+    def source(self) -> str:
+        """Return the host that reads the store, this one in a small fleet."""
+        own_name = self.datagrams.host
+        if not self.gossip.has_relays():
+            return own_name
+        hosts = filter(self.gossip.is_reachable, self.gossip.hosts_of_own_domain())
+        return rendezvous(_SOURCE_KEY, hosts) or own_name
+
+    def pause_ms(self) -> float:
+        """Return the time between two confirmations of this host."""
+        if not self.gossip.has_relays():
+            return _DIRECT_PAUSE_MS
+        is_source = self.source() == self.datagrams.host
+        return _SOURCE_PAUSE_MS if is_source else _ASK_PAUSE_MS
+
+    async def ask(self) -> float | None:
+        """Return the age in ms of the source's confirmation when it answered.
+
+        None if this host has to read the store itself: it is the source, or the source
+        does not answer, has another version or has itself lost the store.
+        """
+        source = self.source()
+        if source == self.datagrams.host:
+            return None
+        try:
+            version, age_ms = await self.datagrams.request(source, _KIND, [])
+        except (NoReplyError, ValueError) as error:
+            _log.write("not confirmed", repr(error), peer=source)
+            return None
+        if not isinstance(age_ms, int) or not 0 <= age_ms <= _MAX_SOURCE_AGE_MS:
+            return None
+        return age_ms if version == self.read_version() else None
+
+    async def _handle_request(self, _sender: str, _payload: list) -> list:
+        age_ms = self.read_age_ms()
+        return [self.read_version(), math.ceil(age_ms) if math.isfinite(age_ms) else -1]
--- a/celerypulley/fleet/fleet_gossip.py
+++ b/celerypulley/fleet/fleet_gossip.py
@@ -239,13 +239,18 @@
             self._unreachable_members(),
             round(self.clock.now_ms() - self._started_ms),
         ]
-        if len(self.members) <= _MAX_DIRECT_HOSTS or not self.domains:
+        if not self.has_relays():
             self.datagrams.broadcast(_KIND, message)
             return
-        self.datagrams.multicast(self._hosts_of_own_domain(), _KIND, message)
+        self.datagrams.multicast(self.hosts_of_own_domain(), _KIND, message)
         self.datagrams.multicast(self._pick_relays(), _RELAYED_KIND, message)
 
-    def _hosts_of_own_domain(self) -> list[str]:
+    def has_relays(self) -> bool:
+        """Return whether the fleet is so large that one host serves its domain."""
+        return len(self.members) > _MAX_DIRECT_HOSTS and bool(self.domains)
+
+    def hosts_of_own_domain(self) -> list[str]:
+        """Return the hosts of this host's failure domain, including this one."""
         own_domain = self.domains.get(self.datagrams.host)
         return [h for h, domain in self.domains.items() if domain == own_domain]
 
@@ -272,7 +277,7 @@
             _log.write("message not relayed", "unknown member", sender=host)
             return
         self._on_counts(host, payload)
-        self.datagrams.multicast(self._hosts_of_own_domain(), _KIND, payload, host)
+        self.datagrams.multicast(self.hosts_of_own_domain(), _KIND, payload, host)
 
     def _unreachable_members(self) -> bytes:
         bits = 0
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -12,6 +12,7 @@
 from celerypulley.contracts.desired_state import CallerLimits, DesiredState
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import Refusal, RunState
+from celerypulley.fleet.confirmations import Confirmations
 from celerypulley.fleet.crash_counts import CrashCounts
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_gossip import FleetGossip
@@ -122,6 +123,14 @@
             self.members.domains,
         )
         self.meter.gossip = self.gossip
+        confirmations = Confirmations(
+            self.datagrams,
+            self.gossip,
+            lambda: self.desired_state.version,
+            self.desired_state.age_ms,
+        )
+        self.desired_state.confirmer.ask_peer = confirmations.ask
+        self.desired_state.confirmer.pause_ms = confirmations.pause_ms
         self.window_copier = WindowCopier(self.meter, self.datagrams, self.gossip)
         self.gossip.on_message += [
             self.meter.on_peer_counts,
--- a/celerypulley/links/key_poller.py
+++ b/celerypulley/links/key_poller.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 from mode import Service
@@ -36,12 +36,18 @@
         """Poll `key` and pass its item to `on_item`.
 
         A read that finds no such key counts as a confirmation, without an item.
+
+        `ask_peer` and `pause_ms` may be replaced before the start. `ask_peer()` returns
+        how long ago, in ms, a peer confirmed the state of this host when it answered,
+        or None if the store has to be read. `pause_ms()` is the time to the next poll.
         """
         super().__init__()
         self.store = store
         self.key = key
         self.clock = clock
         self.on_item = on_item
+        self.ask_peer: Callable[[], Awaitable[float | None]] = _ask_nobody
+        self.pause_ms: Callable[[], float] = lambda: _POLL_INTERVAL_MS
         self.is_store_unavailable = False
         self._confirmed_ms = float("-inf")
         self._wake_up = asyncio.Event()
@@ -58,6 +64,12 @@
     async def _poll(self) -> None:
         while not self.should_stop:
             requested_ms = self.clock.now_ms()
+            peer_age_ms = await self.ask_peer()
+            if peer_age_ms is not None:
+                self._record_success(requested_ms - peer_age_ms)
+                await self._pause()
+                continue
+            requested_ms = self.clock.now_ms()
             try:
                 async with asyncio.timeout(_READ_TIMEOUT_S):
                     item = await self.store.read(self.key)
@@ -68,10 +80,13 @@
             if item is not None:
                 self.on_item(item)
             self._record_success(requested_ms)
-            pause_ms = _POLL_INTERVAL_MS * random.uniform(0.9, 1.0)
-            with suppress(TimeoutError):
-                await asyncio.wait_for(self._wake_up.wait(), pause_ms / 1000)
-            self._wake_up.clear()
+            await self._pause()
+
+    async def _pause(self) -> None:
+        pause_ms = self.pause_ms() * random.uniform(0.9, 1.0)
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._wake_up.wait(), pause_ms / 1000)
+        self._wake_up.clear()
 
     def _record_failure(self, reason: str) -> None:
         if self.is_store_unavailable:
@@ -79,7 +94,7 @@
         self.is_store_unavailable = True
         _log.write("key-value store unavailable", reason, key=self.key)
 
-    def _record_success(self, requested_ms: float) -> None:
+    def _record_success(self, confirmed_ms: float) -> None:
         if self.is_store_unavailable:
             self.is_store_unavailable = False
             unconfirmed_ms = min(self.age_ms(), 1e9)
@@ -88,4 +103,8 @@
                 f"not confirmed for {unconfirmed_ms:.0f} ms",
                 key=self.key,
             )
-        self._confirmed_ms = requested_ms
+        self._confirmed_ms = max(self._confirmed_ms, confirmed_ms)
+
+
+async def _ask_nobody() -> None:
+    return None
