Keep counts of crashes over the restart of the host that saw them

Change: each crash has a random mark of four bytes and counts once. A host announces the crashes that it saw, recent ones for 6 s and older ones four a message in turn; only requests with two crashes or more are relayed by hosts that heard of them. A message holds 20 requests at most, 16 of them recent.

--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -1,9 +1,19 @@
-"""Crashes of backend servers by request, counted across the fleet."""
+"""Crashes of backend servers by request, counted across the fleet.
+
+Each crash has a random mark, so that it counts once however often it is heard. A host
+announces the crashes that it saw. Those of requests that crashed two servers or more
+are announced by all hosts, so that a host which starts learns of them from any other.
+"""
 
 import hashlib
+import heapq
+import secrets
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
+
+import attrs
 
+from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.programs.opaque_request import OpaqueRequest
@@ -11,7 +21,13 @@
 __all__ = ["CrashCounts", "request_fingerprint"]
 
 _CRASH_LIMIT = 3  # one request may crash at most three servers
-_MAX_FINGERPRINTS = 256
+_RELAY_LIMIT = 2  # a crash that concerns one request only is rarely heard of twice
+_MAX_FINGERPRINTS = 1_024
+# Recent crashes are part of all messages of this time, older ones of some, in turn.
+_ANNOUNCED_FOR_MS = 6_000.0  # four messages of a fleet of 171 hosts
+_RECENT_PER_MESSAGE = 16  # 500 bytes
+_OLDER_PER_MESSAGE = 4
+_MARK_BYTES = 4
 _log = DecisionLog("strikes")
 
 
@@ -26,34 +42,85 @@
     return hasher.hexdigest()
 
 
+@attrs.define(eq=False)
+class _Crashes:
+    """The marks of one request's crashes, and when the last one was learned."""
+
+    marks: set[bytes] = attrs.Factory(set)
+    changed_ms: float = 0.0
+    is_own: bool = False
+
+
 class CrashCounts:
     """Count servers that were lost while they ran a request, by its fingerprint."""
 
-    def __init__(
-        self, read_peer_counts: Callable[[], Iterable[dict[str, int]]]
-    ) -> None:
-        """Add the counts that `read_peer_counts()` returns to those of this host."""
-        self.read_peer_counts = read_peer_counts
-        self.own_counts: OrderedDict[str, int] = OrderedDict()
+    def __init__(self, clock: Clock) -> None:
+        """Start without crashes."""
+        self.clock = clock
+        self._crashes: OrderedDict[str, _Crashes] = OrderedDict()
+        self._next_older = 0
+
+    def count(self, fingerprint: str) -> int:
+        """Return how many servers a request is known to have crashed."""
+        crashes = self._crashes.get(fingerprint)
+        return len(crashes.marks) if crashes else 0
 
     def record_crash(self, fingerprint: str, server: str) -> None:
         """Count a server that was lost while it ran a request."""
-        self.own_counts[fingerprint] = self.own_counts.get(fingerprint, 0) + 1
-        self.own_counts.move_to_end(fingerprint)
-        while len(self.own_counts) > _MAX_FINGERPRINTS:
-            self.own_counts.popitem(last=False)
+        self._add(fingerprint, {secrets.token_bytes(_MARK_BYTES)}, is_own=True)
         _log.write(
             "crash counted",
             "server lost during request",
             server=server,
             request=fingerprint,
+            crashes=self.count(fingerprint),
         )
 
+    def merge(self, table: dict[str, list[bytes]]) -> None:
+        """Add the crashes that another host has announced.
+
+        Raise ValueError if a mark has another form.
+        """
+        for fingerprint, marks in table.items():
+            if not all(isinstance(m, bytes) and len(m) == _MARK_BYTES for m in marks):
+                raise ValueError(f"marks of crashes must be {_MARK_BYTES} bytes")
+            self._add(fingerprint, set(marks), is_own=False)
+
+    def _add(self, fingerprint: str, marks: set[bytes], is_own: bool) -> None:
+        crashes = self._crashes.get(fingerprint, _Crashes())
+        if marks <= crashes.marks or len(crashes.marks) >= _CRASH_LIMIT:
+            return
+        crashes.marks |= marks
+        crashes.changed_ms = self.clock.now_ms()
+        crashes.is_own |= is_own
+        self._crashes[fingerprint] = crashes
+        self._crashes.move_to_end(fingerprint)
+        while len(self._crashes) > _MAX_FINGERPRINTS:
+            # The oldest of the requests with the fewest crashes.
+            del self._crashes[min(self._crashes, key=self.count)]
+
+    def to_announce(self) -> dict[str, list[bytes]]:
+        """Return the crashes for the next message to other hosts."""
+        recent_since_ms = self.clock.now_ms() - _ANNOUNCED_FOR_MS
+        recent: list[str] = []
+        older: list[str] = []
+        for fingerprint, crashes in self._crashes.items():
+            if not crashes.is_own and len(crashes.marks) < _RELAY_LIMIT:
+                continue
+            is_recent = crashes.changed_ms >= recent_since_ms
+            (recent if is_recent else older).append(fingerprint)
+        announced = heapq.nlargest(_RECENT_PER_MESSAGE, recent, key=self.count)
+        announced += self._take_in_turn(older)
+        return {each: sorted(self._crashes[each].marks) for each in announced}
+
+    def _take_in_turn(self, fingerprints: list[str]) -> Iterable[str]:
+        for _ in range(min(len(fingerprints), _OLDER_PER_MESSAGE)):
+            self._next_older = (self._next_older + 1) % len(fingerprints)
+            yield fingerprints[self._next_older]
+
     def check(self, fingerprint: str) -> None:
         """Raise CallRefusedError if a request has crashed too many servers."""
-        count = self.own_counts.get(fingerprint, 0)
-        for peer_counts in self.read_peer_counts():
-            count += peer_counts.get(fingerprint, 0)
+        count = self.count(fingerprint)
         if count >= _CRASH_LIMIT:
             raise CallRefusedError.of(
                 ErrorKind.QUARANTINED, f"{count} servers were lost during this request"
--- a/celerypulley/fleet/fleet_gossip.py
+++ b/celerypulley/fleet/fleet_gossip.py
@@ -45,8 +45,8 @@
     """The newest message of one instance of a host, that is, of one start.
 
     `number` counts the messages. `admitted` are totals of admitted requests since the
-    start, by organisation; `in_flight` the current calls, by server; `crash_counts` the
-    numbers of servers lost, by request fingerprint. Hosts with the same `view` know the
+    start, by organisation; `in_flight` the current calls, by server; `crashes` the
+    marks of crashes, by request fingerprint. Hosts with the same `view` know the
     same members; `unreachable` are those of them from which the host receives nothing,
     a bit for each in the order of their names, empty if there are none.
     `uptime_ms` is the time since the start. `has_all_totals` tells whether `admitted`
@@ -59,7 +59,7 @@
     received_ms: float
     admitted: dict[str, int] = attrs.Factory(dict)
     in_flight: dict[str, int] = attrs.Factory(dict)
-    crash_counts: dict[str, int] = attrs.Factory(dict)
+    crashes: dict[str, list[bytes]] = attrs.Factory(dict)
     view: int = 0
     unreachable: bytes = b""
     uptime_ms: float = float("inf")
@@ -159,12 +159,12 @@
             number,
             admitted,
             in_flight,
-            crash_counts,
+            crashes,
             view,
             unreachable,
             uptime_ms,
         ) = payload
-        tables = (admitted, in_flight, crash_counts)
+        tables = (admitted, in_flight, crashes)
         if not all(isinstance(table, dict) for table in tables):
             raise ValueError("counts must be dictionaries")
         if not isinstance(instance_id, str) or not isinstance(number, int):
@@ -175,7 +175,7 @@
             raise ValueError("uptime must be an integer")
         counts = (
             in_flight,
-            crash_counts,
+            crashes,
             view,
             unreachable,
             uptime_ms,
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -104,7 +104,7 @@
             clock,
         )
         self.meter = FleetMeter(settings.quota_window_ms, clock)
-        self.crash_counts = CrashCounts(self._peer_crash_counts)
+        self.crash_counts = CrashCounts(clock)
         own_member = FleetMember(
             settings.host_id, HOST, settings.domain, settings.ip, settings.fleet_port
         )
@@ -135,6 +135,7 @@
         self.gossip.on_message += [
             self.meter.on_peer_counts,
             self.directory.on_peer_counts,
+            lambda peer, _previous: self.crash_counts.merge(peer.crashes),
         ]
         self.desired_state.on_change.append(self.meter.on_desired_state)
         self.escrow = BudgetEscrow(store, clock)
@@ -244,14 +245,11 @@
         )
         return limits.max_body_bytes
 
-    def _peer_crash_counts(self) -> list[dict[str, int]]:
-        return [peer.crash_counts for peer in self.gossip.peers.values()]
-
     def _own_counts(self) -> tuple[dict, dict, dict]:
         return (
             self.meter.totals_to_announce(),
             self.directory.in_flight(),
-            dict(self.crash_counts.own_counts),
+            self.crash_counts.to_announce(),
         )
 
     async def _run(self, request: OpaqueRequest, sink: ForwardSink) -> Refusal | None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,6 +8,7 @@
 from celerypulley.errors import ErrorKind, RunState
 from celerypulley.hosts import fleet_host
 from celerypulley.hosts.admission import Attempts
+from celerypulley.hosts.fleet_host import FleetHost
 from celerypulley.stand_ins.opaque_server import Mode
 from tests.fleet import desired_state, running_fleet
 from tests.harness import wait_until
@@ -209,6 +210,11 @@
         assert sum(len(server.received) for server in fleet.servers) == runs
 
 
+def _crash_counts(host: FleetHost) -> dict[str, int]:
+    counts = host.crash_counts
+    return {each: counts.count(each) for each in counts._crashes}
+
+
 async def test_request_that_breaks_servers_is_refused_everywhere():
     async with running_fleet(hosts=2, servers=2) as fleet:
         for server in fleet.servers:
@@ -217,16 +223,8 @@
         for number in range(8):
             response = await fleet.call("/unsafe/x", host=number % 2)
             statuses.append(response.status)
-            other_host = fleet.hosts[1 - number % 2]
-            own_crashes = sum(fleet.hosts[number % 2].crash_counts.own_counts.values())
             await wait_until(
-                lambda other_host=other_host, own_crashes=own_crashes: (
-                    own_crashes
-                    <= sum(
-                        sum(each.values())
-                        for each in other_host.crash_counts.read_peer_counts()
-                    )
-                )
+                lambda: len({repr(_crash_counts(host)) for host in fleet.hosts}) == 1
             )
         assert statuses == [502, 502, 502, 503, 503, 503, 503, 503]
         for server in fleet.servers:
