Believe no refusal that may belong to an earlier request

Cause: a server that wrote an earlier refusal once more on a kept connection refused the next request on it, though it ran that one: a response without identifier was taken for the answer, and one with the identifier could not be told apart where a caller tries again with the same one. The caller was told 'not run, try again', or another server ran the request too.

Change: a response without identifier is believed on a new connection only, and a connection is closed after a refusal instead of being used again.

--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -27,7 +27,6 @@
 
 Chooser = Callable[[EngineCall, list[EngineState], frozenset[str]], Choice | None]
 
-_SHED_RETRY_S = 0.1  # about the duration of a turn on an engine, which frees a slot
 _CROSS_DOMAIN_RTT_MS = 2.0  # round trip between failure domains (site sheets)
 # Traffic between domains is expensive: a kilobyte costs as much as one more sequence
 # on a local engine, 4 ms for a turn of 73 tokens (site sheets). Headers take 1 kB.
@@ -239,11 +238,6 @@
             return Refusal(ErrorKind.NO_BACKEND_SERVER, f"{server.name}: {error}")
         return Refusal(ErrorKind.BACKEND_SERVER_FAILED, f"{server.name}: {error}")
 
-    def not_run_refusal(self, server: EngineState, head: ResponseHead) -> Refusal:
-        """Return the refusal for a server that did not run the request."""
-        detail = f"{server.name} answered {head.status} without running the request"
-        return Refusal(ErrorKind.OVERLOADED, detail, retry_after_s=_SHED_RETRY_S)
-
 
 def _age_ms(now_ms: float, then_ms: float) -> int | None:
     return None if then_ms == float("-inf") else round(now_ms - then_ms)
--- a/celerypulley/hosts/plain_forwarder.py
+++ b/celerypulley/hosts/plain_forwarder.py
@@ -9,7 +9,12 @@
 from celerypulley.backend_servers.routing import choose_plain_server
 from celerypulley.hosts.admission import AdmittedRequest
 from celerypulley.hosts.forward_context import ForwardContext, pick_service
-from celerypulley.hosts.server_attempts import FailedAttempt, ServerAttempt, try_servers
+from celerypulley.hosts.server_attempts import (
+    FailedAttempt,
+    ServerAttempt,
+    not_run_attempt,
+    try_servers,
+)
 from celerypulley.links.forward_server import ForwardSink
 
 __all__ = ["PlainForwarder"]
@@ -54,12 +59,10 @@
         started_ms = context.clock.now_ms()
         context.send(call, server, admitted)
         head, metadata = await context.read_head(call, server, admitted)
+        if metadata.not_run:
+            return not_run_attempt(server, head, metadata)
         body = await call.read_body()
         call.release()
-        if metadata.not_run:
-            return FailedAttempt(
-                context.not_run_refusal(server, head), True, metadata.wrong_server
-            )
         if (
             head.status >= 500
             and admitted.route.may_run_again
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -8,9 +8,16 @@
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.hosts.admission import AdmittedRequest
 from celerypulley.hosts.forward_context import Chooser, ForwardContext
-from celerypulley.links.server_connection import ServerCall, ServerCallError
+from celerypulley.links.forward_dialect import ResponseMetadata
+from celerypulley.links.server_connection import (
+    ResponseHead,
+    ServerCall,
+    ServerCallError,
+)
 
-__all__ = ["FailedAttempt", "ServerAttempt", "try_servers"]
+__all__ = ["FailedAttempt", "ServerAttempt", "not_run_attempt", "try_servers"]
+
+_SHED_RETRY_S = 0.1  # about the duration of a turn on an engine, which frees a slot
 
 
 @attrs.frozen(eq=False)
@@ -36,6 +43,20 @@
     wrong_server: bool = False
 
 
+def not_run_attempt(
+    server: EngineState, head: ResponseHead, metadata: ResponseMetadata
+) -> FailedAttempt:
+    """Return the failed attempt for a server that refused to run the request.
+
+    The connection is not released and so closed after the attempt: a server that sends
+    its refusal again would refuse the next request on it, whose identifier is the same
+    if the caller tries again.
+    """
+    detail = f"{server.name} answered {head.status} without running the request"
+    refusal = Refusal(ErrorKind.OVERLOADED, detail, retry_after_s=_SHED_RETRY_S)
+    return FailedAttempt(refusal, True, metadata.wrong_server)
+
+
 async def try_servers(
     context: ForwardContext,
     admitted: AdmittedRequest,
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -24,7 +24,12 @@
 from celerypulley.hosts.admission import AdmittedRequest
 from celerypulley.hosts.budget_coordinator import BudgetCoordinator, TurnBudget
 from celerypulley.hosts.forward_context import ForwardContext, pick_service
-from celerypulley.hosts.server_attempts import FailedAttempt, ServerAttempt, try_servers
+from celerypulley.hosts.server_attempts import (
+    FailedAttempt,
+    ServerAttempt,
+    not_run_attempt,
+    try_servers,
+)
 from celerypulley.hosts.turn_archive import CompletedTurn, TurnArchive
 from celerypulley.links.forward_server import ForwardSink
 from celerypulley.links.key_value import StoreUnavailableError
@@ -174,11 +179,7 @@
         )
         head, metadata = await context.read_head(call, server, admitted)
         if metadata.not_run:
-            await call.read_body()
-            call.release()
-            return FailedAttempt(
-                context.not_run_refusal(server, head), True, metadata.wrong_server
-            )
+            return not_run_attempt(server, head, metadata)
         if head.status != 200:
             body = await call.read_body()
             call.release()
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -88,6 +88,7 @@
     protocol: _ServerProtocol
     idle_since_ms: float
     idle_limit_ms: float = _DEFAULT_IDLE_MS
+    is_reused: bool = False
 
     def is_usable(self, now_ms: float) -> bool:
         """Return whether the connection can carry another request."""
@@ -119,18 +120,19 @@
         transport.write(request)
 
     async def read_head(
-        self, belongs_to_request: Callable[[Any], bool]
+        self, belongs_to_request: Callable[[Any, bool], bool]
     ) -> ResponseHead:
         """Return the head of the response whose headers `belongs_to_request` accepts.
 
-        Responses to earlier requests are read and discarded. Raise ServerCallError.
+        It is also told whether the connection was used before. Responses to earlier
+        requests are read and discarded. Raise ServerCallError.
         """
         try:
             for _ in range(_MAX_RESPONSES_READ):
                 message, payload = await self.connection.protocol.read()
                 if message.code < 200:
                     continue
-                if belongs_to_request(message.headers):
+                if belongs_to_request(message.headers, self.connection.is_reused):
                     self.connection.protocol.bytes_left = float("inf")
                     self._payload = payload
                     self._head = ResponseHead(
@@ -249,6 +251,7 @@
             connection.protocol.close()
             return
         connection.protocol.bytes_left = _MAX_BYTES_BEFORE_HEAD
+        connection.is_reused = True
         self._idle.setdefault(address, []).append(connection)
 
     def close_idle(self, address: str) -> None:
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -136,8 +136,11 @@
 
 
 def _response_matcher(request_id: str):
-    def belongs_to_request(headers) -> bool:
-        return headers.get("Request-Id", request_id) == request_id
+    def belongs_to_request(headers, is_reused_connection: bool) -> bool:
+        # Without an identifier it may be a second response to an earlier request.
+        if "Request-Id" not in headers:
+            return not is_reused_connection or not request_id
+        return headers["Request-Id"] == request_id
 
     return belongs_to_request
 
--- a/celerypulley/stand_ins/opaque_server.py
+++ b/celerypulley/stand_ins/opaque_server.py
@@ -21,8 +21,9 @@
     SHED and OTHER_INSTANCE state that the request was not executed. The body of a
     CLOSE_DELIMITED response ends with the connection. EXTRA_RESPONSE sends a second
     response after the right one, EARLIER_RESPONSE one with another request's
-    identifier before it. The ENDLESS modes repeat bytes until the caller closes the
-    connection.
+    identifier before it. REPEATED_REFUSAL sends the last refusal on the connection once
+    more before the right response, NAMELESS_REFUSAL the same without its identifier.
+    The ENDLESS modes repeat bytes until the caller closes the connection.
     """
 
     COMPLETE = "whole"
@@ -42,6 +43,8 @@
     HANG = "hang"
     EXTRA_RESPONSE = "extra answer"
     EARLIER_RESPONSE = "answer to an earlier request first"
+    REPEATED_REFUSAL = "an earlier refusal once more first"
+    NAMELESS_REFUSAL = "a refusal without identifier first"
     ENDLESS_BYTES = "endless bytes that are not http"
     ENDLESS_LINES = "endless empty lines"
     ENDLESS_INTERIM = "endless interim responses"
@@ -108,6 +111,7 @@
     address: str = ""
     _server: asyncio.Server | None = None
     _writers: set = attrs.Factory(set)
+    _last_refusals: dict[asyncio.StreamWriter, bytes] = attrs.Factory(dict)
 
     async def start(self) -> None:
         """Listen on a free port of the loopback interface."""
@@ -136,6 +140,7 @@
             self.client_disconnects += 1
         finally:
             self._writers.discard(writer)
+            self._last_refusals.pop(writer, None)
             writer.close()
 
     async def _serve_request(
@@ -182,11 +187,14 @@
                 await asyncio.sleep(0.02)
                 _reset_connection(writer)
             return False
+        refusal = self._complete_response(503, request.request_id, b"full", True)
+        repeated = self._last_refusals.get(writer, b"")
+        self._last_refusals[writer] = refusal
         responses = {
             Mode.COMPLETE: complete,
-            Mode.SHED: self._complete_response(
-                503, request.request_id, b"full", not_executed=True
-            ),
+            Mode.SHED: refusal,
+            Mode.REPEATED_REFUSAL: repeated + complete,
+            Mode.NAMELESS_REFUSAL: repeated.replace(b"Request-Id", b"Other") + complete,
             Mode.OTHER_INSTANCE: self._complete_response(
                 421, request.request_id, b"", True
             ),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -132,6 +132,29 @@
             assert response.body == b"the answer of " + body
 
 
+@pytest.mark.parametrize("path", ["/unsafe/x", "/safe/x"])
+@pytest.mark.parametrize(
+    ("modes", "first_status"),
+    [
+        ([Mode.SHED, Mode.REPEATED_REFUSAL], 503),
+        ([Mode.SHED, Mode.NAMELESS_REFUSAL], 503),
+        ([Mode.COMPLETE, Mode.NAMELESS_REFUSAL], 200),
+    ],
+)
+async def test_earlier_refusal_says_that_a_later_request_has_not_run(
+    path, modes, first_status
+):
+    """A caller that tries again may keep the identifier of its request."""
+    async with running_fleet() as fleet:
+        fleet.servers[0].next_modes = list(modes)
+        headers = {"Request-Id": "same"}
+        first = await fleet.call(path, headers=headers)
+        assert first.status == first_status
+        second = await fleet.call(path, body=b"again", headers=headers)
+        assert (second.status, second.body) == (200, b"the answer of again")
+        assert len(fleet.servers[0].received) == 2
+
+
 async def test_headers_of_the_system_are_its_own():
     async with running_fleet() as fleet:
         headers = {
