Rule out errors of the next server inside a broken stream

Operators of similar systems saw the text or head of an error in the middle of a stream, or a broken stream that ended as if it were complete. Ten ways of the next server to fail a resumed stream, read from the socket: the caller gets one head, the events before the break and no end marker in each. No change of the code was needed.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """Forwarded requests: what callers and servers receive after each kind of failure."""
 
 import asyncio
+from contextlib import suppress
 
 import aiohttp
 import pytest
@@ -10,7 +11,7 @@
 from celerypulley.hosts.admission import Attempts
 from celerypulley.hosts.fleet_host import FleetHost
 from celerypulley.stand_ins.opaque_server import Mode
-from tests.fleet import desired_state, running_fleet
+from tests.fleet import API_KEY, Fleet, desired_state, running_fleet
 from tests.harness import wait_until
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
@@ -103,6 +104,41 @@
         assert sorted(resumed, key=str) == ["2", None]
 
 
+@pytest.mark.parametrize(
+    "second_mode",
+    [
+        *(Mode.ERROR, Mode.SHED, Mode.OTHER_INSTANCE, Mode.NO_SEAL, Mode.NOT_HTTP),
+        *(Mode.RESET, Mode.CLOSE, Mode.TRUNCATED, Mode.COMPLETE, Mode.CLOSE_DELIMITED),
+    ],
+)
+async def test_error_of_the_next_server_becomes_part_of_a_broken_stream(second_mode):
+    async with running_fleet(servers=2) as fleet:
+        modes = [Mode.RESET_WITHIN_EVENT, second_mode]
+        for server in fleet.servers:
+            server.next_modes = modes
+        status, raw = await _read_raw_response(fleet, "/resumable/x")
+        assert status == 200
+        assert raw.count(b"HTTP/1.1") == 1
+        assert not raw.endswith(b"0\r\n\r\n")
+        events = b"".join(raw.partition(b"\r\n\r\n")[2].split(b"\r\n")[1::2])
+        assert events == EVENTS[: len(EVENTS) // 2]
+
+
+async def _read_raw_response(fleet: Fleet, path: str) -> tuple[int, bytes]:
+    """Return the status and all bytes of a response until its connection closes."""
+    address = fleet.hosts[0].settings.caller_address
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    head = f"POST {path} HTTP/1.1\r\nHost: agents.example\r\nRequest-Id: raw\r\n"
+    head += f"Api-Key: {API_KEY}\r\nDeadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n"
+    writer.write(head.encode())
+    raw = b""
+    with suppress(ConnectionError):
+        while data := await asyncio.wait_for(reader.read(65_536), 5.0):
+            raw += data
+    writer.close()
+    return int(raw.split()[1]), raw
+
+
 async def test_stream_that_stalls_within_an_event_is_never_resumed():
     async with running_fleet(servers=2) as fleet:
         modes = [Mode.HANG_WITHIN_EVENT, Mode.STREAM]
