Count only requests that waited for their rate as delayed

Change: a request counts if it has slept. No decision depends on the count.

Result: of three cases of the test two failed before.

--- a/celerypulley/fleet/fleet_meter.py
+++ b/celerypulley/fleet/fleet_meter.py
@@ -225,14 +225,16 @@
         Raise CallRefusedError at once if the wait would exceed `_MAX_WAIT_MS`.
         """
         started_ms = self.clock.now_ms()
+        has_waited = False
         while True:
             wait_ms = self.try_acquire(rule)
             waited_ms = self.clock.now_ms() - started_ms
             if wait_ms <= 0.0:
-                self.delayed += int(waited_ms > 0.0)
+                self.delayed += has_waited
                 return waited_ms
             if waited_ms + wait_ms > _MAX_WAIT_MS:
                 self._refuse(rule, wait_ms)
+            has_waited = True
             await asyncio.sleep(wait_ms / 1000)
 
     def try_acquire(self, rule: OrganisationRule) -> float:
--- a/tests/test_fleet_meter.py
+++ b/tests/test_fleet_meter.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from celerypulley.clock import Clock
 from celerypulley.contracts.desired_state import (
     CallerLimits,
     DesiredState,
@@ -117,6 +118,16 @@
         assert len(admitted) == pytest.approx(demand_per_s * 15, rel=0.3)
 
 
+@pytest.mark.parametrize(("spent", "delayed"), [(0, 0), (119, 0), (120, 1)])
+async def test_request_that_did_not_wait_counts_as_delayed(spent, delayed):
+    (meter,) = make_meters(1, ManualClock())
+    meter.clock = Clock()
+    meter._account(RULE).record(meter.clock.now_ms() - WINDOW_MS + 40.0, spent)
+    meter._accounts["o"].tokens = 5.0
+    await meter.acquire(RULE)
+    assert meter.delayed == delayed
+
+
 @pytest.mark.parametrize("cut_off", [{0}, {0, 1}, {0, 1, 2}])
 def test_both_sides_of_a_partition_together_keep_the_limit(cut_off):
     clock = ManualClock()
