Let a host make one call at a time to learn that the store is back

Cause: while the store is unavailable each of three followers and the poll of the desired state tried again every 75 to 250 ms, on each of hundreds of hosts, and the registration every 300 ms. Refused calls are calls too, and load on a store that is about to return.

Change: a follower whose call fails wakes the poll and waits until it has succeeded, at most 2 s; in a large fleet a host that can ask another one polls every 0.5 s meanwhile. A registration that fails is tried again after 0.5 to 1 s. A follower also records the outage after its wait, so that entries which expired meanwhile are retained as before.

--- a/celerypulley/fleet/confirmations.py
+++ b/celerypulley/fleet/confirmations.py
@@ -22,6 +22,8 @@
 # Both pauses together stay below the age at which unknown routes get no 404, 2 s.
 _SOURCE_PAUSE_MS = 600.0
 _ASK_PAUSE_MS = 1_000.0
+_SOURCE_RETRY_MS = 150.0  # many attempts within the shortest revocation limit
+_ASK_RETRY_MS = 500.0  # the source notices sooner that the store is back
 # A source whose confirmation is older has lost the store, which others may reach.
 _MAX_SOURCE_AGE_MS = 1_000
 _log = DecisionLog("confirmations")
@@ -62,6 +64,11 @@
         is_source = self.source() == self.datagrams.host
         return _SOURCE_PAUSE_MS if is_source else _ASK_PAUSE_MS
 
+    def retry_ms(self) -> float:
+        """Return the time after which this host tries again to read the store."""
+        is_source = self.source() == self.datagrams.host
+        return _SOURCE_RETRY_MS if is_source else _ASK_RETRY_MS
+
     async def ask(self) -> float | None:
         """Return the age in ms of the source's confirmation when it answered.
 
--- a/celerypulley/fleet/fleet_members.py
+++ b/celerypulley/fleet/fleet_members.py
@@ -1,6 +1,7 @@
 """Membership of the fleet: entries in the key-value store, each under a lease."""
 
 import asyncio
+import random
 import zlib
 
 import attrs
@@ -26,7 +27,7 @@
 _WATCH_WAIT_MS = 20_000  # at most 30 s are allowed; changes arrive at once
 _LEASE_TTL_MS = 20_000  # the rate share of a host that died is unused for this long
 _RENEW_PERIOD_MS = 4_000  # two renewals may be lost before the lease expires
-_RETRY_MS = 300.0
+_RETRY_MS = 1_000.0
 # While a large fleet starts, each response then has many of the hosts that join.
 _READ_PAUSE_MS_PER_MEMBER = 10.0
 _log = DecisionLog("members")
@@ -159,7 +160,7 @@
                 continue
             except StoreUnavailableError as error:
                 _log.write("registration failed", str(error))
-                await asyncio.sleep(_RETRY_MS / 1000)
+                await asyncio.sleep(_RETRY_MS * random.uniform(0.5, 1.0) / 1000)
                 continue
             await self.sleep(_RENEW_PERIOD_MS / 1000)
 
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -129,8 +129,16 @@
             lambda: self.desired_state.version,
             self.desired_state.age_ms,
         )
-        self.desired_state.confirmer.ask_peer = confirmations.ask
-        self.desired_state.confirmer.pause_ms = confirmations.pause_ms
+        confirmer = self.desired_state.confirmer
+        confirmer.ask_peer = confirmations.ask
+        confirmer.pause_ms = confirmations.pause_ms
+        confirmer.retry_ms = confirmations.retry_ms
+        for follower in (
+            self.members.follower,
+            self.desired_state.follower,
+            self.directory.follower,
+        ):
+            follower.wait_to_retry = confirmer.wait_to_retry
         self.window_copier = WindowCopier(self.meter, self.datagrams, self.gossip)
         self.gossip.on_message += [
             self.meter.on_peer_counts,
--- a/celerypulley/links/key_poller.py
+++ b/celerypulley/links/key_poller.py
@@ -19,6 +19,7 @@
 
 _POLL_INTERVAL_MS = 1_500.0  # three reads within the shortest revocation limit, 5 s
 _READ_TIMEOUT_S = 0.5  # twice the response time of a store sixty times slower than 4 ms
+_MAX_WAIT_S = 2.0  # a poll of one key may fail although the store serves others
 _RETRY_DELAY_MS = 150.0  # many attempts within the revocation limit
 _log = DecisionLog("confirmer")
 
@@ -37,9 +38,10 @@
 
         A read that finds no such key counts as a confirmation, without an item.
 
-        `ask_peer` and `pause_ms` may be replaced before the start. `ask_peer()` returns
-        how long ago, in ms, a peer confirmed the state of this host when it answered,
-        or None if the store has to be read. `pause_ms()` is the time to the next poll.
+        `ask_peer`, `pause_ms` and `retry_ms` may be replaced before the start.
+        `ask_peer()` returns how long ago, in ms, a peer confirmed the state of this
+        host when it answered, or None if the store has to be read. `pause_ms()` is the
+        time to the next poll and `retry_ms()` that to the next one after a failure.
         """
         super().__init__()
         self.store = store
@@ -48,7 +50,10 @@
         self.on_item = on_item
         self.ask_peer: Callable[[], Awaitable[float | None]] = _ask_nobody
         self.pause_ms: Callable[[], float] = lambda: _POLL_INTERVAL_MS
+        self.retry_ms: Callable[[], float] = lambda: _RETRY_DELAY_MS
         self.is_store_unavailable = False
+        self._is_available = asyncio.Event()
+        self._is_available.set()
         self._confirmed_ms = float("-inf")
         self._wake_up = asyncio.Event()
 
@@ -75,13 +80,24 @@
                     item = await self.store.read(self.key)
             except (StoreUnavailableError, TimeoutError) as error:
                 self._record_failure(repr(error))
-                await asyncio.sleep(_RETRY_DELAY_MS * random.uniform(0.5, 1.5) / 1000)
+                await asyncio.sleep(self.retry_ms() * random.uniform(0.5, 1.5) / 1000)
                 continue
             if item is not None:
                 self.on_item(item)
             self._record_success(requested_ms)
             await self._pause()
 
+    async def wait_to_retry(self, delay_s: float) -> None:
+        """Wait for `delay_s`, and while the store is known to be unavailable.
+
+        Others that call the store wait here after a failure, so that a host makes one
+        call at a time to learn that the store is back, not one for each of them.
+        """
+        self.poll_now()
+        await asyncio.sleep(delay_s)
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._is_available.wait(), _MAX_WAIT_S)
+
     async def _pause(self) -> None:
         pause_ms = self.pause_ms() * random.uniform(0.9, 1.0)
         with suppress(TimeoutError):
@@ -92,11 +108,13 @@
         if self.is_store_unavailable:
             return
         self.is_store_unavailable = True
+        self._is_available.clear()
         _log.write("key-value store unavailable", reason, key=self.key)
 
     def _record_success(self, confirmed_ms: float) -> None:
         if self.is_store_unavailable:
             self.is_store_unavailable = False
+            self._is_available.set()
             unconfirmed_ms = min(self.age_ms(), 1e9)
             _log.write(
                 "key-value store available again",
--- a/celerypulley/links/prefix_follower.py
+++ b/celerypulley/links/prefix_follower.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from mode import Service
 
@@ -56,6 +56,8 @@
         self.on_snapshot = on_snapshot
         self.on_change = on_change
         self.read_pause_ms = read_pause_ms
+        # Waits so many seconds or more before a retry; may be replaced.
+        self.wait_to_retry: Callable[[float], Awaitable[None]] = asyncio.sleep
         self.confirmed_ms = float("-inf")
         self.recovered_ms = float("-inf")
         self._revision: int | None = None
@@ -80,7 +82,8 @@
             except StoreUnavailableError as error:
                 self._has_failed = True
                 self._record_failure(str(error))
-                await asyncio.sleep(pause_ms * random.uniform(0.5, 1.5) / 1000)
+                await self.wait_to_retry(pause_ms * random.uniform(0.5, 1.5) / 1000)
+                self._record_failure(str(error))
                 pause_ms = min(_MAX_RETRY_DELAY_MS, pause_ms * 2)
                 continue
             pause_ms = _RETRY_DELAY_MS
