Survive a confirmation that is no list

Cause: a reply that is no sequence raised TypeError in the task that polls the desired state, which would have ended it.

Change: it is logged and the host reads the store itself.

Result: two of the cases of test_confirmation_that_confirms_nothing_is_believed failed before.

--- a/celerypulley/fleet/confirmations.py
+++ b/celerypulley/fleet/confirmations.py
@@ -80,7 +80,7 @@
             return None
         try:
             version, age_ms = await self.datagrams.request(source, _KIND, [])
-        except (NoReplyError, ValueError) as error:
+        except (NoReplyError, ValueError, TypeError) as error:
             _log.write("not confirmed", repr(error), peer=source)
             return None
         if not isinstance(age_ms, int) or not 0 <= age_ms <= _MAX_SOURCE_AGE_MS:
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -94,6 +94,8 @@
         ([VERSION - 1, 10], None),
         ([VERSION], None),
         ([VERSION, 10, 10], None),
+        (VERSION, None),
+        (None, None),
         (NoReplyError("source"), None),
     ],
 )
