--- a/benchmarks/gossip_slopes.py
+++ b/benchmarks/gossip_slopes.py
@@ -3,12 +3,10 @@
 import fire
 import orjson
 
-from tools.emulated_fleet import EmulatedFleet
+from tools.emulated_fleet import WINDOW_MS, EmulatedFleet
 
 __all__ = ["main", "measure_gossip"]
 
-_WINDOW_MS = 5_000.0
-
 
 def measure_gossip(hosts: int, seconds: int = 15) -> dict[str, float]:
     """Return what a host sends and receives once the fleet has been up for 20 s.
@@ -24,9 +22,9 @@
     traffic = [host.traffic for host in fleet.hosts]
     share = 1.0 / hosts / seconds
     rule = fleet.rules[0]
-    limit = rule.rate_per_s * _WINDOW_MS / 1000 + rule.burst
+    limit = rule.rate_per_s * WINDOW_MS / 1000 + rule.burst
     worst = max(
-        sum(begin <= each < begin + _WINDOW_MS for each in fleet.admitted)
+        sum(begin <= each < begin + WINDOW_MS for each in fleet.admitted)
         for begin in fleet.admitted
     )
     return {
--- a/celerypulley/fleet/confirmations.py
+++ b/celerypulley/fleet/confirmations.py
@@ -13,16 +13,15 @@
 from celerypulley.failure_domains.placement import rendezvous
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
 from celerypulley.fleet.fleet_gossip import FleetGossip
+from celerypulley.links.key_poller import POLL_INTERVAL_MS, RETRY_DELAY_MS
 
 __all__ = ["Confirmations"]
 
 _KIND = "confirmation"
 _SOURCE_KEY = "desired state"
-_DIRECT_PAUSE_MS = 1_500.0  # three reads within the shortest revocation limit, 5 s
 # Both pauses together stay below the age at which unknown routes get no 404, 2 s.
 _SOURCE_PAUSE_MS = 600.0
 _ASK_PAUSE_MS = 1_000.0
-_SOURCE_RETRY_MS = 150.0  # many attempts within the shortest revocation limit
 _ASK_RETRY_MS = 500.0  # the source notices sooner that the store is back
 # A source whose confirmation is older has lost the store, which others may reach.
 _MAX_SOURCE_AGE_MS = 1_000
@@ -60,14 +59,14 @@
     def pause_ms(self) -> float:
         """Return the time between two confirmations of this host."""
         if not self.gossip.has_relays():
-            return _DIRECT_PAUSE_MS
+            return POLL_INTERVAL_MS
         is_source = self.source() == self.datagrams.host
         return _SOURCE_PAUSE_MS if is_source else _ASK_PAUSE_MS
 
     def retry_ms(self) -> float:
         """Return the time after which this host tries again to read the store."""
         is_source = self.source() == self.datagrams.host
-        return _SOURCE_RETRY_MS if is_source else _ASK_RETRY_MS
+        return RETRY_DELAY_MS if is_source else _ASK_RETRY_MS
 
     async def ask(self) -> float | None:
         """Return the age in ms of the source's confirmation when it answered.
--- a/celerypulley/links/key_poller.py
+++ b/celerypulley/links/key_poller.py
@@ -15,12 +15,12 @@
 from celerypulley.decision_log import DecisionLog
 from celerypulley.links.key_value import Item, KeyValueStore, StoreUnavailableError
 
-__all__ = ["KeyPoller"]
+__all__ = ["POLL_INTERVAL_MS", "RETRY_DELAY_MS", "KeyPoller"]
 
-_POLL_INTERVAL_MS = 1_500.0  # three reads within the shortest revocation limit, 5 s
+POLL_INTERVAL_MS = 1_500.0  # three reads within the shortest revocation limit, 5 s
 _READ_TIMEOUT_S = 0.5  # twice the response time of a store sixty times slower than 4 ms
 _MAX_WAIT_S = 2.0  # a poll of one key may fail although the store serves others
-_RETRY_DELAY_MS = 150.0  # many attempts within the revocation limit
+RETRY_DELAY_MS = 150.0  # many attempts within the revocation limit
 _log = DecisionLog("confirmer")
 
 
@@ -49,14 +49,18 @@
         self.clock = clock
         self.on_item = on_item
         self.ask_peer: Callable[[], Awaitable[float | None]] = _ask_nobody
-        self.pause_ms: Callable[[], float] = lambda: _POLL_INTERVAL_MS
-        self.retry_ms: Callable[[], float] = lambda: _RETRY_DELAY_MS
-        self.is_store_unavailable = False
+        self.pause_ms: Callable[[], float] = lambda: POLL_INTERVAL_MS
+        self.retry_ms: Callable[[], float] = lambda: RETRY_DELAY_MS
         self._is_available = asyncio.Event()
         self._is_available.set()
         self._confirmed_ms = float("-inf")
         self._wake_up = asyncio.Event()
 
+    @property
+    def is_store_unavailable(self) -> bool:
+        """Return whether the last read failed, and no peer has confirmed since."""
+        return not self._is_available.is_set()
+
     def age_ms(self) -> float:
         """Return the time in ms since the last successful read was sent."""
         return self.clock.now_ms() - self._confirmed_ms
@@ -107,13 +111,11 @@
     def _record_failure(self, reason: str) -> None:
         if self.is_store_unavailable:
             return
-        self.is_store_unavailable = True
         self._is_available.clear()
         _log.write("key-value store unavailable", reason, key=self.key)
 
     def _record_success(self, confirmed_ms: float) -> None:
         if self.is_store_unavailable:
-            self.is_store_unavailable = False
             self._is_available.set()
             unconfirmed_ms = min(self.age_ms(), 1e9)
             _log.write(
--- a/celerypulley/links/prefix_follower.py
+++ b/celerypulley/links/prefix_follower.py
@@ -83,6 +83,7 @@
                 self._has_failed = True
                 self._record_failure(str(error))
                 await self.wait_to_retry(pause_ms * random.uniform(0.5, 1.5) / 1000)
+                # The failure may count as an outage only after the wait.
                 self._record_failure(str(error))
                 pause_ms = min(_MAX_RETRY_DELAY_MS, pause_ms * 2)
                 continue
--- a/tools/emulated_fleet.py
+++ b/tools/emulated_fleet.py
@@ -20,10 +20,10 @@
 from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.fleet.fleet_meter import FleetMeter
 
-__all__ = ["EmulatedFleet", "EmulatedHost", "Traffic"]
+__all__ = ["WINDOW_MS", "EmulatedFleet", "EmulatedHost", "Traffic"]
 
 _STEP_MS = 5.0
-_WINDOW_MS = 5_000.0
+WINDOW_MS = 5_000.0
 _MIN_PERIOD_MS = 25.0
 _LATENCY_MS = 5.0
 _HEADER_BYTES = 28  # of IPv4 and UDP
@@ -118,7 +118,7 @@
     def _add_host(self, name: str) -> EmulatedHost:
         datagrams = FleetDatagrams(name, "", 1, self.addresses)
         datagrams.connection_made(_Transport(self, name))
-        meter = FleetMeter(_WINDOW_MS, self.clock)
+        meter = FleetMeter(WINDOW_MS, self.clock)
         gossip = FleetGossip(
             datagrams,
             lambda: (meter.totals_to_announce(), {}, {}),
