Start the clocks of the tests at a base that is drawn for each run

Seen: test_request_that_did_not_wait_counts_as_delayed failed on machines younger than 17 minutes and passed on older ones. It filled a bucket by the tests' clock, which began at 1,000 s, and then put the machine's clock under it.

- The test uses one clock, which it controls and which moves by a microsecond with each reading.
It checks the wait as well as the count, so it is as strict.
- Buckets, decays and ages use elapsed_ms: negative time is 0 and leaves one log line for each place; in tests it fails the test that met it.
- NEVER_MS replaces 0.0 as the time of what has not happened. applied_ms, which nothing read, is gone.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 JSON ?= 0
 SECONDS_LONG ?= 60
 
-.PHONY: install demo test lint format binary bench soak slopes proofs
+.PHONY: install demo test test-boot lint format binary bench soak slopes proofs
 
 install: $(VENV)/installed
 
@@ -22,6 +22,10 @@
 test: install
 	$(BIN)/python -m pytest
 
+# The tests that set the time, on clocks that start at the boot of a machine.
+test-boot: install
+	CLOCK_BASE_S=0.001 $(BIN)/python -m pytest $$(grep -l ManualClock tests/test_*.py)
+
 lint: install
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+from celerypulley.clock import NEVER_MS
+from celerypulley.elapsed_time import elapsed_ms
+
 __all__ = ["EngineReport", "EngineState", "EngineTraits", "ServerState"]
 
 _MAX_CACHE_ENTRIES = 50_000
@@ -43,7 +46,7 @@
 class EngineReport:
     """A load report of an engine, measured at `taken_ms` and possibly out of date."""
 
-    taken_ms: float = float("-inf")
+    taken_ms: float = NEVER_MS
     running: int = 0
     waiting: int = 0
     prefill_tokens: int = 0
@@ -84,9 +87,9 @@
     in_flight: int = 0
     in_flight_on_others: int = 0
     slowdown: float = 1.0
-    slowdown_updated_ms: float = 0.0
-    last_received_ms: float = 0.0
-    backoff_until_ms: float = 0.0
+    slowdown_updated_ms: float = NEVER_MS
+    last_received_ms: float = NEVER_MS
+    backoff_until_ms: float = NEVER_MS
     consecutive_failures: int = 0
     has_suspect_request: bool = False
     cache_entries: OrderedDict[str, tuple[int, float]] = attrs.Factory(OrderedDict)
@@ -131,7 +134,8 @@
 
     def expected_slowdown(self, now_ms: float) -> float:
         """Return the expected ratio of actual to estimated response time."""
-        decay = 0.5 ** ((now_ms - self.slowdown_updated_ms) / _SLOWDOWN_HALF_LIFE_MS)
+        age_ms = elapsed_ms(self.slowdown_updated_ms, now_ms, "slowdown of a server")
+        decay = 0.5 ** (age_ms / _SLOWDOWN_HALF_LIFE_MS)
         return 1.0 + (self.slowdown - 1.0) * decay
 
     def record_duration(
@@ -170,7 +174,8 @@
         if entry is None:
             return 0.0
         tokens, recorded_ms = entry
-        return tokens * 0.5 ** ((now_ms - recorded_ms) / _CACHE_HALF_LIFE_MS)
+        age_ms = elapsed_ms(recorded_ms, now_ms, "cached prefix")
+        return tokens * 0.5 ** (age_ms / _CACHE_HALF_LIFE_MS)
 
     def record_failure(self, now_ms: float) -> None:
         """Back off from a failed server, longer after each consecutive failure."""
@@ -181,7 +186,7 @@
     def record_success(self) -> None:
         """Reset the failure count and end the back-off."""
         self.consecutive_failures = 0
-        self.backoff_until_ms = 0.0
+        self.backoff_until_ms = NEVER_MS
 
     def record_lost_response(self, now_ms: float) -> None:
         """Back off from a server that lost more than one response in a row."""
--- a/celerypulley/backend_servers/service_shares.py
+++ b/celerypulley/backend_servers/service_shares.py
@@ -2,6 +2,9 @@
 
 import attrs
 
+from celerypulley.clock import NEVER_MS
+from celerypulley.elapsed_time import elapsed_ms
+
 __all__ = ["ServiceShares"]
 
 _HALF_LIFE_MS = 20_000.0
@@ -11,11 +14,11 @@
 @attrs.define
 class _DecayingCounter:
     tokens: float = 0.0
-    updated_ms: float = 0.0
+    updated_ms: float = NEVER_MS
 
     def value_at(self, now_ms: float) -> float:
         """Return the tokens, halved for each half-life since the last update."""
-        age_ms = max(0.0, now_ms - self.updated_ms)
+        age_ms = elapsed_ms(self.updated_ms, now_ms, "service of an organisation")
         return self.tokens * 0.5 ** (age_ms / _HALF_LIFE_MS)
 
     def add(self, now_ms: float, tokens: float) -> None:
--- a/celerypulley/clock.py
+++ b/celerypulley/clock.py
@@ -5,9 +5,11 @@
 
 import attrs
 
-__all__ = ["Clock"]
+__all__ = ["NEVER_MS", "Clock"]
 
 _NS_PER_MS = 1_000_000
+# The time of what has not happened. Monotonic time may be 0, soon after a boot.
+NEVER_MS = float("-inf")
 
 
 def _read_boot_ns() -> int:
--- a/celerypulley/contracts/rates.py
+++ b/celerypulley/contracts/rates.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from celerypulley.contracts.declaration import Limits
+from celerypulley.elapsed_time import elapsed_ms
 
 __all__ = ["Share", "TokenBucket", "domain_share", "meter_group", "sum_shares"]
 
@@ -64,8 +65,9 @@
 
     def refill(self, now_ms: float, share: Share) -> None:
         """Add the tokens accrued at the current share, then switch to `share`."""
-        gained = (now_ms - self.updated_ms) / 1000 * self.share.rate_per_s
-        self.tokens = min(self.tokens + max(0.0, gained), self.share.burst)
+        since_ms = elapsed_ms(self.updated_ms, now_ms, "token bucket")
+        gained = since_ms / 1000 * self.share.rate_per_s
+        self.tokens = min(self.tokens + gained, self.share.burst)
         self.tokens = min(self.tokens, share.burst)
         self.share = share
         self.updated_ms = now_ms
--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -46,8 +46,8 @@
 class _Crashes:
     """The marks of one request's crashes, and when the last one was learned."""
 
+    changed_ms: float
     marks: set[bytes] = attrs.Factory(set)
-    changed_ms: float = 0.0
     is_own: bool = False
 
 
@@ -87,11 +87,12 @@
             self._add(fingerprint, set(marks), is_own=False)
 
     def _add(self, fingerprint: str, marks: set[bytes], is_own: bool) -> None:
-        crashes = self._crashes.get(fingerprint, _Crashes())
+        now_ms = self.clock.now_ms()
+        crashes = self._crashes.get(fingerprint, _Crashes(now_ms))
         if marks <= crashes.marks or len(crashes.marks) >= _CRASH_LIMIT:
             return
         crashes.marks |= marks
-        crashes.changed_ms = self.clock.now_ms()
+        crashes.changed_ms = now_ms
         crashes.is_own |= is_own
         self._crashes[fingerprint] = crashes
         self._crashes.move_to_end(fingerprint)
--- a/celerypulley/fleet/fleet_gossip.py
+++ b/celerypulley/fleet/fleet_gossip.py
@@ -18,7 +18,7 @@
 import attrs
 from mode import Service
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 
@@ -116,13 +116,13 @@
         peer = self.peers.get(host)
         if peer is None:
             return False
-        elapsed_ms = self.clock.now_ms() - peer.received_ms
-        return elapsed_ms < (missed + 1) * self.period_ms()
+        since_ms = self.clock.now_ms() - peer.received_ms
+        return since_ms < (missed + 1) * self.period_ms()
 
     def last_received_ms(self, host: str) -> float:
         """Return when a message of a host was last received, -inf if never."""
         peer = self.peers.get(host)
-        return peer.received_ms if peer else float("-inf")
+        return peer.received_ms if peer else NEVER_MS
 
     def has_quorum(self) -> bool:
         """Return whether more than half of all hosts, including this one, agree.
--- a/celerypulley/fleet/fleet_meter.py
+++ b/celerypulley/fleet/fleet_meter.py
@@ -17,6 +17,7 @@
 from celerypulley.clock import Clock
 from celerypulley.contracts.desired_state import DesiredState, OrganisationRule
 from celerypulley.decision_log import DecisionLog
+from celerypulley.elapsed_time import elapsed_ms
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.fleet.fleet_gossip import FleetGossip, PeerCounts
 
@@ -84,7 +85,8 @@
         """Drop requests that have left the window and refill the bucket."""
         while self.recent and self.recent[0][0] <= now_ms - window_ms:
             self.in_window -= self.recent.popleft()[1]
-        gained = (now_ms - self.updated_ms) / 1000 * rule.rate_per_s
+        since_ms = elapsed_ms(self.updated_ms, now_ms, "bucket of an organisation")
+        gained = since_ms / 1000 * rule.rate_per_s
         self.tokens = min(_window_limit(rule, window_ms), self.tokens + gained)
         self.updated_ms = now_ms
 
@@ -191,7 +193,8 @@
         for organisation, account in self._accounts.items():
             counts = [0.0] * _WINDOW_STEPS
             for at_ms, count in account.recent:
-                step = int((now_ms - at_ms) // step_ms)
+                age_ms = elapsed_ms(at_ms, now_ms, "window of an organisation")
+                step = int(age_ms // step_ms)
                 if step < _WINDOW_STEPS:
                     counts[step] += count
             if any(counts):
--- a/celerypulley/hosts/backend_servers.py
+++ b/celerypulley/hosts/backend_servers.py
@@ -10,7 +10,7 @@
     EngineState,
     ServerState,
 )
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.contracts.configuration import Configuration
 from celerypulley.contracts.declaration import BackendServer, RouteKind
 from celerypulley.decision_log import DecisionLog
@@ -56,7 +56,7 @@
         self.engines: dict[str, EngineState] = {}
         self.plain_servers: dict[str, list[BackendServer]] = {}
         self.leaving: frozenset[str] = frozenset()
-        self.list_read_ms = float("-inf")
+        self.list_read_ms = NEVER_MS
         self._last_event: dict[str, int] = {}
         self._random = random.Random()
         configuration.on_change.append(self.apply_configuration)
--- a/celerypulley/hosts/budget_escrow.py
+++ b/celerypulley/hosts/budget_escrow.py
@@ -15,7 +15,7 @@
 import attrs
 import msgpack
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.links.key_value import (
@@ -87,7 +87,7 @@
         self.overcommitted_tokens = 0
         self._pools: OrderedDict[str, _Pool] = OrderedDict()
         self._is_store_unavailable = False
-        self._next_attempt_ms = float("-inf")
+        self._next_attempt_ms = NEVER_MS
 
     async def reserve(
         self, organisation: str, program: str, budget: int, max_tokens: int
--- a/celerypulley/hosts/configuration_follower.py
+++ b/celerypulley/hosts/configuration_follower.py
@@ -8,7 +8,7 @@
 import orjson
 from mode import Service
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.contracts.configuration import Configuration
 from celerypulley.contracts.stored_configuration import (
     ConfigurationHead,
@@ -16,6 +16,7 @@
     join_chunks,
 )
 from celerypulley.decision_log import DecisionLog
+from celerypulley.elapsed_time import elapsed_ms
 from celerypulley.hosts.peers import Peers
 from celerypulley.hosts.platform_view import PlatformView
 from celerypulley.links.peer_link import PeerLinkError
@@ -56,10 +57,9 @@
         self.head: ConfigurationHead | None = None
         self.chunks: dict[str, bytes] = {}
         self.on_change: list[Callable[[Configuration], None]] = []
-        self.applied_ms = 0.0
         self._path = data_dir / _FILE_NAME if data_dir else None
         self._newest_peer_version: tuple[int, str] = (0, "")
-        self._peer_confirmed_ms = float("-inf")
+        self._peer_confirmed_ms = NEVER_MS
         self._fetch_requested = asyncio.Event()
         self._random = random.Random()
 
@@ -76,8 +76,9 @@
         if head is not None and self.head is not None:
             known = ConfigurationHead.decode(head.value or b"{}").version
             if known > self.head.version:
-                platform_ms = float("-inf")
-        return now_ms - max(platform_ms, self._peer_confirmed_ms)
+                platform_ms = NEVER_MS
+        confirmed_ms = max(platform_ms, self._peer_confirmed_ms)
+        return elapsed_ms(confirmed_ms, now_ms, "configuration")
 
     def observe_peer_version(
         self, member: str, version: int, confirmed_ago_ms: float
@@ -173,7 +174,6 @@
         assert self.version > previous_version, (
             "an older configuration replaced a newer one"
         )
-        self.applied_ms = self.clock.now_ms()
         _log.write(
             "configuration activated",
             reason,
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -7,7 +7,7 @@
 
 from celerypulley.backend_servers.engine_state import EngineReport, EngineState
 from celerypulley.backend_servers.routing import Choice, EngineCall
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.contracts.desired_state import ForwardRoute
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
@@ -94,7 +94,7 @@
         if choice is None:
             candidates = [attrs.evolve(each) for each in servers]
             for each in candidates:
-                each.backoff_until_ms = 0.0
+                each.backoff_until_ms = NEVER_MS
             choice = chooser(call, candidates, avoid)
         if choice is None:
             return None
@@ -240,4 +240,4 @@
 
 
 def _age_ms(now_ms: float, then_ms: float) -> int | None:
-    return None if then_ms == float("-inf") else round(now_ms - then_ms)
+    return None if then_ms == NEVER_MS else round(now_ms - then_ms)
--- a/celerypulley/hosts/platform_view.py
+++ b/celerypulley/hosts/platform_view.py
@@ -5,8 +5,9 @@
 
 from mode import Service
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
+from celerypulley.elapsed_time import elapsed_ms
 from celerypulley.failure_domains.member import MEMBERS_PREFIX, Member
 from celerypulley.failure_domains.owner_table import (
     OWNERS_PREFIX,
@@ -52,7 +53,7 @@
         self.entries: dict[ShardId, ShardEntry] = {}
         self.configuration_head: KeyValue | None = None
         self.quarantine: dict[str, KeyValue] = {}
-        self.confirmed_ms = float("-inf")
+        self.confirmed_ms = NEVER_MS
         self.connected_since_ms: float | None = None
         self.changed = asyncio.Event()
         self.generation = 0
@@ -63,7 +64,7 @@
 
     def confirmed_ago_ms(self) -> float:
         """Return how long ago the view was last known to be current."""
-        return self.clock.now_ms() - self.confirmed_ms
+        return elapsed_ms(self.confirmed_ms, self.clock.now_ms(), "view of the store")
 
     async def wait_for_change(self, timeout_ms: float) -> bool:
         """Return whether anything changed within `timeout_ms`."""
--- a/celerypulley/hosts/retry_budget.py
+++ b/celerypulley/hosts/retry_budget.py
@@ -1,6 +1,7 @@
 """A budget that limits retries to a share of the requests."""
 
 from celerypulley.clock import Clock
+from celerypulley.elapsed_time import elapsed_ms
 
 __all__ = ["RetryBudget"]
 
@@ -25,7 +26,8 @@
     def try_acquire(self) -> bool:
         """Use one retry; return False if none is available."""
         now_ms = self.clock.now_ms()
-        gained = (now_ms - self._updated_ms) / 1000 * _MIN_RETRIES_PER_S
+        since_ms = elapsed_ms(self._updated_ms, now_ms, "retry budget")
+        gained = since_ms / 1000 * _MIN_RETRIES_PER_S
         self._available = min(_MAX_AVAILABLE, self._available + gained)
         self._updated_ms = now_ms
         if self._available < 1.0:
--- a/celerypulley/hosts/shard_owner.py
+++ b/celerypulley/hosts/shard_owner.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.failure_domains.owner_table import ShardEntry
@@ -43,7 +43,7 @@
         self.peers = peers
         self.clock = clock
         self.commit_timeout_ms = commit_timeout_ms
-        self.promise_until_ms = 0.0
+        self.promise_until_ms = NEVER_MS
         self.replica_failing_since_ms: float | None = None
         self.superseded = False
         self._commit_lock = asyncio.Lock()
--- a/celerypulley/hosts/shard_replica.py
+++ b/celerypulley/hosts/shard_replica.py
@@ -1,6 +1,7 @@
 """The replica's side of one shard: a copy of its state and the promise to its owner."""
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
+from celerypulley.elapsed_time import elapsed_ms
 from celerypulley.links.codec import from_wire
 from celerypulley.links.peer_messages import Acknowledged, InstallSnapshot, Replicate
 from celerypulley.programs.identifier import ShardId
@@ -18,7 +19,7 @@
         self.clock = clock
         self.epoch = 0
         self.complete = False
-        self.promised_until_ms = 0.0
+        self.promised_until_ms = NEVER_MS
         self.last_received_ms = clock.now_ms()
 
     def apply_install(self, message: InstallSnapshot) -> Acknowledged:
@@ -73,4 +74,6 @@
 
     def since_last_received_ms(self) -> float:
         """Return the time since the last message from the owner."""
-        return self.clock.now_ms() - self.last_received_ms
+        return elapsed_ms(
+            self.last_received_ms, self.clock.now_ms(), "message of a shard's owner"
+        )
--- a/celerypulley/hosts/storage_host_pool.py
+++ b/celerypulley/hosts/storage_host_pool.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.failure_domains.placement import rendezvous
 from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
@@ -78,7 +78,7 @@
         for storage_host in self.members.of_kind(STORAGE_HOST):
             if (
                 storage_host.is_open
-                and self._backoff_until_ms.get(storage_host.name, 0.0) <= now_ms
+                and self._backoff_until_ms.get(storage_host.name, NEVER_MS) <= now_ms
             ):
                 by_domain.setdefault(storage_host.domain, {})[storage_host.name] = (
                     storage_host
--- a/celerypulley/links/key_poller.py
+++ b/celerypulley/links/key_poller.py
@@ -11,8 +11,9 @@
 
 from mode import Service
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
+from celerypulley.elapsed_time import elapsed_ms
 from celerypulley.links.key_value import Item, KeyValueStore, StoreUnavailableError
 
 __all__ = ["POLL_INTERVAL_MS", "RETRY_DELAY_MS", "KeyPoller"]
@@ -53,7 +54,7 @@
         self.retry_ms: Callable[[], float] = lambda: RETRY_DELAY_MS
         self._is_available = asyncio.Event()
         self._is_available.set()
-        self._confirmed_ms = float("-inf")
+        self._confirmed_ms = NEVER_MS
         self._wake_up = asyncio.Event()
 
     @property
@@ -63,7 +64,7 @@
 
     def age_ms(self) -> float:
         """Return the time in ms since the last successful read was sent."""
-        return self.clock.now_ms() - self._confirmed_ms
+        return elapsed_ms(self._confirmed_ms, self.clock.now_ms(), "polled key")
 
     def poll_now(self) -> None:
         """Read the key now instead of at the end of the interval."""
--- a/celerypulley/links/prefix_follower.py
+++ b/celerypulley/links/prefix_follower.py
@@ -10,8 +10,9 @@
 
 from mode import Service
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
+from celerypulley.elapsed_time import elapsed_ms
 from celerypulley.links.key_value import (
     HistoryExpiredError,
     Item,
@@ -58,8 +59,8 @@
         self.read_pause_ms = read_pause_ms
         # Waits so many seconds or more before a retry; may be replaced.
         self.wait_to_retry: Callable[[float], Awaitable[None]] = asyncio.sleep
-        self.confirmed_ms = float("-inf")
-        self.recovered_ms = float("-inf")
+        self.confirmed_ms = NEVER_MS
+        self.recovered_ms = NEVER_MS
         self._revision: int | None = None
         self._has_failed = False
         self.is_store_unavailable = False
@@ -67,7 +68,7 @@
 
     def age_ms(self) -> float:
         """Return the time in ms since the store confirmed the handlers' state."""
-        return self.clock.now_ms() - self.confirmed_ms
+        return elapsed_ms(self.confirmed_ms, self.clock.now_ms(), "followed prefix")
 
     @Service.task
     async def _follow(self) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,14 +9,13 @@
 import orjson
 from aiohttp import web
 
-from celerypulley.clock import Clock
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.fleet_host import FleetHost
 from celerypulley.platform.roles import PLATFORM_SCHEMA
 from celerypulley.platform.store import PlatformStore
 from celerypulley.stand_ins.fleet_store import FleetStore, make_fleet_store_app
 from celerypulley.stand_ins.opaque_server import OpaqueServer
-from tests.harness import free_address, wait_until
+from tests.harness import free_address, run_clock, wait_until
 
 API_KEY = "key-of-kiosks"
 BUDGET_TOKENS = 600
@@ -166,7 +165,7 @@
 @asynccontextmanager
 async def running_store() -> AsyncIterator[tuple[FleetStore, str]]:
     """Run the stand-in of the key-value store; yield it and its address."""
-    store = FleetStore(Clock())
+    store = FleetStore(run_clock())
     runner = web.AppRunner(
         make_fleet_store_app(store), access_log=None, shutdown_timeout=0.1
     )
@@ -201,7 +200,7 @@
             sessions.append(host_session)
             client = PlatformStore(store_address, host_session, 500.0)
             settings = make_settings(f"host-{number}", store_address)
-            host = FleetHost(settings, client, PLATFORM_SCHEMA, Clock())
+            host = FleetHost(settings, client, PLATFORM_SCHEMA, run_clock())
             await host.start()
             fleet.hosts.append(host)
         await wait_until(
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -1,6 +1,9 @@
 """A deployment in one process: hosts with real links, and stand-ins of the rest."""
 
 import asyncio
+import os
+import random
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -32,17 +35,43 @@
 PEER_SECRET = "a-secret-for-tests-only"
 DOMAINS = ("north", "south", "west")
 _WAIT_TIMEOUT_S = 30.0
+# What the monotonic clocks of a run start at: a boot ago, minutes, hours, days, years.
+_CLOCK_BASES_S = (0.001, 1.0, 100.0, 1_000.0, 1e5, 1e9)
+
+
+def _draw_clock_base_s() -> float:
+    """Return the base that CLOCK_BASE_S sets, or else one drawn for this run."""
+    chosen = os.environ.get("CLOCK_BASE_S", "")
+    return float(chosen) if chosen else random.SystemRandom().choice(_CLOCK_BASES_S)
+
+
+CLOCK_BASE_S = _draw_clock_base_s()
+_run_started_ns = time.monotonic_ns()
+
+
+def _read_run_ns() -> int:
+    return int(CLOCK_BASE_S * 1e9) + time.monotonic_ns() - _run_started_ns
+
+
+def run_clock() -> Clock:
+    """Return a clock that runs, and started at the base of this run."""
+    return Clock(read_monotonic_ns=_read_run_ns)
 
 
 class ManualClock:
-    """A clock that a test advances."""
+    """A clock that a test advances, from the base of this run.
+
+    Each reading moves it on by `reading_ms`.
+    """
 
-    def __init__(self) -> None:
-        self.now_ms = 1_000_000.0
+    def __init__(self, reading_ms: float = 0.0) -> None:
+        self.now_ms = CLOCK_BASE_S * 1000
+        self.reading_ms = reading_ms
         self.clock = Clock(self._read_ns, self._read_ns)
 
     def _read_ns(self) -> int:
-        return int(self.now_ms * 1_000_000)
+        self.now_ms += self.reading_ms
+        return round(self.now_ms * 1_000_000)
 
     def advance(self, by_ms: float) -> None:
         self.now_ms += by_ms
@@ -131,7 +160,7 @@
             commit_timeout_ms=6_000,
             shutdown_ms=20_000,
         )
-        host = Host(settings, Clock())
+        host = Host(settings, run_clock())
         self.hosts.append(host)
         await host.start()
         return host
@@ -230,7 +259,7 @@
 ) -> AsyncIterator[Deployment]:
     """Run hosts, engines, a plain service and the key-value store."""
     options = engine_options or EngineOptions(models=("m",), speed=20.0, load_lag_ms=0)
-    clock = Clock()
+    clock = run_clock()
     runners = []
     kv_runner, platform_address = await start_app(make_kv_app(clock))
     runners.append(kv_runner)
--- a/tests/test_budget_coordinator.py
+++ b/tests/test_budget_coordinator.py
@@ -5,7 +5,6 @@
 import aiohttp
 import pytest
 
-from celerypulley.clock import Clock
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
 from celerypulley.fleet.fleet_gossip import FleetGossip
@@ -13,7 +12,7 @@
 from celerypulley.hosts.budget_escrow import BudgetEscrow
 from celerypulley.platform.store import PlatformStore
 from tests.fleet import BUDGET_TOKENS, MAX_TOKENS, running_fleet, running_store
-from tests.harness import ManualClock, wait_until
+from tests.harness import ManualClock, run_clock, wait_until
 
 
 class _Datagrams(FleetDatagrams):
@@ -58,9 +57,9 @@
     """Any host may acquire tokens, so another one takes over."""
     members = {f"host-{number}": ("127.0.0.1", 1) for number in range(4)}
     datagrams = _Datagrams(silent, members)
-    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}), lambda: 1, Clock())
+    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}), lambda: 1, run_clock())
     async with running_store() as (_, address), aiohttp.ClientSession() as session:
-        escrow = BudgetEscrow(PlatformStore(address, session, 500.0), Clock())
+        escrow = BudgetEscrow(PlatformStore(address, session, 500.0), run_clock())
         budgets = BudgetCoordinator(escrow, datagrams, gossip)
         gossip.is_reachable = lambda _host: True
         program = _program_of(budgets, ["host-1", "host-2", "host-0"])
--- a/tests/test_budget_escrow.py
+++ b/tests/test_budget_escrow.py
@@ -10,13 +10,12 @@
 import msgpack
 import pytest
 
-from celerypulley.clock import Clock
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.hosts.budget_escrow import BudgetEscrow
 from celerypulley.platform.store import PlatformStore
 from celerypulley.stand_ins.fleet_store import FleetStore, StoreFaults
 from tests.fleet import BUDGET_TOKENS, MAX_TOKENS, running_store
-from tests.harness import ManualClock
+from tests.harness import ManualClock, run_clock
 
 KEY = "budgets/o/p"
 
@@ -66,7 +65,7 @@
         session = await stack.enter_async_context(aiohttp.ClientSession())
 
         def make_escrow() -> BudgetEscrow:
-            return BudgetEscrow(PlatformStore(address, session, 300.0), Clock())
+            return BudgetEscrow(PlatformStore(address, session, 300.0), run_clock())
 
         yield _Hosts(store, make_escrow, [make_escrow() for _ in range(count)])
 
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -6,12 +6,12 @@
 import attrs
 import pytest
 
-from celerypulley.clock import Clock
 from celerypulley.fleet.confirmations import Confirmations
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
 from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.links.key_poller import KeyPoller
 from celerypulley.links.key_value import Item
+from tests.harness import run_clock
 
 VERSION = 7
 
@@ -42,10 +42,10 @@
         datagrams = FleetDatagrams(self.name, "", 1, members)
         datagrams.request = self._request
         gossip = FleetGossip(
-            datagrams, lambda: ({}, {}, {}), lambda: 1, Clock(), self.domains
+            datagrams, lambda: ({}, {}, {}), lambda: 1, run_clock(), self.domains
         )
         gossip.is_reachable = lambda _host: True
-        self.poller = KeyPoller(self.store, "state", Clock(), lambda _item: None)
+        self.poller = KeyPoller(self.store, "state", run_clock(), lambda _item: None)
         self.confirmations = Confirmations(
             datagrams, gossip, lambda: self.version, self.poller.age_ms
         )
@@ -114,7 +114,7 @@
 
 async def test_age_leaves_out_the_time_of_the_answer():
     store = _CountedStore()
-    poller = KeyPoller(store, "state", Clock(), lambda _item: None)
+    poller = KeyPoller(store, "state", run_clock(), lambda _item: None)
 
     async def ask_peer() -> float:
         await asyncio.sleep(0.2)
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -4,9 +4,8 @@
 
 import pytest
 
-from celerypulley.clock import Clock
 from celerypulley.fleet.fleet_members import HOST, FleetMember, FleetMembers
-from tests.harness import wait_until
+from tests.harness import run_clock, wait_until
 from tests.test_key_value_store import running_client
 
 
@@ -15,7 +14,7 @@
     """Each of n hosts would make n calls while the fleet starts."""
     async with running_client() as (kv, store):
         own_member = FleetMember("host-0", HOST, "a", "127.0.0.1", 1)
-        members = FleetMembers(own_member, kv, Clock())
+        members = FleetMembers(own_member, kv, run_clock())
         await members.follower.start()
         await wait_until(lambda: kv.calls["kv-watch"])
         for number in range(1, hosts):
--- a/tests/test_fleet_meter.py
+++ b/tests/test_fleet_meter.py
@@ -1,11 +1,11 @@
 """Rate limits of organisations over hosts whose gossip is late or does not arrive."""
 
+import asyncio
 import random
 
 import attrs
 import pytest
 
-from celerypulley.clock import Clock
 from celerypulley.contracts.desired_state import (
     CallerLimits,
     DesiredState,
@@ -120,11 +120,16 @@
 
 @pytest.mark.parametrize(("spent", "delayed"), [(0, 0), (119, 0), (120, 1)])
 async def test_request_that_did_not_wait_counts_as_delayed(spent, delayed):
-    (meter,) = make_meters(1, ManualClock())
-    meter.clock = Clock()
-    meter._account(RULE).record(meter.clock.now_ms() - WINDOW_MS + 40.0, spent)
+    """Two readings of the clock differ by a microsecond, also without a wait."""
+    clock = ManualClock(reading_ms=0.001)
+    (meter,) = make_meters(1, clock)
+    meter._account(RULE).record(clock.now_ms - WINDOW_MS + 40.0, spent)
     meter._accounts["o"].tokens = 5.0
-    await meter.acquire(RULE)
+    acquiring = asyncio.create_task(meter.acquire(RULE))
+    await asyncio.sleep(0)
+    assert acquiring.done() != bool(delayed)
+    clock.advance(40.0)
+    assert (await acquiring >= 40.0) == bool(delayed)
     assert meter.delayed == delayed
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -9,7 +9,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from celerypulley.clock import Clock
 from celerypulley.errors import CallRefusedError
 from celerypulley.links import peer_messages
 from celerypulley.links.codec import CodecError, decode, encode, from_wire
@@ -22,7 +21,7 @@
 )
 from celerypulley.programs.chat import CompletionReader, read_chat_request
 from celerypulley.stand_ins.kv import EtcdStore, make_kv_app
-from tests.harness import ManualClock, running_deployment, start_app
+from tests.harness import ManualClock, run_clock, running_deployment, start_app
 
 
 @given(
@@ -90,7 +89,7 @@
 
 async def run_with_store(check: object) -> None:
     runner, address = await start_app(
-        make_kv_app(Clock(), seed=1, max_history_events=50)
+        make_kv_app(run_clock(), seed=1, max_history_events=50)
     )
     async with aiohttp.ClientSession() as session:
         link = PlatformLink(f"http://{address}", session, CutTable())
--- a/tests/test_outside_bytes.py
+++ b/tests/test_outside_bytes.py
@@ -8,7 +8,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from celerypulley.clock import Clock
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.fleet.fleet_members import FleetMember
@@ -17,6 +16,7 @@
 from celerypulley.platform.settings_file import read_settings
 from celerypulley.programs.event_stream import EventReader
 from celerypulley.storage.record_journal import RecordJournal
+from tests.harness import run_clock
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers(-9, 9) | st.text(max_size=8),
@@ -101,7 +101,7 @@
 def test_counts_of_another_form_are_dropped(payload, number):
     members = {"me": ("127.0.0.1", 1), "h": ("127.0.0.1", 2)}
     datagrams = FleetDatagrams("me", "127.0.0.1", 1, members)
-    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}), lambda: 1, Clock())
+    gossip = FleetGossip(datagrams, lambda: ({}, {}, {}), lambda: 1, run_clock())
     raw = msgpack.packb(("counts", "h", number, payload))
     asyncio.run(_receive(datagrams, raw))
     assert gossip.peers == {}
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -9,7 +9,6 @@
 import attrs
 import pytest
 
-from celerypulley.clock import Clock
 from celerypulley.fleet.fleet_members import HOST, FleetMember, FleetMembers
 from celerypulley.hosts.record_store import RecordStore, TurnRecord
 from celerypulley.hosts.storage_host import StorageHost
@@ -21,7 +20,7 @@
 from celerypulley.stand_ins.fleet_store import FleetStore
 from celerypulley.storage.record_journal import RecordJournal
 from tests.fleet import make_settings, running_store
-from tests.harness import free_address, wait_until
+from tests.harness import free_address, run_clock, wait_until
 
 RETENTION_MS = 60_000.0
 
@@ -32,7 +31,7 @@
     """Return the record of a turn that continues another."""
     return TurnRecord(
         f"turns/o/{number}",
-        Clock().wall_ms() + retention_ms,
+        run_clock().wall_ms() + retention_ms,
         f"turns/o/{previous}" if previous else "",
         b"in %d " % number,
         b"out %d\n" % number,
@@ -54,20 +53,20 @@
 async def test_synced_records_before_a_torn_write_are_read(
     tmp_path, damage, records_left
 ):
-    record_store = RecordStore(RecordJournal(tmp_path), Clock())
+    record_store = RecordStore(RecordJournal(tmp_path), run_clock())
     for number in range(1, 4):
         await record_store.write([record(number)])
     (path,) = tmp_path.glob("*.records")
     path.write_bytes(damage(path.read_bytes()))
-    reopened = RecordStore(RecordJournal(tmp_path), Clock())
+    reopened = RecordStore(RecordJournal(tmp_path), run_clock())
     assert len(reopened.records) == records_left
     await reopened.write([record(9)])
-    reopened_again = RecordStore(RecordJournal(tmp_path), Clock())
+    reopened_again = RecordStore(RecordJournal(tmp_path), run_clock())
     assert set(reopened_again.records) == {*reopened.records, "turns/o/9"}
 
 
 async def test_one_sync_serves_all_waiting_writes(tmp_path):
-    record_store = RecordStore(RecordJournal(tmp_path), Clock())
+    record_store = RecordStore(RecordJournal(tmp_path), run_clock())
     await asyncio.gather(
         *(record_store.write([record(number)]) for number in range(50))
     )
@@ -76,7 +75,7 @@
 
 
 async def test_older_turns_are_kept_as_long_as_their_chain(tmp_path):
-    record_store = RecordStore(RecordJournal(tmp_path), Clock())
+    record_store = RecordStore(RecordJournal(tmp_path), run_clock())
     await record_store.write(
         [record(1, retention_ms=-1.0), record(3, retention_ms=-1.0)]
     )
@@ -116,7 +115,7 @@
             data_dir=self.folder / name,
             is_first_start=is_first_start,
         )
-        storage_host = StorageHost(settings, client, Clock())
+        storage_host = StorageHost(settings, client, run_clock())
         await storage_host.start()
         self.storage_hosts[name] = storage_host
         return storage_host
@@ -158,7 +157,7 @@
 
     async def load(self, number: int) -> bytes | None:
         """Read a turn through a new archive, without cached histories."""
-        archive = TurnArchive(self.archive.store, self.pool, Clock())
+        archive = TurnArchive(self.archive.store, self.pool, run_clock())
         return await archive.load("o", str(number))
 
     def holders(self, number: int) -> set[str]:
@@ -176,10 +175,10 @@
         session = aiohttp.ClientSession()
         client = PlatformStore(address, session, 500.0)
         own_member = FleetMember("host", HOST, "a", "127.0.0.1", 1)
-        members = FleetMembers(own_member, client, Clock())
+        members = FleetMembers(own_member, client, run_clock())
         await members.follower.start()
-        pool = StorageHostPool(members, "a", 2, Clock())
-        archive = TurnArchive(client, pool, Clock())
+        pool = StorageHostPool(members, "a", 2, run_clock())
+        archive = TurnArchive(client, pool, run_clock())
         storage = StorageFleet(
             store, address, folder, {}, archive, pool, members, [session]
         )
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from celerypulley.clock import Clock
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.hosts.budget_escrow import BudgetEscrow
 from celerypulley.stand_ins.fleet_store import StoreFaults
 from celerypulley.stand_ins.opaque_server import Mode
 from tests.fleet import BUDGET_TOKENS, MAX_TOKENS, running_fleet
+from tests.harness import run_clock
 
 PIECES = b"".join(b"piece %d\n" % number for number in range(1, 5))
 
@@ -136,7 +136,7 @@
         ).status == 200:
             pass
         served = len(fleet.servers[0].received)
-        restarted = BudgetEscrow(fleet.hosts[0].store, Clock())
+        restarted = BudgetEscrow(fleet.hosts[0].store, run_clock())
         with pytest.raises(CallRefusedError) as refused:
             await restarted.reserve("kiosks", "p1", BUDGET_TOKENS, MAX_TOKENS)
         assert refused.value.refusal.kind is ErrorKind.BUDGET_EXHAUSTED
