--- a/celerypulley/hosts/budget_coordinator.py
+++ b/celerypulley/hosts/budget_coordinator.py
@@ -30,9 +30,10 @@
 class TurnBudget:
     """The tokens reserved for one turn, on this host or at the coordinator.
 
-    `release(tokens)` returns tokens to where they were reserved.
+    `release(tokens)` returns tokens to `host`, where they were reserved.
     """
 
+    host: str
     max_tokens: int
     release: Callable[[int], None]
     spent: int = 0
@@ -112,7 +113,7 @@
             reservation = await self.escrow.reserve(
                 organisation, program, budget, max_tokens
             )
-            return TurnBudget(max_tokens, reservation.release)
+            return TurnBudget(host, max_tokens, reservation.release)
         self._last_number += 1
         number = self._last_number
         instance_id = self.datagrams.instance_id
@@ -129,7 +130,7 @@
         if refusal:
             kind, detail = refusal
             raise CallRefusedError.of(ErrorKind(kind), f"{host}: {detail}")
-        return TurnBudget(max_tokens, release)
+        return TurnBudget(host, max_tokens, release)
 
     async def _handle_reserve(self, _sender: str, request: list) -> list:
         instance_id, number, organisation, program, budget, max_tokens = request
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -108,9 +108,17 @@
                 load_age_ms=_age_ms(call.now_ms, server.report.taken_ms),
                 cost_ms=round(choice.estimate_ms, 1),
                 avoided=len(avoid),
+                **self._crash_fields(admitted),
             )
         return server
 
+    def _crash_fields(self, admitted: AdmittedRequest) -> dict[str, object]:
+        """Return the log fields of a request that has crashed servers."""
+        crashes = self.crash_counts.count(admitted.fingerprint)
+        if not crashes:
+            return {}
+        return {"fingerprint": admitted.fingerprint, "crashes": crashes}
+
     def _exclude_unreachable(self, servers: list[EngineState]) -> list[EngineState]:
         """Exclude servers in unreachable domains, unless no others remain."""
         unreachable = self.unreachable_domains()
@@ -218,6 +226,10 @@
             server=server.name,
             sent=error.sent,
             failures=server.consecutive_failures,
+            fingerprint=admitted.fingerprint,
+            method=admitted.request.method,
+            path=admitted.request.path,
+            body=admitted.request.body_digest(),
         )
 
     def server_error_refusal(
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -101,7 +101,7 @@
             return await self._run_turn(turn, sink)
         finally:
             if reservation is not None:
-                reservation.settle()
+                self._settle_budget(admitted, reservation)
 
     async def _load_history(self, admitted: AdmittedRequest) -> bytes:
         request = admitted.request
@@ -135,6 +135,21 @@
             max_tokens,
         )
 
+    def _settle_budget(
+        self, admitted: AdmittedRequest, reservation: TurnBudget
+    ) -> None:
+        reservation.settle()
+        _log.write(
+            "budget settled",
+            "the turn ended",
+            request=admitted.request.request_id,
+            program=admitted.request.program,
+            budget=admitted.request.token_budget,
+            reserved=reservation.max_tokens,
+            reserved_at=reservation.host,
+            spent=reservation.spent,
+        )
+
     async def _run_turn(self, turn: _Turn, sink: ForwardSink) -> str:
         call = self.context.engine_call(turn.admitted)
 
--- a/celerypulley/programs/opaque_request.py
+++ b/celerypulley/programs/opaque_request.py
@@ -1,5 +1,7 @@
 """A request that is forwarded without reading its body, with declared metadata."""
 
+import hashlib
+
 import attrs
 
 __all__ = ["OpaqueRequest", "PrefixPart"]
@@ -46,3 +48,7 @@
     def path(self) -> str:
         """Return the request target without its query."""
         return self.target.partition("?")[0]
+
+    def body_digest(self) -> str:
+        """Return a digest of the body, by which log lines can be compared."""
+        return hashlib.blake2b(self.body, digest_size=4).hexdigest()
