Count a crash only where a server has ended, and once for each start of it

Seen by reading and by tests: a response that was reset, cut off, garbled or without a seal, and a call that the stall monitor aborted, counted as a crash of its request, and three of them refused an innocent request on all hosts for good. And four calls of one request that ended with one server counted as four crashes, so that it was refused after one.

Cause: a lost response was taken as evidence that its server had ended, and each lost call had a random mark.

CrashDetector asks the server again, in a task for each lost call: it has ended if it refuses connections, if it is silent and its entry is removed, or if another start takes its address. The mark of a crash follows from the server's name and start, so that all hosts that saw it write the same one. A connection that a probe opened carries the next call.

Failed before: seven kinds of lost response, and the calls that end with one server (4 counted). Now all rows pass.

--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -1,13 +1,13 @@
 """Crashes of backend servers by request, counted across the fleet.
 
-Each crash has a random mark, so that it counts once however often it is heard. A host
+The mark of a crash follows from the start of the server that ended, so that it counts
+once for a request, however many hosts saw it and however often it is heard. A host
 announces the crashes that it saw. Those of requests that crashed two servers or more
 are announced by all hosts, so that a host which starts learns of them from any other.
 """
 
 import hashlib
 import heapq
-import secrets
 from collections import OrderedDict
 from collections.abc import Iterable
 
@@ -45,6 +45,11 @@
     return hasher.hexdigest()
 
 
+def _crash_mark(server: str, started_ms: int) -> bytes:
+    start = f"{server}/{started_ms}".encode()
+    return hashlib.blake2b(start, digest_size=_MARK_BYTES).digest()
+
+
 @attrs.define(eq=False)
 class _Crashes:
     """The marks of one request's crashes, and when the last one was learned."""
@@ -55,7 +60,7 @@
 
 
 class CrashCounts:
-    """Count servers that were lost while they ran a request, by its fingerprint."""
+    """Count servers that ended while they ran a request, by its fingerprint."""
 
     def __init__(self, clock: Clock) -> None:
         """Start without crashes."""
@@ -68,14 +73,19 @@
         crashes = self._crashes.get(fingerprint)
         return len(crashes.marks) if crashes else 0
 
-    def record_crash(self, fingerprint: str, server: str) -> None:
-        """Count a server that was lost while it ran a request."""
-        self._add(fingerprint, {secrets.token_bytes(_MARK_BYTES)}, is_own=True)
+    def record_crash(
+        self, fingerprint: str, server: str, started_ms: int, evidence: str
+    ) -> None:
+        """Count a server that ended while it ran a request.
+
+        `started_ms` is the wall-clock time of the server's start.
+        """
+        self._add(fingerprint, {_crash_mark(server, started_ms)}, is_own=True)
         _log.write(
             "crash counted",
-            "server lost during request",
+            evidence,
             server=server,
-            request=fingerprint,
+            fingerprint=fingerprint,
             crashes=self.count(fingerprint),
         )
 
@@ -127,5 +137,5 @@
         count = self.count(fingerprint)
         if count >= _CRASH_LIMIT:
             raise CallRefusedError.of(
-                ErrorKind.QUARANTINED, f"{count} servers were lost during this request"
+                ErrorKind.QUARANTINED, f"{count} servers ended during this request"
             )
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -23,6 +23,7 @@
 from celerypulley.hosts.admission import Admission
 from celerypulley.hosts.budget_coordinator import BudgetCoordinator
 from celerypulley.hosts.budget_escrow import BudgetEscrow
+from celerypulley.hosts.crash_detector import CrashDetector
 from celerypulley.hosts.desired_state_cache import DesiredStateCache
 from celerypulley.hosts.forward_context import ForwardContext
 from celerypulley.hosts.forward_metrics import ForwardMetrics
@@ -105,6 +106,9 @@
         )
         self.meter = FleetMeter(settings.quota_window_ms, clock)
         self.crash_counts = CrashCounts(clock)
+        self.crash_detector = CrashDetector(
+            self.links.probe, self.directory.find_listing, self.crash_counts, clock
+        )
         own_member = FleetMember(
             settings.host_id, HOST, settings.domain, settings.ip, settings.fleet_port
         )
@@ -183,6 +187,7 @@
             links=self.links,
             dialect=dialect,
             crash_counts=self.crash_counts,
+            crash_detector=self.crash_detector,
             unreachable_domains=lambda: self.gossip.unreachable_domains(
                 self.members.domains
             ),
@@ -232,6 +237,7 @@
             self.gossip,
             self.window_copier,
             self.stall_monitor,
+            self.crash_detector,
             self.desired_state.follower,
             self.desired_state.confirmer,
             self.directory.follower,
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -13,6 +13,7 @@
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.fleet.crash_counts import CrashCounts
 from celerypulley.hosts.admission import AdmittedRequest
+from celerypulley.hosts.crash_detector import CrashDetector
 from celerypulley.hosts.server_directory import ServerDirectory
 from celerypulley.hosts.stall_monitor import StallMonitor
 from celerypulley.links.forward_dialect import Dialect, ForwardedCall, ResponseMetadata
@@ -58,6 +59,7 @@
     links: ServerLinks
     dialect: Dialect
     crash_counts: CrashCounts
+    crash_detector: CrashDetector
     unreachable_domains: Callable[[], frozenset[str]]
     clock: Clock
     stall_monitor: StallMonitor
@@ -216,7 +218,7 @@
         now_ms = self.clock.now_ms()
         if error.sent:
             server.record_lost_response(now_ms)
-            self.crash_counts.record_crash(admitted.fingerprint, server.name)
+            self.crash_detector.examine(admitted.fingerprint, server)
         else:
             server.record_unreachable(now_ms)
         _log.write(
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -1,5 +1,6 @@
 """The backend servers that the platform registers, with their state and load."""
 
+import enum
 from collections.abc import Callable
 
 import attrs
@@ -17,7 +18,7 @@
 from celerypulley.links.prefix_follower import PrefixFollower
 from celerypulley.links.server_connection import ServerLinks
 
-__all__ = ["ServerDirectory"]
+__all__ = ["Listing", "ServerDirectory"]
 
 # Changes arrive at once; the wait only bounds the time to detect a dead link.
 _WATCH_WAIT_MS = 2_000
@@ -32,6 +33,14 @@
 _log = DecisionLog("servers")
 
 
+class Listing(enum.Enum):
+    """What has become of the entry of one start of a server."""
+
+    LISTED = "listed"
+    REMOVED = "removed"
+    REPLACED = "replaced by another start at its address"
+
+
 class ServerDirectory:
     """Follow the registered servers; `servers` has their states by name."""
 
@@ -82,6 +91,14 @@
             if server.in_flight
         }
 
+    def find_listing(self, server: EngineState) -> Listing:
+        """Return what has become of the entry of a server's start."""
+        if self.servers.get(server.name) is server:
+            return Listing.LISTED
+        if any(each.address == server.address for each in self.servers.values()):
+            return Listing.REPLACED
+        return Listing.REMOVED
+
     def of_service(self, service: str) -> list[EngineState]:
         """Return the servers of a service that accept new requests."""
         self._drop_expired()
@@ -139,6 +156,7 @@
             frozenset((entry.service,)),
             traits=traits,
             max_report_age_ms=_REPORT_TTL_MS,
+            started_ms=entry.started_ms,
         )
         self.servers[entry.name] = server
         _log.write(
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import enum
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -14,7 +15,13 @@
 
 from celerypulley.clock import Clock
 
-__all__ = ["ResponseHead", "ServerCall", "ServerCallError", "ServerLinks"]
+__all__ = [
+    "Reachability",
+    "ResponseHead",
+    "ServerCall",
+    "ServerCallError",
+    "ServerLinks",
+]
 
 # A handshake takes 1 ms and the one-way latency is 1 to 3 ms (site sheets). A lost SYN
 # is retransmitted only after 1 s, too late for most requests.
@@ -40,6 +47,14 @@
         self.sent = sent
 
 
+class Reachability(enum.Enum):
+    """How a server's address answers a new connection."""
+
+    ACCEPTS = "accepts connections"
+    REFUSES = "refuses connections"
+    SILENT = "does not answer"
+
+
 @attrs.frozen
 class ResponseHead:
     """Status line and headers of a response, as the server sent them."""
@@ -224,6 +239,17 @@
             connection.protocol.close()
         return ServerCall(self, address, await self._connect(address))
 
+    async def probe(self, address: str) -> Reachability:
+        """Open a connection to a server, and keep it for the next call."""
+        try:
+            connection = await self._connect(address)
+        except ServerCallError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return Reachability.REFUSES
+            return Reachability.SILENT
+        self._idle.setdefault(address, []).append(connection)
+        return Reachability.ACCEPTS
+
     async def _connect(self, address: str) -> _Connection:
         loop = asyncio.get_running_loop()
         ip, _, port = address.rpartition(":")
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,5 +1,6 @@
 """Requests that crash servers, and those that a host may mistake for one."""
 
+import asyncio
 from functools import partial
 
 import pytest
@@ -99,3 +100,43 @@
             await send_crashing(fleet, number, "/unsafe/x")
         assert (await send_whole(fleet, "/unsafe/x")).status == 503
         assert (await send_whole(fleet, path, **fields)).status == 200
+
+
+@pytest.mark.parametrize(
+    "mode",
+    [
+        Mode.RESET,
+        Mode.CLOSE,
+        Mode.TRUNCATED,
+        Mode.CLOSE_DELIMITED_RESET,
+        Mode.NOT_HTTP,
+        Mode.NO_SEAL,
+        Mode.HANG,
+    ],
+)
+async def test_request_whose_responses_are_lost_is_refused(mode):
+    """The server goes on, so the request has not crashed it."""
+    async with running_fleet(servers=2) as fleet:
+        for _ in range(4):
+            for server in fleet.servers:
+                server.mode = mode
+            await fleet.call("/safe/x", headers={"Deadline-Ms": "700"})
+        await asyncio.sleep(0.1)
+        assert (await send_whole(fleet, "/safe/x")).status == 200
+        assert counts(fleet.hosts[0]) == {}
+
+
+async def test_one_crash_counts_for_each_call_that_it_ended():
+    async with running_fleet(hosts=2, servers=1) as fleet:
+        (server,) = fleet.servers
+        server.mode = Mode.HANG
+        calls = [
+            asyncio.create_task(fleet.call("/unsafe/x", host=number % 2))
+            for number in range(4)
+        ]
+        await wait_until(lambda: len(server.received) == 4)
+        server.crash()
+        assert [call.status for call in await asyncio.gather(*calls)] == [502] * 4
+        await wait_until(lambda: all(counts(host) for host in fleet.hosts))
+        await asyncio.sleep(0.5)  # two gossip periods
+        assert [list(counts(host).values()) for host in fleet.hosts] == [[1], [1]]
