Ask for a request's crashes again before each server that it is sent to

A request that was admitted went on through max_attempts servers, also after a wait for its rate and in a resumed stream, whatever had become known of it meanwhile: the count was read once, at admission.

try_servers reads it before each attempt. A request that was sent before ends with 502, since it may have run; only one that was sent nowhere is refused as not run.

Failed before: test_admitted_request_is_sent_after_the_third_crash ended with 504 at a second server, which held the request until its deadline.

--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -15,7 +15,7 @@
 
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
-from celerypulley.errors import CallRefusedError, ErrorKind
+from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.programs.opaque_request import OpaqueRequest
 
 __all__ = ["CrashCounts", "request_fingerprint"]
@@ -132,10 +132,17 @@
             self._next_older = (self._next_older + 1) % len(fingerprints)
             yield fingerprints[self._next_older]
 
+    def find_refusal(self, fingerprint: str) -> Refusal | None:
+        """Return the refusal of a request that has crashed too many servers."""
+        count = self.count(fingerprint)
+        if count < _CRASH_LIMIT:
+            return None
+        return Refusal(
+            ErrorKind.QUARANTINED, f"{count} servers ended during this request"
+        )
+
     def check(self, fingerprint: str) -> None:
         """Raise CallRefusedError if a request has crashed too many servers."""
-        count = self.count(fingerprint)
-        if count >= _CRASH_LIMIT:
-            raise CallRefusedError.of(
-                ErrorKind.QUARANTINED, f"{count} servers ended during this request"
-            )
+        refusal = self.find_refusal(fingerprint)
+        if refusal is not None:
+            raise CallRefusedError(refusal)
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -79,6 +79,10 @@
         ErrorKind.NO_BACKEND_SERVER, f"no available server of service {service}"
     )
     while send_count < route.max_attempts:
+        quarantined = context.crash_counts.find_refusal(admitted.fingerprint)
+        if quarantined is not None:
+            failure = quarantined
+            break
         server = context.choose(admitted, service, avoid, chooser)
         if server is None:
             break
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -140,3 +140,27 @@
         await wait_until(lambda: all(counts(host) for host in fleet.hosts))
         await asyncio.sleep(0.5)  # two gossip periods
         assert [list(counts(host).values()) for host in fleet.hosts] == [[1], [1]]
+
+
+async def test_admitted_request_is_sent_after_the_third_crash():
+    """Other hosts learn of the third crash while the first attempt is under way."""
+    async with running_fleet(servers=2) as fleet:
+        (host,) = fleet.hosts
+        for server in fleet.servers:
+            server.mode = Mode.HANG
+        call = asyncio.create_task(fleet.call("/safe/x"))
+        await wait_until(lambda: any(server.received for server in fleet.servers))
+        crashed = next(server for server in fleet.servers if server.received)
+        crashed.crash()
+        await wait_until(lambda: counts(host))
+        (fingerprint,) = counts(host)
+        await call
+        await restart_crashed(fleet)
+        for server in fleet.servers:
+            server.received.clear()
+        call = asyncio.create_task(fleet.call("/safe/x"))
+        await wait_until(lambda: any(server.received for server in fleet.servers))
+        host.crash_counts.merge({fingerprint: [b"1234", b"5678"]})
+        next(server for server in fleet.servers if server.received).crash()
+        assert (await call).status == 502
+        assert sum(len(server.received) for server in fleet.servers) == 1
