Examine a silent server also when the caller leaves or the deadline passes

A crash was counted only where the call to the server failed. A server that went dark under a request that may not be repeated held it until the deadline, or until its caller left, and nothing was counted.

A call that is given up after 400 ms of silence on all connections to its server has the server examined, as a lost response has. A server that answers other calls, or accepts a connection and keeps its entry, has not ended.

Failed before: both rows of test_silent_server_is_not_examined_when_the_caller_leaves with a silent server. The rows with one that goes on sending pass.

--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -15,7 +15,7 @@
 from celerypulley.hosts.admission import AdmittedRequest
 from celerypulley.hosts.crash_detector import CrashDetector
 from celerypulley.hosts.server_directory import ServerDirectory
-from celerypulley.hosts.stall_monitor import StallMonitor
+from celerypulley.hosts.stall_monitor import STALL_TIMEOUT_MS, StallMonitor
 from celerypulley.links.forward_dialect import Dialect, ForwardedCall, ResponseMetadata
 from celerypulley.links.server_connection import (
     ResponseHead,
@@ -234,6 +234,19 @@
             body=admitted.request.body_digest(),
         )
 
+    def record_abandoned(
+        self, admitted: AdmittedRequest, server: EngineState, started_ms: float
+    ) -> None:
+        """Record that the caller left, or the deadline passed, before the response.
+
+        A server that has been silent since may have gone dark.
+        """
+        if admitted.attempts.servers[-1:] != [server.name]:
+            return
+        since_ms = max(started_ms, server.last_received_ms)
+        if self.clock.now_ms() - since_ms >= STALL_TIMEOUT_MS:
+            self.crash_detector.examine(admitted.fingerprint, server)
+
     def server_error_refusal(
         self, admitted: AdmittedRequest, server: EngineState, head: ResponseHead
     ) -> Refusal:
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -1,5 +1,6 @@
 """Send a request to one server after another until one has responded."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -88,6 +89,7 @@
             break
         avoid = avoid | {server.name}
         call = None
+        started_ms = context.clock.now_ms()
         try:
             with context.count_in_flight(server, prefill_tokens(server)):
                 call = await context.links.start_call(server.address)
@@ -102,6 +104,9 @@
             if error.sent and not route.may_run_again:
                 raise CallRefusedError(failure) from error
             continue
+        except asyncio.CancelledError:
+            context.record_abandoned(admitted, server, started_ms)
+            raise
         finally:
             if call is not None and not call.is_released:
                 call.abort()
--- a/celerypulley/hosts/stall_monitor.py
+++ b/celerypulley/hosts/stall_monitor.py
@@ -11,12 +11,12 @@
 from celerypulley.decision_log import DecisionLog
 from celerypulley.links.server_connection import ServerCall
 
-__all__ = ["StallMonitor"]
+__all__ = ["STALL_TIMEOUT_MS", "StallMonitor"]
 
 _CHECK_PERIOD_S = 0.1
 # A model engine responds within 100 ms and sends an event every 30 ms (site sheets). If
 # it sends nothing on any connection for this long, it is down or unreachable.
-_STALL_TIMEOUT_MS = 400.0
+STALL_TIMEOUT_MS = 400.0
 _log = DecisionLog("silence")
 
 
@@ -53,7 +53,7 @@
             now_ms = self.clock.now_ms()
             for monitored in list(self._calls):
                 last_ms = max(monitored.started_ms, monitored.server.last_received_ms)
-                if now_ms - last_ms < _STALL_TIMEOUT_MS:
+                if now_ms - last_ms < STALL_TIMEOUT_MS:
                     continue
                 self._calls.discard(monitored)
                 monitored.server.record_unreachable(now_ms)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -164,3 +164,29 @@
         next(server for server in fleet.servers if server.received).crash()
         assert (await call).status == 502
         assert sum(len(server.received) for server in fleet.servers) == 1
+
+
+@pytest.mark.parametrize(
+    ("mode", "event_interval_s", "is_examined"),
+    [(Mode.HANG, 0.0, True), (Mode.STREAM, 0.02, False)],
+)
+@pytest.mark.parametrize("deadline_ms", ["600", "5000"])
+async def test_silent_server_is_not_examined_when_the_caller_leaves(
+    mode, event_interval_s, is_examined, deadline_ms
+):
+    """A server that went dark is silent; the deadline or the caller ends the call."""
+    async with running_fleet(servers=1) as fleet:
+        examined = []
+        fleet.hosts[0].crash_detector.examine = lambda *call: examined.append(call)
+        (server,) = fleet.servers
+        server.mode = mode
+        server.event_interval_s = event_interval_s
+        server.event_count = 1_000
+        call = asyncio.create_task(
+            fleet.call("/turns/x", headers={"Deadline-Ms": deadline_ms})
+        )
+        await asyncio.sleep(0.8)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        await asyncio.sleep(0.2)
+        assert bool(examined) == is_examined
