Accept no server entry whose name, address or number cannot be one

Reported by operators of similar systems: one odd entry among those of the engines ended the machines that read the list, or stopped them from following it.

Here no entry of the table ended a host or stopped its follower. But eight kinds were taken for servers: a port out of range (uvloop connects to the port modulo 65,536, that is, to another server), a port in other digits, a host name or a space for an address, negative and huge slots. And a name with a line break would have been written into the headers of requests.

decode_server checks name, address and the range of numbers. OverflowError of the desired state is a ValueError as well.

Ruled out by a test: a response that ends in its head or body, at every byte, closed or reset, never reaches a caller as whole.

--- a/celerypulley/platform/desired_state.py
+++ b/celerypulley/platform/desired_state.py
@@ -1,5 +1,8 @@
 """Decoders for the operator's desired state and for server entries."""
 
+import ipaddress
+import re
+
 import orjson
 
 from celerypulley.backend_servers.server_entry import ServerEntry
@@ -24,6 +27,10 @@
 DESIRED_STATE_KEY = "op/config"
 SERVER_PREFIX = "servers/"
 _SERVER_STATES = ("ready", "draining")
+_SERVER_NAME = re.compile(r"[!-~]{1,200}")  # it is written into headers of requests
+_PORT = re.compile(r"[0-9]{1,5}")
+_MAX_PORT = 65_535
+_MAX_NUMBER = 2**53  # above this, JSON numbers are not exact
 
 
 def decode_desired_state(raw: bytes) -> DesiredState:
@@ -37,7 +44,7 @@
             tuple(_decode_organisation(each) for each in body.get("tenants", [])),
             _decode_limits(body.get("limits") or {}),
         )
-    except (KeyError, TypeError, AttributeError) as error:
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(
             f"the desired state has a missing or invalid field: {error}"
         ) from error
@@ -98,11 +105,13 @@
 
 def decode_server(key: str, raw: bytes) -> ServerEntry:
     """Return the entry of a backend server; raise ValueError if it is malformed."""
+    name = key.removeprefix(SERVER_PREFIX)
+    if not _SERVER_NAME.fullmatch(name):
+        raise ValueError(f"{key!r} is no name of a server")
     try:
         row = orjson.loads(raw)
         state = row["state"]
         address = row["addr"]
-        ip, _, port = address.rpartition(":")
         text_fields = (row["service"], row["zone"], address)
         number_fields = (row["slots"], row["coldLeftMs"], row["seq"])
     except (KeyError, TypeError, AttributeError) as error:
@@ -113,17 +122,12 @@
         raise ValueError(
             f"{key} has unknown state {state!r} or a field that is not text"
         )
-    if (
-        not all(_is_number(each) for each in number_fields)
-        or not port.isdigit()
-        or not ip
-    ):
-        raise ValueError(
-            f"{key} has a field that is not a number, or no ip:port address"
-        )
+    if not all(_is_number(each) for each in number_fields) or row["slots"] < 0:
+        raise ValueError(f"{key} has a number that is missing or out of range")
+    _check_address(key, address)
     started_ms = row.get("born", 0)
     return ServerEntry(
-        name=key.removeprefix(SERVER_PREFIX),
+        name=name,
         service=row["service"],
         address=address,
         domain=row["zone"],
@@ -133,5 +137,15 @@
     )
 
 
+def _check_address(key: str, address: str) -> None:
+    """Raise ValueError unless an address is `ip:port`."""
+    ip, _, port = address.rpartition(":")
+    ipaddress.ip_address(ip)
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f"{key} has a port out of range: {port[:20]!r}")
+
+
 def _is_number(value: object) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool)
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return False
+    return -_MAX_NUMBER <= value <= _MAX_NUMBER
--- a/celerypulley/stand_ins/opaque_server.py
+++ b/celerypulley/stand_ins/opaque_server.py
@@ -23,6 +23,7 @@
     response after the right one, EARLIER_RESPONSE one with another request's
     identifier before it. REPEATED_REFUSAL sends the last refusal on the connection once
     more before the right response, NAMELESS_REFUSAL the same without its identifier.
+    CUT_SHORT sends the first bytes of `cut_response` and ends the connection.
     CRASH ends the server, so that it refuses connections until it is started again.
     The ENDLESS modes repeat bytes until the caller closes the connection.
     """
@@ -36,6 +37,7 @@
     CRASH = "crash"
     CLOSE = "close"
     TRUNCATED = "truncated"
+    CUT_SHORT = "cut short"
     RESET_WITHIN_EVENT = "within an event"
     HANG_WITHIN_EVENT = "silent within an event"
     CLOSE_DELIMITED = "unframed"
@@ -98,7 +100,8 @@
     """One server and the requests that it received.
 
     Each request uses up one of `next_modes`; after these, `mode` applies. Streams have
-    `event_count` events, `event_interval_s` apart.
+    `event_count` events, `event_interval_s` apart. `cut_response` is a response, the
+    number of its bytes that are sent, and whether a reset follows.
     """
 
     name: str
@@ -111,6 +114,7 @@
     endless_bytes_sent: int = 0
     connection_count: int = 0
     crash_count: int = 0
+    cut_response: tuple[bytes, int, bool] = (b"", 0, False)
     address: str = ""
     _server: asyncio.Server | None = None
     _writers: set = attrs.Factory(set)
@@ -195,6 +199,15 @@
             return False
         if mode is Mode.CLOSE:
             return False
+        if mode is Mode.CUT_SHORT:
+            whole, cut, is_reset = self.cut_response
+            whole = whole.replace(b"REQUEST_ID", request.request_id.encode())
+            writer.write(whole[:cut])
+            await writer.drain()
+            if is_reset:
+                await asyncio.sleep(0.005)  # the bytes before a reset may be lost
+                _reset_connection(writer)
+            return False
         if mode is Mode.TRUNCATED:
             writer.write(complete[:-3])
             await writer.drain()
--- /dev/null
+++ b/tests/test_reports_of_operators.py
@@ -0,0 +1,108 @@
+"""Faults that operators of similar systems have reported."""
+
+import orjson
+import pytest
+
+from celerypulley.platform.desired_state import decode_server
+from celerypulley.stand_ins.opaque_server import Mode, OpaqueServer
+from tests.fleet import running_fleet
+from tests.harness import wait_until
+
+ENTRY = {
+    "service": "engines",
+    "addr": "127.0.0.1:8001",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seq": 1,
+}
+
+
+def _entry(**fields: object) -> bytes:
+    return orjson.dumps({**ENTRY, **fields})
+
+
+def _numbered(field: str, digits: str) -> bytes:
+    """Return an entry with a number that only other encoders write."""
+    return _entry(**{field: 77}).replace(b"77", digits.encode())
+
+
+ODD_ENTRIES = {
+    "nested": b"[" * 100_000 + b"]" * 100_000,
+    "nested field": _entry(zone=0).replace(b'"zone":0', b'"zone":' + b"[" * 100_000),
+    "nested deeply enough": _entry(addr=0).replace(b"0", b"[" * 900 + b"]" * 900),
+    "long slots": _numbered("slots", "9" * 5_000),
+    "infinite slots": _numbered("slots", "1e999"),
+    "huge slots": _numbered("slots", "1e308"),
+    "negative slots": _entry(slots=-1),
+    "infinite start": _numbered("born", "1e999"),
+    "infinite sequence": _numbered("seq", "-1e999"),
+    "port 0": _entry(addr="127.0.0.1:0"),
+    "port 65536": _entry(addr="127.0.0.1:65536"),
+    "port in other digits": _entry(addr="127.0.0.1:²"),
+    "long port": _entry(addr="127.0.0.1:" + "8" * 5_000),
+    "name for an address": _entry(addr="localhost:8001"),
+    "space for an address": _entry(addr=" :8001"),
+    "not utf-8": b'{"service":"\xff"}',
+}
+ODD_NAMES = ["", "a\r\nTenant: other", "a b", "\u00e9", "a" * 300]
+
+
+@pytest.mark.parametrize("raw", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_odd_entry_raises_another_error(raw):
+    with pytest.raises(ValueError):
+        decode_server("servers/odd", raw)
+
+
+@pytest.mark.parametrize("name", ODD_NAMES)
+def test_odd_name_of_a_server_is_accepted(name):
+    """Names are written into the headers of requests."""
+    with pytest.raises(ValueError):
+        decode_server(f"servers/{name}", _entry())
+
+
+@pytest.mark.parametrize("raw", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+async def test_odd_entry_ends_the_host_or_hides_the_others(raw):
+    async with running_fleet() as fleet:
+        (host,) = fleet.hosts
+        fleet.store.put("servers/odd", raw)
+        await wait_until(
+            lambda: host.directory.follower._revision >= fleet.store.revision
+        )
+        late = OpaqueServer("late")
+        await late.start()
+        fleet.servers.append(late)
+        fleet.register(late)
+        await wait_until(lambda: "late" in host.directory.servers)
+        assert set(host.directory.servers) == {"server-0", "late"}
+        for number in range(4):
+            assert (await fleet.call(f"/safe/{number}")).status == 200
+        assert not host.should_stop
+
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: REQUEST_ID\r\nServer-Seal: s\r\n"
+    b"Server-Load: 1,0,8\r\nContent-Length: 9\r\n\r\n"
+)
+CHUNKED = HEAD.replace(b"Content-Length: 9", b"Transfer-Encoding: chunked")
+
+
+@pytest.mark.parametrize("path", ["/unsafe/x", "/turns/x"])
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize(
+    "whole", [HEAD + b"all of it", CHUNKED + b"9\r\nall of it\r\n0\r\n\r\n"]
+)
+async def test_response_that_ends_in_its_head_or_body_looks_whole(path, reset, whole):
+    """An unframed body can begin only after the empty line that ends the head."""
+    async with running_fleet() as fleet:
+        (server,) = fleet.servers
+        server.mode = Mode.CUT_SHORT
+        length = len(whole) - len("REQUEST_ID") + len("request-1")
+        for cut in range(1, length):
+            server.cut_response = (whole, cut, reset)
+            fleet.request_count = 0
+            response = await fleet.call(path, body=b"%d" % cut)
+            is_whole = response.complete and response.status == 200
+            assert not is_whole, (cut, response)
