Believe a server that announces in its responses that it leaves

- The header is decoded once, in platform/: true, false, or None for a value that is not exactly one 1, which is counted.
It is believed of a response that belongs to the request, has its seal where it is a success, and comes from the server that was called; for that start of the server, whatever its entry says later.
- Every choice of a server passes ForwardContext.choose.
A server that has announced is chosen only where no other can serve, and only for requests that were received within `bounds.drainMs` of that.
- One line when it is learned, one for the first request that is kept from it, gauges by source.

Not yet: what one host learns doesn't reach the others.

--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -71,6 +71,8 @@
     that other hosts report as in flight on the server. `slowdown` is the ratio of
     measured to estimated response times, as of `slowdown_updated_ms`.
     `last_received_ms` is the time of the last byte received from the server.
+    `announced_leaving_ms` is the time at which a response announced that the server
+    leaves, or None.
     `started_ms` is the wall-clock time of its start, 0 if unknown.
     `has_suspect_request` is set while a request with a crash count runs there and
     has not returned its first token.
@@ -92,6 +94,7 @@
     last_received_ms: float = NEVER_MS
     backoff_until_ms: float = NEVER_MS
     consecutive_failures: int = 0
+    announced_leaving_ms: float | None = None
     started_ms: int = 0
     has_suspect_request: bool = False
     cache_entries: OrderedDict[str, tuple[int, float]] = attrs.Factory(OrderedDict)
--- a/celerypulley/fleet_settings.py
+++ b/celerypulley/fleet_settings.py
@@ -17,7 +17,8 @@
     connections; `metrics_port` serves the metrics. If `refuse_stale_state` is set,
     desired state older than `max_state_age_ms` is not used, since it may still hold
     revoked keys. `shutdown_grace_ms` is the time between SIGTERM and SIGKILL. Rates
-    are enforced over windows of `quota_window_ms`. `data_dir` is the disk of a
+    are enforced over windows of `quota_window_ms`. A server that leaves goes on for
+    `server_drain_ms`. `data_dir` is the disk of a
     storage host; `tolerated_disk_losses` disks may be lost at once. `is_first_start`
     is set if no disk of the fleet has ever been written.
     """
@@ -34,6 +35,7 @@
     refuse_stale_state: bool
     shutdown_grace_ms: float
     quota_window_ms: float
+    server_drain_ms: float
     data_dir: Path | None = None
     is_first_start: bool = False
     has_storage_hosts: bool = False
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 from mode import Service
@@ -103,6 +104,7 @@
             schema.decode_server,
             self.links,
             settings.domain,
+            settings.server_drain_ms,
             clock,
         )
         self.meter = FleetMeter(settings.quota_window_ms, clock)
@@ -219,6 +221,13 @@
         gauges["desired_state_version"] = lambda: self.desired_state.version
         gauges["desired_state_age_ms"] = lambda: self.desired_state.age_ms()
         gauges["servers_known"] = lambda: len(self.directory.servers)
+        for source in ("entry", "response"):
+            gauges[f"servers_leaving_by_{source}"] = partial(
+                self._count_leaving, source
+            )
+        gauges["leaving_announcements_invalid"] = lambda: (
+            self.directory.invalid_announcements
+        )
         gauges["server_connections_opened"] = lambda: self.links.opened_count
         gauges["members_known"] = lambda: len(self.members.addresses)
         gauges["fleet_heard_part"] = lambda: self.meter.reachable_fraction()
@@ -227,6 +236,9 @@
         gauges["requests_active"] = lambda: self.server.active
         gauges["budget_tokens_overcommitted"] = lambda: self.escrow.overcommitted_tokens
 
+    def _count_leaving(self, source: str) -> int:
+        return self.directory.count_leaving()[source]
+
     async def on_start(self) -> None:
         """Start all services; the server for callers comes last."""
         for service in (
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -98,6 +98,13 @@
             for each in candidates:
                 each.backoff_until_ms = NEVER_MS
             choice = chooser(call, candidates, avoid)
+        if choice is None:
+            draining = self.directory.draining_of_service(
+                service, admitted.request.received_ms
+            )
+            choice = chooser(call, draining, avoid)
+        else:
+            self.directory.record_choice(service, admitted.request.request_id)
         if choice is None:
             return None
         server = self.directory.servers.get(choice.engine.name)
@@ -182,6 +189,8 @@
         server.apply_report(EngineReport(now_ms, running, metadata.waiting or 0))
         if 200 <= head.status < 300 and not metadata.is_sealed:
             raise ServerCallError("successful response without the server's seal", True)
+        if not metadata.wrong_server:
+            self.directory.record_announcement(server, metadata.leaving)
         return head, metadata
 
     @contextmanager
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -51,15 +51,20 @@
         decode: Callable[[str, bytes], ServerEntry],
         links: ServerLinks,
         domain: str,
+        drain_ms: float,
         clock: Clock,
     ) -> None:
         """Follow the entries below `prefix`, decoded by `decode(key, value)`.
 
-        `domain` is the failure domain of this host.
+        `domain` is the failure domain of this host. A server goes on for at least
+        `drain_ms` after it has announced that it leaves.
         """
         self.decode = decode
         self.links = links
         self.domain = domain
+        self.drain_ms = drain_ms
+        self.invalid_announcements = 0
+        self._kept_from: set[str] = set()
         self.clock = clock
         self.servers: dict[str, EngineState] = {}
         self._entries: dict[str, ServerEntry] = {}
@@ -101,6 +106,27 @@
 
     def of_service(self, service: str) -> list[EngineState]:
         """Return the servers of a service that accept new requests."""
+        return [
+            server
+            for server in self._live(service)
+            if server.announced_leaving_ms is None
+        ]
+
+    def draining_of_service(
+        self, service: str, received_ms: float
+    ) -> list[EngineState]:
+        """Return the servers that leave and accept a request as a last resort.
+
+        They do so where it was received within `drain_ms` of their announcement.
+        """
+        return [
+            server
+            for server in self._live(service)
+            if server.announced_leaving_ms is not None
+            and received_ms - server.announced_leaving_ms < self.drain_ms
+        ]
+
+    def _live(self, service: str) -> list[EngineState]:
         self._drop_expired()
         return [
             server
@@ -108,6 +134,40 @@
             if service in server.models and server.state is ServerState.LIVE
         ]
 
+    def record_announcement(self, server: EngineState, leaving: bool | None) -> None:
+        """Record whether a server's response says that the server leaves.
+
+        None counts an announcement that cannot be read. One that was read holds for
+        this start of the server.
+        """
+        if leaving is None:
+            self.invalid_announcements += 1
+        if not leaving or server.announced_leaving_ms is not None:
+            return
+        server.announced_leaving_ms = self.clock.now_ms()
+        _log.write("announced that it leaves", "in a response", server=server.name)
+
+    def record_choice(self, service: str, request_id: str) -> None:
+        """Log the first request for which a server was left out since it leaves."""
+        for server in self._live(service):
+            if server.announced_leaving_ms is None or server.name in self._kept_from:
+                continue
+            self._kept_from.add(server.name)
+            _log.write(
+                "request kept from a leaving one",
+                "others can serve it, or it came too late",
+                server=server.name,
+                request=request_id,
+            )
+
+    def count_leaving(self) -> dict[str, int]:
+        """Return the number of servers that leave, by the source of that knowledge."""
+        servers = self.servers.values()
+        return {
+            "entry": sum(each.state is ServerState.LEAVING for each in servers),
+            "response": sum(each.announced_leaving_ms is not None for each in servers),
+        }
+
     def _on_snapshot(self, items: tuple[Item, ...]) -> None:
         listed = {item.key for item in items}
         for key in [key for key in self._entries if key not in listed]:
@@ -198,6 +258,7 @@
         self._expired_until_ms.pop(key, None)
         entry = self._entries.pop(key)
         self.servers.pop(entry.name, None)
+        self._kept_from.discard(entry.name)
         self.links.close_idle(entry.address)
         _log.write("deregistered", reason, server=entry.name)
 
--- a/celerypulley/links/forward_dialect.py
+++ b/celerypulley/links/forward_dialect.py
@@ -31,6 +31,8 @@
 
     `not_run` means that the server reports that it did not run the request, and
     `wrong_server` that it is not the server to which the request was addressed.
+    `leaving` tells whether the server announces that it leaves, or None where the
+    announcement cannot be read.
     `is_sealed` means that the response carries the seal of a backend server.
     `running` and `waiting` are its load, or None if it reports none. `headers` are
     forwarded to the caller.
@@ -39,6 +41,7 @@
     not_run: bool
     wrong_server: bool
     is_sealed: bool
+    leaving: bool | None
     running: int | None
     waiting: int | None
     headers: tuple[tuple[bytes, bytes], ...]
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -125,6 +125,7 @@
         not_run="Not-Executed" in headers or head.status == 421,
         wrong_server=head.status == 421,
         is_sealed="Server-Seal" in headers,
+        leaving=_decode_leaving(headers.getall("Server-Leaving", [])),
         running=int(running) if has_load else None,
         waiting=int(waiting) if has_load else None,
         headers=tuple(
@@ -135,6 +136,12 @@
     )
 
 
+def _decode_leaving(values: list[str]) -> bool | None:
+    if not values:
+        return False
+    return True if values == ["1"] else None
+
+
 def _response_matcher(request_id: str):
     def belongs_to_request(headers, is_reused_connection: bool) -> bool:
         # Without an identifier it may be a second response to an earlier request.
--- a/celerypulley/platform/settings_file.py
+++ b/celerypulley/platform/settings_file.py
@@ -39,6 +39,7 @@
         is_first_start=values.get("bootstrap") == "true",
         has_storage_hosts=True,  # the storage role is always deployed
         tolerated_disk_losses=int(_parse_number(values, "faultTolerance.machines", 1)),
+        server_drain_ms=_parse_number(values, "bounds.drainMs", 2_000.0),
         quota_window_ms=_parse_number(values, "bounds.quotaWindowS", 5.0) * 1000,
     )
 
--- a/celerypulley/stand_ins/opaque_server.py
+++ b/celerypulley/stand_ins/opaque_server.py
@@ -46,6 +46,8 @@
     NOT_HTTP = "not http"
     HANG = "hang"
     EXTRA_RESPONSE = "extra answer"
+    EARLIER_ANNOUNCEMENT = "announcement in an answer to an earlier request"
+    EXTRA_ANNOUNCEMENT = "announcement in an extra answer"
     EARLIER_RESPONSE = "answer to an earlier request first"
     REPEATED_REFUSAL = "an earlier refusal once more first"
     NAMELESS_REFUSAL = "a refusal without identifier first"
@@ -101,7 +103,8 @@
 
     Each request uses up one of `next_modes`; after these, `mode` applies. Streams have
     `event_count` events, `event_interval_s` apart. `cut_response` is a response, the
-    number of its bytes that are sent, and whether a reset follows.
+    number of its bytes that are sent, and whether a reset follows. `added_headers` are
+    lines in the head of every response, such as that the server leaves.
     """
 
     name: str
@@ -115,6 +118,7 @@
     connection_count: int = 0
     crash_count: int = 0
     cut_response: tuple[bytes, int, bool] = (b"", 0, False)
+    added_headers: tuple[str, ...] = ()
     address: str = ""
     _server: asyncio.Server | None = None
     _writers: set = attrs.Factory(set)
@@ -235,6 +239,9 @@
             Mode.NOT_HTTP: b"these bytes are no answer\r\n\r\n",
             Mode.EXTRA_RESPONSE: complete
             + self._complete_response(200, request.request_id, b"again"),
+            Mode.EARLIER_ANNOUNCEMENT: self._announcement("an-earlier-request")
+            + complete,
+            Mode.EXTRA_ANNOUNCEMENT: complete + self._announcement(request.request_id),
             Mode.EARLIER_RESPONSE: self._complete_response(
                 200, "an-earlier-request", b"old"
             )
@@ -264,11 +271,15 @@
     ) -> bytes:
         head = [f"HTTP/1.1 {status} Reason", f"Request-Id: {request_id}"]
         head += [f"Server-Seal: seal-of-{self.name}", f"Content-Length: {len(body)}"]
-        head += ["Server-Load: 1,0,8"]
+        head += ["Server-Load: 1,0,8", *self.added_headers]
         if not_executed:
             head.append("Not-Executed: 1")
         return ("\r\n".join(head) + "\r\n\r\n").encode() + body
 
+    def _announcement(self, request_id: str) -> bytes:
+        response = self._complete_response(200, request_id, b"leaving")
+        return response.replace(b"Server-Load", b"Server-Leaving: 1\r\nServer-Load")
+
     def _close_delimited_response(self, request: ReceivedRequest) -> bytes:
         head = ["HTTP/1.1 200 OK", f"Request-Id: {request.request_id}"]
         head += [f"Server-Seal: seal-of-{self.name}", "Connection: close"]
@@ -280,6 +291,7 @@
         head = ["HTTP/1.1 200 OK", f"Request-Id: {request.request_id}"]
         head += [f"Server-Seal: seal-of-{self.name}", "Transfer-Encoding: chunked"]
         head += ["Content-Type: text/event-stream", "Server-Load: 1,0,8"]
+        head += self.added_headers
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
         first = int(request.headers.get("last-event-id") or 0) + 1
         for number in range(first, self.event_count + 1):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -158,6 +158,7 @@
         "refuse_stale_state": True,
         "shutdown_grace_ms": 8_000.0,
         "quota_window_ms": 5_000.0,
+        "server_drain_ms": 2_000.0,
     }
     return FleetSettings(**{**defaults, **changes})
 
