Tell other hosts of servers that announced that they leave

A host that is cut off from a server's entry, or has sent nothing there since, learned of an announcement only from a response of its own. What a peer says counts for the same start only and is not passed on.

Failed before: both rows of test_other_hosts_do_not_learn_of_an_announcement.

--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -8,7 +8,14 @@
 from celerypulley.clock import NEVER_MS
 from celerypulley.elapsed_time import elapsed_ms
 
-__all__ = ["EngineReport", "EngineState", "EngineTraits", "ServerState"]
+__all__ = [
+    "AnnouncementSource",
+    "EngineReport",
+    "EngineState",
+    "EngineTraits",
+    "LeavingAnnouncement",
+    "ServerState",
+]
 
 _MAX_CACHE_ENTRIES = 50_000
 _CACHE_HALF_LIFE_MS = 120_000.0
@@ -54,6 +61,21 @@
     memory_tokens: int = 0
 
 
+class AnnouncementSource(enum.Enum):
+    """Where this host learned that a server announced that it leaves."""
+
+    RESPONSE = "response"
+    PEER = "peer"
+
+
+@attrs.frozen
+class LeavingAnnouncement:
+    """That a server announced that it leaves, as learned at `learned_ms`."""
+
+    learned_ms: float
+    source: AnnouncementSource
+
+
 @attrs.define
 class SentCall:
     """A call sent by this host at `sent_ms` that no load report covers yet."""
@@ -71,8 +93,7 @@
     that other hosts report as in flight on the server. `slowdown` is the ratio of
     measured to estimated response times, as of `slowdown_updated_ms`.
     `last_received_ms` is the time of the last byte received from the server.
-    `announced_leaving_ms` is the time at which a response announced that the server
-    leaves, or None.
+    `announcement` is set once the server has announced that it leaves.
     `started_ms` is the wall-clock time of its start, 0 if unknown.
     `has_suspect_request` is set while a request with a crash count runs there and
     has not returned its first token.
@@ -94,7 +115,7 @@
     last_received_ms: float = NEVER_MS
     backoff_until_ms: float = NEVER_MS
     consecutive_failures: int = 0
-    announced_leaving_ms: float | None = None
+    announcement: LeavingAnnouncement | None = None
     started_ms: int = 0
     has_suspect_request: bool = False
     cache_entries: OrderedDict[str, tuple[int, float]] = attrs.Factory(OrderedDict)
--- a/celerypulley/fleet/fleet_gossip.py
+++ b/celerypulley/fleet/fleet_gossip.py
@@ -49,8 +49,9 @@
     marks of crashes, by request fingerprint. Hosts with the same `view` know the
     same members; `unreachable` are those of them from which the host receives nothing,
     a bit for each in the order of their names, empty if there are none.
-    `uptime_ms` is the time since the start. `has_all_totals` tells whether `admitted`
-    lacks only organisations without requests.
+    `uptime_ms` is the time since the start. `leaving` are servers that announced to the
+    host that they leave, with the times of their starts. `has_all_totals` tells whether
+    `admitted` lacks only organisations without requests.
     """
 
     host: str
@@ -63,6 +64,7 @@
     view: int = 0
     unreachable: bytes = b""
     uptime_ms: float = float("inf")
+    leaving: dict[str, int] = attrs.Factory(dict)
     has_all_totals: bool = False
 
 
@@ -79,17 +81,21 @@
         read_view: Callable[[], int],
         clock: Clock,
         domains: Mapping[str, str] | None = None,
+        read_leaving: Callable[[], dict[str, int]] = dict,
     ) -> None:
         """Send what `read_own_counts()` and `read_view()` return.
 
         The counts are admitted requests, calls in flight and crashes, in this order.
         `domains` are the failure domains by host; without them no message is relayed.
+        `read_leaving()` returns the servers that announced that they leave, with the
+        times of their starts.
         """
         super().__init__()
         self.datagrams = datagrams
         self.domains = {} if domains is None else domains
         self.read_own_counts = read_own_counts
         self.read_view = read_view
+        self.read_leaving = read_leaving
         self.clock = clock
         self.peers: dict[str, PeerCounts] = {}
         self.on_message: list[Callable[[PeerCounts, PeerCounts | None], None]] = []
@@ -163,8 +169,9 @@
             view,
             unreachable,
             uptime_ms,
+            leaving,
         ) = payload
-        tables = (admitted, in_flight, crashes)
+        tables = (admitted, in_flight, crashes, leaving)
         if not all(isinstance(table, dict) for table in tables):
             raise ValueError("counts must be dictionaries")
         if not isinstance(instance_id, str) or not isinstance(number, int):
@@ -179,6 +186,7 @@
             view,
             unreachable,
             uptime_ms,
+            leaving,
         )
         has_all_totals = _has_all_totals(number)
         previous = self.peers.get(host)
@@ -238,6 +246,7 @@
             self.read_view(),
             self._unreachable_members(),
             round(self.clock.now_ms() - self._started_ms),
+            self.read_leaving(),
         ]
         if not self.has_relays():
             self.datagrams.broadcast(_KIND, message)
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -128,6 +128,7 @@
             self.members.view_digest,
             clock,
             self.members.domains,
+            self.directory.announced_leaving,
         )
         self.meter.gossip = self.gossip
         confirmations = Confirmations(
@@ -221,7 +222,7 @@
         gauges["desired_state_version"] = lambda: self.desired_state.version
         gauges["desired_state_age_ms"] = lambda: self.desired_state.age_ms()
         gauges["servers_known"] = lambda: len(self.directory.servers)
-        for source in ("entry", "response"):
+        for source in ("entry", "response", "peer"):
             gauges[f"servers_leaving_by_{source}"] = partial(
                 self._count_leaving, source
             )
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -6,8 +6,10 @@
 import attrs
 
 from celerypulley.backend_servers.engine_state import (
+    AnnouncementSource,
     EngineState,
     EngineTraits,
+    LeavingAnnouncement,
     ServerState,
 )
 from celerypulley.backend_servers.server_entry import ServerEntry
@@ -29,6 +31,7 @@
 _STEP_MS_PER_SEQUENCE = 0.0548
 _PREFILL_TOKENS_PER_S = 187_000.0
 _FIRST_TOKEN_MS = 42.0
+_NAMED_FOR_MS = 6_000.0  # four messages of a fleet of 171 hosts
 _REPORT_TTL_MS = 300.0  # about one turn: calls that ran at the report have ended
 _log = DecisionLog("servers")
 
@@ -80,13 +83,17 @@
         )
 
     def on_peer_counts(self, peer: PeerCounts, previous: PeerCounts | None) -> None:
-        """Update the calls that another host has in flight."""
+        """Update the calls that another host has in flight, and servers that leave."""
         previous_in_flight = previous.in_flight if previous else {}
         for name in previous_in_flight.keys() | peer.in_flight.keys():
             server = self.servers.get(name)
             if server is not None:
                 change = peer.in_flight.get(name, 0) - previous_in_flight.get(name, 0)
                 server.in_flight_on_others = max(0, server.in_flight_on_others + change)
+        for name, started_ms in peer.leaving.items():
+            server = self.servers.get(name)
+            if server is not None and server.started_ms == started_ms:
+                self._set_announcement(server, AnnouncementSource.PEER)
 
     def in_flight(self) -> dict[str, int]:
         """Return the calls that this host has in flight, by server."""
@@ -106,11 +113,7 @@
 
     def of_service(self, service: str) -> list[EngineState]:
         """Return the servers of a service that accept new requests."""
-        return [
-            server
-            for server in self._live(service)
-            if server.announced_leaving_ms is None
-        ]
+        return [server for server in self._live(service) if server.announcement is None]
 
     def draining_of_service(
         self, service: str, received_ms: float
@@ -122,8 +125,8 @@
         return [
             server
             for server in self._live(service)
-            if server.announced_leaving_ms is not None
-            and received_ms - server.announced_leaving_ms < self.drain_ms
+            if server.announcement is not None
+            and received_ms - server.announcement.learned_ms < self.drain_ms
         ]
 
     def _live(self, service: str) -> list[EngineState]:
@@ -142,15 +145,39 @@
         """
         if leaving is None:
             self.invalid_announcements += 1
-        if not leaving or server.announced_leaving_ms is not None:
+        if leaving:
+            self._set_announcement(server, AnnouncementSource.RESPONSE)
+
+    def _set_announcement(
+        self, server: EngineState, source: AnnouncementSource
+    ) -> None:
+        if server.announcement is not None:
             return
-        server.announced_leaving_ms = self.clock.now_ms()
-        _log.write("announced that it leaves", "in a response", server=server.name)
+        server.announcement = LeavingAnnouncement(self.clock.now_ms(), source)
+        _log.write(
+            "announced that it leaves",
+            f"learned from a {source.value}",
+            server=server.name,
+        )
+
+    def announced_leaving(self) -> dict[str, int]:
+        """Return the servers to name to other hosts, with the time of their start.
+
+        They are those that recently announced to this host that they leave.
+        """
+        since_ms = self.clock.now_ms() - _NAMED_FOR_MS
+        return {
+            server.name: server.started_ms
+            for server in self.servers.values()
+            if server.announcement is not None
+            and server.announcement.source is AnnouncementSource.RESPONSE
+            and server.announcement.learned_ms >= since_ms
+        }
 
     def record_choice(self, service: str, request_id: str) -> None:
         """Log the first request for which a server was left out since it leaves."""
         for server in self._live(service):
-            if server.announced_leaving_ms is None or server.name in self._kept_from:
+            if server.announcement is None or server.name in self._kept_from:
                 continue
             self._kept_from.add(server.name)
             _log.write(
@@ -162,11 +189,12 @@
 
     def count_leaving(self) -> dict[str, int]:
         """Return the number of servers that leave, by the source of that knowledge."""
-        servers = self.servers.values()
-        return {
-            "entry": sum(each.state is ServerState.LEAVING for each in servers),
-            "response": sum(each.announced_leaving_ms is not None for each in servers),
-        }
+        counts = {"entry": 0, **{source.value: 0 for source in AnnouncementSource}}
+        for server in self.servers.values():
+            counts["entry"] += server.state is ServerState.LEAVING
+            if server.announcement is not None:
+                counts[server.announcement.source.value] += 1
+        return counts
 
     def _on_snapshot(self, items: tuple[Item, ...]) -> None:
         listed = {item.key for item in items}
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -2,11 +2,14 @@
 
 import asyncio
 
+import attrs
 import pytest
 
+from celerypulley.backend_servers.engine_state import EngineState
+from celerypulley.hosts.server_directory import ServerDirectory
 from celerypulley.stand_ins.opaque_server import Mode, OpaqueServer
 from tests.fleet import Fleet, desired_state, route, running_fleet
-from tests.harness import wait_until
+from tests.harness import ManualClock, wait_until
 
 ANNOUNCEMENT = ("Server-Leaving: 1",)
 # All routes allow two attempts, and the resumable one lets a stream go on elsewhere.
@@ -34,12 +37,17 @@
     return server
 
 
+def shift_announcement(server: EngineState, by_ms: float) -> None:
+    if server.announcement is not None:
+        learned_ms = server.announcement.learned_ms + by_ms
+        server.announcement = attrs.evolve(server.announcement, learned_ms=learned_ms)
+
+
 def pass_drain_time(fleet: Fleet) -> None:
     """Let the announcements be older than the time for which a server drains."""
     for host in fleet.hosts:
         for server in host.directory.servers.values():
-            if server.announced_leaving_ms is not None:
-                server.announced_leaving_ms -= host.directory.drain_ms
+            shift_announcement(server, -host.directory.drain_ms)
 
 
 @pytest.mark.parametrize("is_store_away", [False, True])
@@ -123,8 +131,7 @@
         if not is_late:
             pass_drain_time(fleet)
             for server in fleet.hosts[0].directory.servers.values():
-                if server.announced_leaving_ms is not None:
-                    server.announced_leaving_ms += 50.0  # the request came before that
+                shift_announcement(server, 50.0)  # the request came before that
         other.crash()
         assert (await call).status == (502 if is_late else 200)
         assert len(leaving.received) == (0 if is_late else 1)
@@ -147,7 +154,7 @@
         fleet.servers[0].added_headers = headers
         assert (await fleet.call("/unsafe/x")).status == 200
         directory = fleet.hosts[0].directory
-        assert directory.servers["server-0"].announced_leaving_ms is None
+        assert directory.servers["server-0"].announcement is None
         assert directory.invalid_announcements == 1
 
 
@@ -156,7 +163,7 @@
         fleet.servers[0].added_headers = ("sErVeR-lEaViNg: 1",)
         assert (await fleet.call("/unsafe/x")).status == 200
         directory = fleet.hosts[0].directory
-        assert directory.servers["server-0"].announced_leaving_ms is not None
+        assert directory.servers["server-0"].announcement is not None
 
 
 @pytest.mark.parametrize(
@@ -179,7 +186,7 @@
         server.added_headers = ()
         assert (await fleet.call("/unsafe/x")).status == 200
         known = fleet.hosts[0].directory.servers["server-0"]
-        assert known.announced_leaving_ms is None
+        assert known.announcement is None
 
 
 @pytest.mark.parametrize(
@@ -205,7 +212,7 @@
                 and name in directory.servers
             )
         )
-        is_announced = directory.servers[name].announced_leaving_ms is not None
+        is_announced = directory.servers[name].announcement is not None
         assert is_announced == is_leaving
 
 
@@ -221,4 +228,29 @@
             await fleet.call("/safe/x")
         assert lines == ["announced that it leaves", "request kept from a leaving one"]
         directory = fleet.hosts[0].directory
-        assert directory.count_leaving() == {"entry": 0, "response": 1}
+        assert directory.count_leaving() == {"entry": 0, "response": 1, "peer": 0}
+
+
+@pytest.mark.parametrize(("born", "is_known"), [(0, True), (9, False)])
+async def test_other_hosts_do_not_learn_of_an_announcement(born, is_known):
+    """What a host learned counts for the same start of the server only."""
+    async with running_fleet(hosts=2, servers=2, state=STATE) as fleet:
+        first, second = (host.directory for host in fleet.hosts)
+        await announce(fleet)
+        if not is_known:
+            second.servers["server-0"].started_ms = born
+        await wait_until(lambda: fleet.hosts[1].gossip.peers["host-0"].leaving)
+        assert first.count_leaving() == {"entry": 0, "response": 1, "peer": 0}
+        assert second.count_leaving() == {"entry": 0, "response": 0, "peer": is_known}
+        assert second.announced_leaving() == {}
+
+
+def test_server_that_leaves_is_named_for_good():
+    clock = ManualClock()
+    directory = ServerDirectory(None, "", None, None, "a", 2_000.0, clock.clock)
+    server = EngineState("s", "a", "", frozenset(), started_ms=7)
+    directory.servers["s"] = server
+    directory.record_announcement(server, leaving=True)
+    assert directory.announced_leaving() == {"s": 7}
+    clock.advance(10_000.0)
+    assert directory.announced_leaving() == {}
