Fail a soak whose checks had no cases

A check without a case prints BROKEN, since nothing was proved, but the soak counted only the violations it had seen and exited with 0. It exits with 1 unless every check holds, and names the promises that are not proved.

--- a/celerypulley/load/summary.py
+++ b/celerypulley/load/summary.py
@@ -37,9 +37,11 @@
 
     def holds(self) -> bool:
         """Return whether every promise held and every program finished."""
-        return self.programs_unfinished == 0 and all(
-            check.holds for check in self.checks
-        )
+        return self.programs_unfinished == 0 and not self.unproved_promises()
+
+    def unproved_promises(self) -> list[str]:
+        """Return the promises that were broken, or of which no case was checked."""
+        return [check.promise for check in self.checks if not check.holds]
 
     def as_data(self) -> dict:
         """Return the summary as data for JSON."""
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -412,7 +412,7 @@
     keep: str = "",
     greedy: str = "",
 ) -> None:
-    """Run the soak test; exit with status 0 if there was no violation, else with 1.
+    """Run the soak test; exit with status 0 if every promise held, else with 1.
 
     `keep` is a folder for the logs and the history of the run; `greedy` names an
     organisation that sends requests at five times its rate limit.
@@ -433,6 +433,7 @@
         ledger, summary = asyncio.run(run_and_stop())
         ledger.save(folder / "history.jsonl")
     violations = sum(len(check.broken) for check in summary.checks)
+    unproved = summary.unproved_promises()
     report = {
         "deployment": deployment,
         "seed": seed,
@@ -440,6 +441,7 @@
         "operations": len(ledger.operations),
         "faults": dict(sorted(run.fault_counts.items())),
         "violations": violations,
+        "unproved": unproved,
         "greedy_sent": run.greedy_sent,
         "greedy_granted": run.greedy_granted,
         "turn_p50_ms": percentile([each for _, each in ledger.turn_latencies_ms], 50),
@@ -458,9 +460,9 @@
         print(f"worst {report['turn_worst_ms']:.0f} ms")
         if greedy:
             print(f"{greedy} sent {run.greedy_sent}, granted {run.greedy_granted}")
-        print(f"violations {violations}")
+        print(f"violations {violations}, promises not proved {unproved or 'none'}")
     sys.stdout.flush()
-    os._exit(1 if violations else 0)
+    os._exit(1 if unproved else 0)
 
 
 def main() -> None:
