--- a/celerypulley/links/prefix_follower.py
+++ b/celerypulley/links/prefix_follower.py
@@ -79,11 +79,13 @@
             except HistoryExpiredError as error:
                 self._log.write("snapshot read again", str(error), follower=self.name)
                 self._revision = None
+                # A store that drops its history again and again is not read in a loop.
+                await asyncio.sleep(_jittered_s(_RETRY_DELAY_MS))
                 continue
             except StoreUnavailableError as error:
                 self._has_failed = True
                 self._record_failure(str(error))
-                await self.wait_to_retry(pause_ms * random.uniform(0.5, 1.5) / 1000)
+                await self.wait_to_retry(_jittered_s(pause_ms))
                 # The failure may count as an outage only after the wait.
                 self._record_failure(str(error))
                 pause_ms = min(_MAX_RETRY_DELAY_MS, pause_ms * 2)
@@ -130,3 +132,7 @@
                 revision=self._revision,
             )
         self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+
+
+def _jittered_s(pause_ms: float) -> float:
+    return pause_ms * random.uniform(0.5, 1.5) / 1000
