Keep a peer link whose peer closes during the handshake

anext() raises StopAsyncIteration where the frames end, which nothing caught: the task that keeps the link connected ended for good, and with it the link. The end of the frames is now a ConnectionError, after which the link connects again.

Failed before: 2 of 4 rows of test_link_ends_with_a_connection_that_breaks_in_its_handshake (closed, reset).

--- a/celerypulley/links/peer_link.py
+++ b/celerypulley/links/peer_link.py
@@ -189,13 +189,13 @@
 
     async def _handshake(self, stream: FrameStream, frames: AsyncIterator) -> None:
         own = self.identity
-        _, challenge = await anext(frames)
+        challenge = await _receive(frames)
         if not isinstance(challenge, Challenge):
             raise CodecError("the peer did not send a challenge first")
         proof = make_proof(own.secret, "hello", own.member, own.domain, challenge.nonce)
         nonce = make_nonce()
         stream.send(0, Hello(own.member, own.domain, nonce, proof))
-        _, welcome = await anext(frames)
+        welcome = await _receive(frames)
         if not isinstance(welcome, Welcome):
             raise PeerRefusedError("the peer did not reply with a welcome")
         expected = make_proof(
@@ -237,3 +237,10 @@
         """Close the connection."""
         if self._stream is not None:
             self._stream.close()
+
+
+async def _receive(frames: AsyncIterator) -> object:
+    """Return the next message; raise ConnectionError if the peer has closed."""
+    async for _, message in frames:
+        return message
+    raise ConnectionError("the peer closed the connection during the handshake")
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -2,9 +2,15 @@
 
 import asyncio
 
+import pytest
+
+from celerypulley.links.cuts import CutTable
+from celerypulley.links.frame_stream import LinkConditions
 from celerypulley.links.key_value import HistoryExpiredError, WatchBatch
+from celerypulley.links.peer_link import PeerIdentity, PeerLink
+from celerypulley.links.peer_server import PeerServer
 from celerypulley.links.prefix_follower import PrefixFollower
-from tests.harness import run_clock
+from tests.harness import free_address, run_clock, wait_until
 
 
 class _ForgetfulStore:
@@ -29,3 +35,47 @@
     async with follower:
         await asyncio.sleep(0.5)
     assert 1 <= store.reads <= 10
+
+
+async def _close(writer: asyncio.StreamWriter) -> None:
+    writer.close()
+
+
+async def _close_after_bytes(writer: asyncio.StreamWriter) -> None:
+    writer.write(b"\x01")
+    await writer.drain()
+    writer.close()
+
+
+async def _reset(writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+async def _send_nonsense(writer: asyncio.StreamWriter) -> None:
+    writer.write(b"\xff" * 64)
+    await writer.drain()
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    "respond", [_close, _close_after_bytes, _reset, _send_nonsense]
+)
+async def test_link_ends_with_a_connection_that_breaks_in_its_handshake(respond):
+    """The next connection to the same peer succeeds."""
+    address = free_address()
+    conditions = LinkConditions(CutTable())
+    accepted = []
+
+    async def accept(_reader, writer: asyncio.StreamWriter) -> None:
+        accepted.append(writer)
+        await respond(writer)
+
+    broken = await asyncio.start_server(accept, address.ip, address.port)
+    link = PeerLink(PeerIdentity("a", "x", "s"), "b", address, conditions)
+    async with link:
+        await wait_until(lambda: accepted)
+        broken.close()
+        await broken.wait_closed()
+        server = PeerServer(PeerIdentity("b", "x", "s"), address, conditions, None)
+        async with server:
+            await wait_until(lambda: link.is_connected)
