Close a probe's connection to a server that has been removed

The connection that a probe opens is kept for the next call. Where the server had been removed, nothing would use or close it, and the pool kept its address for good.

Failed before: the row of test_connection_to_a_removed_server_is_kept for an address that the pool doesn't know (2 kept).

--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -240,14 +240,21 @@
         return ServerCall(self, address, await self._connect(address))
 
     async def probe(self, address: str) -> Reachability:
-        """Open a connection to a server, and keep it for the next call."""
+        """Open a connection to a server, and keep it for the next call.
+
+        It is closed where the server has been removed.
+        """
         try:
             connection = await self._connect(address)
         except ServerCallError as error:
             if isinstance(error.__cause__, ConnectionRefusedError):
                 return Reachability.REFUSES
             return Reachability.SILENT
-        self._idle.setdefault(address, []).append(connection)
+        idle = self._idle.get(address)
+        if idle is None:
+            connection.protocol.close()
+        else:
+            idle.append(connection)
         return Reachability.ACCEPTS
 
     async def _connect(self, address: str) -> _Connection:
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -7,8 +7,9 @@
 from celerypulley.fleet.crash_counts import CrashCounts
 from celerypulley.hosts.crash_detector import CrashDetector
 from celerypulley.hosts.server_directory import Listing
-from celerypulley.links.server_connection import Reachability
-from tests.harness import ManualClock, wait_until
+from celerypulley.links.server_connection import Reachability, ServerLinks
+from celerypulley.stand_ins.opaque_server import OpaqueServer
+from tests.harness import ManualClock, run_clock, wait_until
 
 ACCEPTS, REFUSES, SILENT = Reachability
 LISTED, REMOVED, REPLACED = Listing
@@ -67,6 +68,21 @@
     assert seen.probe_count <= detector.entry_timeout_ms / 250.0
 
 
+@pytest.mark.parametrize(("is_known", "kept"), [(True, 2), (False, 0)])
+async def test_connection_to_a_removed_server_is_kept(is_known, kept):
+    server = OpaqueServer("s")
+    await server.start()
+    links = ServerLinks(run_clock())
+    if is_known:
+        links._idle[server.address] = []
+    for _ in range(2):
+        assert await links.probe(server.address) is Reachability.ACCEPTS
+    assert len(links._idle.get(server.address, [])) == kept
+    links.close()
+    await server.stop()
+    assert await links.probe(server.address) is Reachability.REFUSES
+
+
 async def test_examination_outlasts_its_host():
     seen = Server([SILENT], [LISTED])
     clock = seen.clock.clock
