--- a/tools/soak.py
+++ b/tools/soak.py
@@ -80,6 +80,9 @@
         if not remaining_kinds:
             remaining_kinds = list(kinds)
             rng.shuffle(remaining_kinds)
+            if not planned:
+                # Short runs have versions to check, too.
+                remaining_kinds.sort(key=lambda kind: kind == "operators race")
         planned.append(
             PlannedFault(
                 remaining_kinds.pop(),
