Let a stop pass over requests whose time-out has just expired

stop_by() rescheduled every running time-out. One that has expired while its task has not run since raises RuntimeError, which would have ended leave() and with it the drain.

Failed before: test_stop_ends_with_a_request_whose_deadline_has_just_passed.

--- a/celerypulley/hosts/forwarder.py
+++ b/celerypulley/hosts/forwarder.py
@@ -52,6 +52,8 @@
         remaining_s = (stop_ms - self.clock.now_ms()) / 1000
         stop_at_s = asyncio.get_running_loop().time() + remaining_s
         for timeout in self._running:
+            if timeout.expired():
+                continue
             timeout.reschedule(min(timeout.when() or stop_at_s, stop_at_s))
 
     async def run(self, request: OpaqueRequest, sink: ForwardSink) -> Refusal | None:
--- a/tests/test_reports_of_operators.py
+++ b/tests/test_reports_of_operators.py
@@ -184,3 +184,16 @@
                 assert response.status == 200
                 assert response.headers["Connection"] == "close"
         await leaving
+
+
+async def test_stop_ends_with_a_request_whose_deadline_has_just_passed():
+    """Its time-out has expired, but its task has not run since."""
+    async with running_fleet() as fleet:
+        (host,), (server,) = fleet.hosts, fleet.servers
+        server.mode = Mode.HANG
+        call = asyncio.create_task(fleet.call("/unsafe/x"))
+        await wait_until(lambda: host.forwarder._running)
+        (timeout,) = host.forwarder._running
+        timeout._on_timeout()
+        host.forwarder.stop_by(host.clock.now_ms() + 1_000.0)
+        assert (await call).status == 504
