Look only at servers that have announced when a choice is logged

Each choice of a server listed the servers of its service once more to find those that leave. Only names that announced and are not logged yet are looked at; a new start of a server takes its name out.

--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -67,7 +67,8 @@
         self.domain = domain
         self.drain_ms = drain_ms
         self.invalid_announcements = 0
-        self._kept_from: set[str] = set()
+        # Servers that announced, and from which no request was kept yet.
+        self._unused_announcements: set[str] = set()
         self.clock = clock
         self.servers: dict[str, EngineState] = {}
         self._entries: dict[str, ServerEntry] = {}
@@ -154,6 +155,8 @@
         if server.announcement is not None:
             return
         server.announcement = LeavingAnnouncement(self.clock.now_ms(), source)
+        if self.find_listing(server) is Listing.LISTED:
+            self._unused_announcements.add(server.name)
         _log.write(
             "announced that it leaves",
             f"learned from a {source.value}",
@@ -176,14 +179,14 @@
 
     def record_choice(self, service: str, request_id: str) -> None:
         """Log the first request for which a server was left out since it leaves."""
-        for server in self._live(service):
-            if server.announcement is None or server.name in self._kept_from:
+        for name in list(self._unused_announcements):
+            if service not in self.servers[name].models:
                 continue
-            self._kept_from.add(server.name)
+            self._unused_announcements.discard(name)
             _log.write(
                 "request kept from a leaving one",
-                "others can serve it, or it came too late",
-                server=server.name,
+                "others can serve it",
+                server=name,
                 request=request_id,
             )
 
@@ -247,6 +250,7 @@
             started_ms=entry.started_ms,
         )
         self.servers[entry.name] = server
+        self._unused_announcements.discard(entry.name)
         _log.write(
             "registered", "new instance", server=entry.name, address=entry.address
         )
@@ -286,7 +290,7 @@
         self._expired_until_ms.pop(key, None)
         entry = self._entries.pop(key)
         self.servers.pop(entry.name, None)
-        self._kept_from.discard(entry.name)
+        self._unused_announcements.discard(entry.name)
         self.links.close_idle(entry.address)
         _log.write("deregistered", reason, server=entry.name)
 
