--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 
 
 @pytest.fixture(autouse=True)
-def _time_never_goes_backwards(monkeypatch):
+def negative_times(monkeypatch):
     """Fail a test in which a bucket, lease or age has met a negative time."""
     backwards = []
 
--- a/tests/test_elapsed_time.py
+++ b/tests/test_elapsed_time.py
@@ -49,10 +49,10 @@
 @pytest.mark.parametrize(
     "use", [_refill_bucket, _retry, _decay_slowdown, _decay_cache, _decay_share]
 )
-def test_bucket_or_age_grows_with_negative_time(use, _time_never_goes_backwards):
+def test_bucket_or_age_grows_with_negative_time(use, negative_times):
     use(ManualClock())
-    assert len(_time_never_goes_backwards) == 1
-    _time_never_goes_backwards.clear()
+    assert len(negative_times) == 1
+    negative_times.clear()
 
 
 def test_time_that_goes_backwards_floods_the_log(monkeypatch):
