Close the connections of peers when their server stops

PeerServer.on_stop closed the listening socket only. Accepted connections stayed open, and their tasks were cancelled with tracebacks as the process ended.

Failed before: test_stopped_server_leaves_accepted_connections_open (the link stayed connected). Links, shards and at-most-once use it; those tests passed.

--- a/celerypulley/links/peer_server.py
+++ b/celerypulley/links/peer_server.py
@@ -76,6 +76,7 @@
         self.sent_bytes = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._streams: set[FrameStream] = set()
 
     async def on_start(self) -> None:
         """Open the listening socket."""
@@ -87,9 +88,11 @@
         )
 
     async def on_stop(self) -> None:
-        """Close the socket and cancel the tasks of all requests."""
+        """Close the socket and all connections, and cancel the tasks of requests."""
         if self._server is not None:
             self._server.close()
+        for stream in list(self._streams):
+            stream.close()
         for task in list(self._tasks):
             task.cancel()
 
@@ -97,6 +100,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         stream = FrameStream(reader, writer, self.conditions)
+        self._streams.add(stream)
         calls: dict[int, asyncio.Task] = {}
         frames = stream.frames()
         try:
@@ -118,6 +122,7 @@
         except StopAsyncIteration:
             _log.write("peer connection closed", "the peer left during the handshake")
         finally:
+            self._streams.discard(stream)
             self.received_bytes += stream.received_bytes
             self.sent_bytes += stream.sent_bytes
             stream.close()
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -79,3 +79,28 @@
         server = PeerServer(PeerIdentity("b", "x", "s"), address, conditions, None)
         async with server:
             await wait_until(lambda: link.is_connected)
+
+
+async def test_stopped_server_leaves_accepted_connections_open():
+    """Their tasks end, so that none is cancelled with a traceback at the exit."""
+    address = free_address()
+    conditions = LinkConditions(CutTable())
+    server = PeerServer(PeerIdentity("b", "x", "s"), address, conditions, None)
+    link = PeerLink(PeerIdentity("a", "x", "s"), "b", address, conditions)
+    reported = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _loop, context: reported.append(context)
+    )
+    tasks_before = asyncio.all_tasks()
+    async with link:
+        async with server:
+            await wait_until(lambda: link.is_connected)
+            silent, writer = await asyncio.open_connection(address.ip, address.port)
+        await wait_until(lambda: not link.is_connected)
+        # A peer that has not sent its greeting is closed as well.
+        await asyncio.wait_for(silent.read(), 5.0)
+        writer.close()
+    await asyncio.sleep(0.05)
+    left = asyncio.all_tasks() - tasks_before
+    assert [task for task in left if "_serve_connection" in repr(task)] == []
+    assert reported == []
