Count only connections that end within a request as disconnects of a stand-in's client

They wait for exactly one disconnect; since a probe's connection to a server that the pool doesn't know is closed, which the stand-in counted as another one.

A connection that is closed between two requests is no disconnect of a client. The check is the same: one connection, the endless one, must be broken off by the host.

--- a/celerypulley/stand_ins/opaque_server.py
+++ b/celerypulley/stand_ins/opaque_server.py
@@ -103,7 +103,8 @@
 
     Each request uses up one of `next_modes`; after these, `mode` applies. Streams have
     `event_count` events, `event_interval_s` apart. `cut_response` is a response, the
-    number of its bytes that are sent, and whether a reset follows. `added_headers` are
+    number of its bytes that are sent, and whether a reset follows. `client_disconnects`
+    counts connections that end within a request or its response. `added_headers` are
     lines in the head of every response, such as that the server leaves.
     """
 
@@ -170,7 +171,12 @@
     async def _serve_request(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        head = await reader.readuntil(b"\r\n\r\n")
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError as error:
+            if error.partial:
+                raise
+            return False  # closed between two requests
         request_line, *header_lines = head.decode("latin-1").split("\r\n")
         headers = {}
         for header_line in header_lines:
