Parse addresses of server entries with Address.parse

That an entry's host is an IP address is still checked where entries are decoded.

tests/fleet.py and the reports of operators build the entry of a server in one place, and the table has a port in Arabic digits.

--- a/celerypulley/platform/desired_state.py
+++ b/celerypulley/platform/desired_state.py
@@ -14,6 +14,7 @@
     ServiceRule,
     WeightedService,
 )
+from celerypulley.settings import Address
 
 __all__ = [
     "DESIRED_STATE_KEY",
@@ -28,8 +29,6 @@
 SERVER_PREFIX = "servers/"
 _SERVER_STATES = ("ready", "draining")
 _SERVER_NAME = re.compile(r"[!-~]{1,200}")  # it is written into headers of requests
-_PORT = re.compile(r"[0-9]{1,5}")
-_MAX_PORT = 65_535
 _MAX_NUMBER = 2**53  # above this, JSON numbers are not exact
 
 
@@ -124,7 +123,7 @@
         )
     if not all(_is_number(each) for each in number_fields) or row["slots"] < 0:
         raise ValueError(f"{key} has a number that is missing or out of range")
-    _check_address(key, address)
+    ipaddress.ip_address(Address.parse(address).ip)
     started_ms = row.get("born", 0)
     return ServerEntry(
         name=name,
@@ -137,14 +136,6 @@
     )
 
 
-def _check_address(key: str, address: str) -> None:
-    """Raise ValueError unless an address is `ip:port`."""
-    ip, _, port = address.rpartition(":")
-    ipaddress.ip_address(ip)
-    if not _PORT.fullmatch(port) or not 0 < int(port) <= _MAX_PORT:
-        raise ValueError(f"{key} has a port out of range: {port[:20]!r}")
-
-
 def _is_number(value: object) -> bool:
     if not isinstance(value, int | float) or isinstance(value, bool):
         return False
--- a/celerypulley/settings.py
+++ b/celerypulley/settings.py
@@ -11,6 +11,7 @@
 __all__ = ["Address", "SettingError", "Settings", "load_settings", "setting_help"]
 
 _ENVIRONMENT_PREFIX = "CELERYPULLEY_"
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 _NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 _MIN_SECRET_CHARS = 16
 
@@ -26,7 +27,8 @@
     def parse(cls, text: str) -> "Address":
         """Parse `ip:port`; raise ValueError if `text` is malformed."""
         ip, separator, port = str(text).rpartition(":")
-        if not separator or not port.isdigit() or not 0 < int(port) < 65536:
+        is_port = _PORT_PATTERN.fullmatch(port) and 0 < int(port) < 65536
+        if not separator or not is_port:
             raise ValueError(f"{text!r} is not ip:port with a port from 1 to 65535")
         return cls(ip, int(port))
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -67,6 +67,21 @@
     return {**defaults, **changes}
 
 
+def server_entry(**changes: object) -> bytes:
+    """Return the entry of a server; `changes` replace its fields."""
+    defaults = {
+        "service": "engines",
+        "addr": "127.0.0.1:8001",
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 1,
+    }
+    return orjson.dumps({**defaults, **changes})
+
+
 @attrs.define(eq=False)
 class Response:
     """A response to a caller; `complete` is False if the connection broke."""
@@ -94,17 +109,8 @@
 
     def register(self, server: OpaqueServer, **fields: object) -> None:
         """Write the entry with which a server registers itself."""
-        defaults = {
-            "service": "engines",
-            "addr": server.address,
-            "zone": "a",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "coldLeftMs": 0,
-            "seq": 1,
-        }
-        self.store.put(f"servers/{server.name}", orjson.dumps({**defaults, **fields}))
+        entry = server_entry(**{"addr": server.address, **fields})
+        self.store.put(f"servers/{server.name}", entry)
 
     async def call(
         self,
@@ -243,4 +249,5 @@
     "route",
     "running_fleet",
     "running_store",
+    "server_entry",
 ]
--- a/tests/test_reports_of_operators.py
+++ b/tests/test_reports_of_operators.py
@@ -3,52 +3,39 @@
 import asyncio
 
 import aiohttp
-import orjson
 import pytest
 
 from celerypulley.hosts import fleet_host
 from celerypulley.platform.desired_state import decode_server
 from celerypulley.stand_ins.opaque_server import Mode, OpaqueServer
-from tests.fleet import API_KEY, desired_state, running_fleet
+from tests.fleet import API_KEY, desired_state, running_fleet, server_entry
 from tests.harness import wait_until
 
-ENTRY = {
-    "service": "engines",
-    "addr": "127.0.0.1:8001",
-    "zone": "a",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "coldLeftMs": 0,
-    "seq": 1,
-}
-
-
-def _entry(**fields: object) -> bytes:
-    return orjson.dumps({**ENTRY, **fields})
-
 
 def _numbered(field: str, digits: str) -> bytes:
     """Return an entry with a number that only other encoders write."""
-    return _entry(**{field: 77}).replace(b"77", digits.encode())
+    return server_entry(**{field: 77}).replace(b"77", digits.encode())
 
 
 ODD_ENTRIES = {
     "nested": b"[" * 100_000 + b"]" * 100_000,
-    "nested field": _entry(zone=0).replace(b'"zone":0', b'"zone":' + b"[" * 100_000),
-    "nested deeply enough": _entry(addr=0).replace(b"0", b"[" * 900 + b"]" * 900),
+    "nested field": server_entry(zone=0).replace(
+        b'"zone":0', b'"zone":' + b"[" * 100_000
+    ),
+    "nested deeply enough": server_entry(addr=0).replace(b"0", b"[" * 900 + b"]" * 900),
     "long slots": _numbered("slots", "9" * 5_000),
     "infinite slots": _numbered("slots", "1e999"),
     "huge slots": _numbered("slots", "1e308"),
-    "negative slots": _entry(slots=-1),
+    "negative slots": server_entry(slots=-1),
     "infinite start": _numbered("born", "1e999"),
     "infinite sequence": _numbered("seq", "-1e999"),
-    "port 0": _entry(addr="127.0.0.1:0"),
-    "port 65536": _entry(addr="127.0.0.1:65536"),
-    "port in other digits": _entry(addr="127.0.0.1:²"),
-    "long port": _entry(addr="127.0.0.1:" + "8" * 5_000),
-    "name for an address": _entry(addr="localhost:8001"),
-    "space for an address": _entry(addr=" :8001"),
+    "port 0": server_entry(addr="127.0.0.1:0"),
+    "port 65536": server_entry(addr="127.0.0.1:65536"),
+    "port in other digits": server_entry(addr="127.0.0.1:²"),
+    "port in Arabic digits": server_entry(addr="127.0.0.1:\u0668\u0660\u0660\u0661"),
+    "long port": server_entry(addr="127.0.0.1:" + "8" * 5_000),
+    "name for an address": server_entry(addr="localhost:8001"),
+    "space for an address": server_entry(addr=" :8001"),
     "not utf-8": b'{"service":"\xff"}',
 }
 ODD_NAMES = ["", "a\r\nTenant: other", "a b", "\u00e9", "a" * 300]
@@ -64,7 +51,7 @@
 def test_odd_name_of_a_server_is_accepted(name):
     """Names are written into the headers of requests."""
     with pytest.raises(ValueError):
-        decode_server(f"servers/{name}", _entry())
+        decode_server(f"servers/{name}", server_entry())
 
 
 @pytest.mark.parametrize("raw", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
