Compute a server's silence in one place, and give no escrow a second clock

The stall monitor and record_abandoned() each computed how long a server has sent nothing; EngineState.silent_ms serves both. The gauges of servers that leave take their names from the directory that counts them.

Behaviour doesn't change.

--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -203,6 +203,10 @@
         age_ms = elapsed_ms(recorded_ms, now_ms, "cached prefix")
         return tokens * 0.5 ** (age_ms / _CACHE_HALF_LIFE_MS)
 
+    def silent_ms(self, since_ms: float, now_ms: float) -> float:
+        """Return how long the server has sent nothing, counted from `since_ms`."""
+        return now_ms - max(since_ms, self.last_received_ms)
+
     def record_failure(self, now_ms: float) -> None:
         """Back off from a failed server, longer after each consecutive failure."""
         self.consecutive_failures += 1
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -222,7 +222,7 @@
         gauges["desired_state_version"] = lambda: self.desired_state.version
         gauges["desired_state_age_ms"] = lambda: self.desired_state.age_ms()
         gauges["servers_known"] = lambda: len(self.directory.servers)
-        for source in ("entry", "response", "peer"):
+        for source in self.directory.count_leaving():
             gauges[f"servers_leaving_by_{source}"] = partial(
                 self._count_leaving, source
             )
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -252,8 +252,7 @@
         """
         if admitted.attempts.servers[-1:] != [server.name]:
             return
-        since_ms = max(started_ms, server.last_received_ms)
-        if self.clock.now_ms() - since_ms >= STALL_TIMEOUT_MS:
+        if server.silent_ms(started_ms, self.clock.now_ms()) >= STALL_TIMEOUT_MS:
             self.crash_detector.examine(admitted.fingerprint, server)
 
     def server_error_refusal(
--- a/celerypulley/hosts/stall_monitor.py
+++ b/celerypulley/hosts/stall_monitor.py
@@ -52,14 +52,14 @@
             await self.sleep(_CHECK_PERIOD_S)
             now_ms = self.clock.now_ms()
             for monitored in list(self._calls):
-                last_ms = max(monitored.started_ms, monitored.server.last_received_ms)
-                if now_ms - last_ms < STALL_TIMEOUT_MS:
+                silent_ms = monitored.server.silent_ms(monitored.started_ms, now_ms)
+                if silent_ms < STALL_TIMEOUT_MS:
                     continue
                 self._calls.discard(monitored)
                 monitored.server.record_unreachable(now_ms)
                 _log.write(
                     "aborted",
-                    f"server sent nothing for {now_ms - last_ms:.0f} ms",
+                    f"server sent nothing for {silent_ms:.0f} ms",
                     server=monitored.server.name,
                 )
                 monitored.call.abort()
--- a/tests/test_budget_escrow.py
+++ b/tests/test_budget_escrow.py
@@ -10,6 +10,7 @@
 import msgpack
 import pytest
 
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.hosts.budget_escrow import BudgetEscrow
 from celerypulley.platform.store import PlatformStore
@@ -50,7 +51,7 @@
         """Begin or end an outage of the store."""
         self.store.faults.error_status = 0 if is_available else 503
         for escrow in self.escrows:
-            escrow._next_attempt_ms = 0.0
+            escrow._next_attempt_ms = NEVER_MS
 
     def recorded(self) -> int:
         """Return the tokens that the counter shows as granted."""
@@ -59,13 +60,16 @@
 
 
 @asynccontextmanager
-async def _running_hosts(count: int) -> AsyncIterator[_Hosts]:
+async def _running_hosts(
+    count: int, clock: Clock | None = None
+) -> AsyncIterator[_Hosts]:
     async with AsyncExitStack() as stack:
         store, address = await stack.enter_async_context(running_store())
         session = await stack.enter_async_context(aiohttp.ClientSession())
 
         def make_escrow() -> BudgetEscrow:
-            return BudgetEscrow(PlatformStore(address, session, 300.0), run_clock())
+            client = PlatformStore(address, session, 300.0)
+            return BudgetEscrow(client, clock or run_clock())
 
         yield _Hosts(store, make_escrow, [make_escrow() for _ in range(count)])
 
@@ -171,8 +175,7 @@
 async def test_turns_wait_for_a_store_that_is_known_to_be_unavailable():
     """After a failed attempt, one turn at a time tries the store again."""
     clock = ManualClock()
-    async with _running_hosts(1) as hosts:
-        hosts.escrows[0].clock = clock.clock
+    async with _running_hosts(1, clock.clock) as hosts:
         hosts.store.faults.error_status = 503
         for _ in range(5):
             with pytest.raises(CallRefusedError) as refused:
