Read numbers of callers and servers without an exception

Callers saw 500 for a request with a Token-Usage, Length-Hint, Prefix-Hash, Deadline-Ms or program deadline of 400 or 5,000 digits or in digits that are not ASCII. Of a server whose Server-Load had such a number, every response was replaced by 500, although the request had run and was answered whole.

Cause: str.isdigit() also accepts digits that int() refuses, int() refuses more than 4,300 digits, and floats have no room for 309. All numbers of the platform's dialect are now parsed by one function: ASCII digits only, at most one of 15 nines, which also has room in messages and log lines.

--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -13,6 +13,7 @@
 __all__ = ["DIALECT"]
 
 _DEFAULT_DEADLINE_MS = 30_000
+_MAX_DIGITS = 15  # such a number is exact as a float and has room in 64 bits
 _PROGRAM_ID = re.compile(r"[0-9A-Za-z._~-]{1,100}")
 # Hop-by-hop headers, and those that the product sets itself or does not forward.
 _DROPPED_REQUEST_HEADERS = frozenset(
@@ -76,9 +77,10 @@
 def _parse_prefix(text: str) -> tuple[PrefixPart, ...]:
     parts = []
     for entry in text.split(","):
-        name, _, tokens = entry.strip().partition(":")
-        if name and tokens.isdigit():
-            parts.append(PrefixPart(name, int(tokens)))
+        name, _, text = entry.strip().partition(":")
+        tokens = _parse_integer(text, None)
+        if name and tokens is not None:
+            parts.append(PrefixPart(name, tokens))
     return tuple(parts)
 
 
@@ -88,7 +90,11 @@
 
 
 def _parse_integer(text: str, default: int | None) -> int | None:
-    return int(text) if text.isdigit() else default
+    """Return a whole number, at most one of `_MAX_DIGITS` nines."""
+    if not (text.isascii() and text.isdigit()):
+        return default
+    digits = text.lstrip("0") or "0"
+    return int(digits if len(digits) <= _MAX_DIGITS else "9" * _MAX_DIGITS)
 
 
 def _parse_program_id(text: str) -> str:
@@ -118,16 +124,17 @@
 
 def _decode_response_head(head: ResponseHead) -> ResponseMetadata:
     headers = head.headers
-    running, _, rest = headers.get("Server-Load", "").partition(",")
-    waiting, _, _slots = rest.partition(",")
-    has_load = running.strip().isdigit() and waiting.strip().isdigit()
+    load = headers.get("Server-Load", "").split(",")
+    running = _parse_integer(load[0].strip(), None)
+    waiting = _parse_integer(load[1].strip(), None) if len(load) > 1 else None
+    has_load = running is not None and waiting is not None
     return ResponseMetadata(
         not_run="Not-Executed" in headers or head.status == 421,
         wrong_server=head.status == 421,
         is_sealed="Server-Seal" in headers,
         leaving=_decode_leaving(headers.getall("Server-Leaving", [])),
-        running=int(running) if has_load else None,
-        waiting=int(waiting) if has_load else None,
+        running=running if has_load else None,
+        waiting=waiting if has_load else None,
         headers=tuple(
             (name, value)
             for name, value in head.raw_headers
--- /dev/null
+++ b/tests/test_kept_connections.py
@@ -0,0 +1,206 @@
+"""Callers' connections as raw bytes: which requests end without their response."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+
+import attrs
+import pytest
+
+from celerypulley.hosts.fleet_host import FleetHost
+from tests.fleet import API_KEY, Fleet, running_fleet
+from tests.harness import wait_until
+
+_READ_TIMEOUT_S = 5.0
+
+
+@attrs.define(eq=False)
+class ByteServer:
+    """A server whose responses are `response`, with the request's identifier for RID.
+
+    `received` holds the head and the body of each request.
+    """
+
+    name: str = "server-0"
+    response: bytes = b""
+    received: list[tuple[bytes, bytes]] = attrs.Factory(list)
+    address: str = ""
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        ip, port = self._server.sockets[0].getsockname()
+        self.address = f"{ip}:{port}"
+
+    async def stop(self) -> None:
+        """Close the listening socket."""
+        assert self._server is not None, "the server has not been started"
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                body = await reader.readexactly(
+                    int(header_of(head, b"Content-Length") or 0)
+                )
+                self.received.append((head, body))
+                request_id = header_of(head, b"Request-Id")
+                writer.write(self.response.replace(b"RID", request_id))
+                await writer.drain()
+        writer.close()
+
+
+def header_of(head: bytes, name: bytes) -> bytes:
+    """Return the value of a header as it was sent, empty if there is none."""
+    for line in head.split(b"\r\n")[1:]:
+        found, _, value = line.partition(b":")
+        if found.lower() == name.lower():
+            return value.strip()
+    return b""
+
+
+def request_bytes(
+    path: str = "/unsafe/x",
+    request_id: bytes = b"one",
+    body: bytes = b"hello",
+    framing: bytes | None = None,
+    added: bytes = b"",
+    deadline_ms: bytes = b"1500",
+) -> bytes:
+    """Return a request; `framing` replaces its Content-Length line."""
+    if framing is None:
+        framing = b"Content-Length: %d\r\n" % len(body)
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: agents.example\r\n".encode()
+        + b"Request-Id: %s\r\nDeadline-Ms: %s\r\n" % (request_id, deadline_ms)
+        + f"Api-Key: {API_KEY}\r\n".encode()
+        + added
+        + framing
+        + b"\r\n"
+        + body
+    )
+
+
+def response_bytes(added: bytes = b"", status: bytes = b"200 OK") -> bytes:
+    """Return a server's response with further header lines."""
+    head = b"HTTP/1.1 %s\r\nRequest-Id: RID\r\nServer-Seal: s\r\n" % status
+    return head + added + b"Content-Length: 5\r\n\r\nwhole"
+
+
+@attrs.define(eq=False)
+class Caller:
+    """A connection of a caller to a host."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def read_response(self) -> tuple[int, bytes, bytes]:
+        """Return status, head and body of a response with a length or in chunks.
+
+        Raise asyncio.IncompleteReadError or TimeoutError if it is not complete.
+        """
+        async with asyncio.timeout(_READ_TIMEOUT_S):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            body = b""
+            if header_of(head, b"Transfer-Encoding") != b"chunked":
+                length = int(header_of(head, b"Content-Length") or 0)
+                body = await self.reader.readexactly(length)
+                return int(head.split()[1]), head, body
+            while size := int(await self.reader.readuntil(b"\r\n"), 16):
+                body += (await self.reader.readexactly(size + 2))[:-2]
+            await self.reader.readexactly(2)
+            return int(head.split()[1]), head, body
+
+    async def send(self, data: bytes) -> tuple[int, bytes, bytes]:
+        """Send bytes and return the response that follows."""
+        self.writer.write(data)
+        return await self.read_response()
+
+
+@asynccontextmanager
+async def connected(host: FleetHost) -> AsyncIterator[Caller]:
+    """Connect to a host once it keeps callers' connections open."""
+    await wait_until(lambda: host._was_ready)
+    address = host.settings.caller_address
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    try:
+        yield Caller(reader, writer)
+    finally:
+        writer.close()
+
+
+@asynccontextmanager
+async def byte_fleet() -> AsyncIterator[tuple[Fleet, ByteServer, Caller]]:
+    """Run a host whose only server is a ByteServer, and connect to the host."""
+    async with running_fleet() as fleet:
+        (host,) = fleet.hosts
+        server = ByteServer(response=response_bytes())
+        await server.start()
+        fleet.register(server)
+        await wait_until(
+            lambda: host.directory.servers["server-0"].address == server.address
+        )
+        async with connected(host) as caller:
+            yield fleet, server, caller
+        await server.stop()
+
+
+# What callers and servers may write where a whole number belongs.
+ODD_NUMBERS = [
+    "\u00b2".encode(),
+    "\u0668".encode(),
+    b"9" * 5_000,
+    b"9" * 400,
+    b"0" * 5_000 + b"7",
+    b"-1",
+    b"1e3",
+    b"",
+]
+
+
+@pytest.mark.parametrize("path", ["/unsafe/x", "/turns/x"])
+@pytest.mark.parametrize("number", ODD_NUMBERS)
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"Token-Usage: %s,%s\r\n",
+        b"Length-Hint: %s\r\n",
+        b"Prefix-Hash: a:%s\r\n",
+        b"Program-Id: p\r\nProgram-Deadline-Ms: %s\r\n",
+        b"Program-Id: p\r\nToken-Budget: 900\r\nToken-Usage: 1,%s\r\n",
+    ],
+)
+async def test_request_with_an_odd_number_fails_with_500(number, line, path):
+    async with byte_fleet() as (_, server, caller):
+        event = b"id: 1\ndata: x\n\n"
+        server.response = response_bytes().replace(b"whole", event)
+        server.response = server.response.replace(b": 5", b": %d" % len(event))
+        added = line.replace(b"%s", number)
+        for request_id in (b"one", b"two"):
+            status, _, _ = await caller.send(
+                request_bytes(path, request_id, added=added)
+            )
+            # A turn without a number may generate more than the budget holds.
+            assert status == 200 or (status == 402 and b"Token-Budget" in added)
+
+
+@pytest.mark.parametrize("number", ODD_NUMBERS)
+async def test_request_with_an_odd_deadline_fails_with_500(number):
+    async with byte_fleet() as (_, _server, caller):
+        request = request_bytes(deadline_ms=number)
+        assert (await caller.send(request))[0] in (200, 503)
+        assert (await caller.send(request))[0] in (200, 503)
+
+
+@pytest.mark.parametrize("number", ODD_NUMBERS)
+async def test_response_with_an_odd_load_is_replaced_by_500(number):
+    """The server ran the request and answered it whole."""
+    async with byte_fleet() as (_, server, caller):
+        server.response = response_bytes(b"Server-Load: %s,%s,8\r\n" % (number, number))
+        for request_id in (b"one", b"two"):
+            status, _, body = await caller.send(request_bytes(request_id=request_id))
+            assert (status, body) == (200, b"whole")
