Don't read a trailer as a header of the connection's next request

A caller, or a proxy that carries several, sent a body in chunks with a trailer; the last trailer was handed to the server as a header of the next request on that connection, such as X-Added, and a trailer named Host or Content-Length would have had that request refused.

Cause: aiohttp's parser in C stores the last trailer of a message as if it was the first header of the next. The server now keeps the last seven bytes of a connection. Where they aren't the bare end of a body in chunks, the response says Connection: close and the connection ends. So it does for refusals, which said so and stayed open.

A request that is pipelined behind a body in chunks isn't read any more and gets the close of the connection; it hasn't run.

--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from typing import Any
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 from mode import Service
 
 from celerypulley.clock import Clock
@@ -22,9 +24,34 @@
 _IDLE_TIMEOUT_S = 75.0  # longer than any idle timeout that operators set, 15 s
 _ABORT_TIMEOUT_S = 0.5  # for responses that are still being written
 _LISTEN_BACKLOG = 1_024  # a dropped SYN delays its sender by seconds
+_BARE_LAST_CHUNK = b"\r\n0\r\n\r\n"  # the end of a body in chunks without trailers
 _log = DecisionLog("callers")
 
 
+class _CallerProtocol(RequestHandler):
+    """aiohttp's server protocol, which also keeps the last bytes that came."""
+
+    __slots__ = ("last_bytes",)
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        """Create the protocol of a new connection."""
+        super().__init__(*arguments, **options)
+        self.last_bytes = b""
+
+    def data_received(self, data: bytes) -> None:
+        """Keep the end of `data` and parse it."""
+        kept_bytes = len(_BARE_LAST_CHUNK)
+        self.last_bytes = (self.last_bytes + data[-kept_bytes:])[-kept_bytes:]
+        super().data_received(data)
+
+
+class _CallerProtocols(web.Server):
+    """aiohttp's factory of protocols, for `_CallerProtocol`."""
+
+    def __call__(self) -> _CallerProtocol:
+        return _CallerProtocol(self, loop=self._loop, **self._kwargs)
+
+
 class ForwardSink:
     """The response to one caller: complete, or a head followed by chunks."""
 
@@ -122,7 +149,7 @@
 
     async def on_start(self) -> None:
         """Open the listening socket."""
-        server = web.Server(
+        server = _CallerProtocols(
             self._serve_request,
             handler_cancellation=True,
             access_log=None,
@@ -164,6 +191,8 @@
         try:
             limit = self.body_limit()
             body = await _read_body(request, limit)
+            if _may_have_trailers(request):
+                sink.closing = True
             if body is None:
                 detail = f"the request body exceeds {limit} bytes"
                 return self._final_response(
@@ -193,11 +222,27 @@
             )
         if sink.response is None:
             status = self.dialect.status_of.get(refusal.kind)
-            return error_response(refusal, request_id, sink.closing, status)
+            response = error_response(refusal, request_id, sink.closing, status)
+            if sink.closing:
+                response.force_close()
+            return response
         sink.abort()
         return sink.response
 
 
+def _may_have_trailers(request: web.BaseRequest) -> bool:
+    """Return whether a trailer may follow the body, or what was read of it.
+
+    aiohttp's parser takes the last trailer for a header of the next request on the
+    connection. Bytes of that request make the answer yes, too.
+    """
+    if "Transfer-Encoding" not in request.headers:
+        return False
+    protocol = request.protocol
+    assert isinstance(protocol, _CallerProtocol), "the server creates no others"
+    return protocol.last_bytes != _BARE_LAST_CHUNK
+
+
 async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
     """Return the complete body, or None if it exceeds `limit` bytes."""
     if not request.can_read_body:
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -8,7 +8,7 @@
 import pytest
 
 from celerypulley.hosts.fleet_host import FleetHost
-from tests.fleet import API_KEY, Fleet, running_fleet
+from tests.fleet import API_KEY, Fleet, desired_state, running_fleet
 from tests.harness import wait_until
 
 _READ_TIMEOUT_S = 5.0
@@ -204,3 +204,54 @@
         for request_id in (b"one", b"two"):
             status, _, body = await caller.send(request_bytes(request_id=request_id))
             assert (status, body) == (200, b"whole")
+
+
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.02])
+@pytest.mark.parametrize(
+    "end",
+    [
+        b"0\r\nX-Added: a\r\n\r\n",
+        b"0\r\nX-Other: a\r\nX-Added: a\r\n\r\n",
+        b"0;x=y\r\nX-Added: 0\r\n\r\n",
+    ],
+)
+async def test_trailer_of_a_request_becomes_a_header_of_the_next(end, pause_s):
+    async with byte_fleet() as (_, server, caller):
+        caller.writer.write(request_bytes(body=b"5\r\nhello\r\n", framing=CHUNKED))
+        await asyncio.sleep(pause_s)
+        status, head, _ = await caller.send(end)
+        assert status == 200
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            await caller.send(request_bytes(request_id=b"two"))
+            assert header_of(head, b"Connection") != b"close"
+        assert server.received[0][1] == b"hello"
+        assert not any(b"X-Added" in head for head, _ in server.received)
+
+
+async def test_trailer_of_a_refused_request_becomes_a_header_of_the_next():
+    async with byte_fleet() as (fleet, server, caller):
+        fleet.put_state(desired_state(2, limits={"maxBodyBytes": 1_000}))
+        await wait_until(lambda: fleet.hosts[0]._body_limit() == 1_000)
+        body = b"1388\r\n%s\r\n0\r\nX-Added: a\r\n\r\n" % (b"x" * 5_000)
+        status, head, _ = await caller.send(request_bytes(body=body, framing=CHUNKED))
+        assert (status, header_of(head, b"Connection")) == (413, b"close")
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            await caller.send(request_bytes(request_id=b"two"))
+        assert server.received == []
+
+
+@pytest.mark.parametrize("framing", [None, CHUNKED])
+async def test_request_that_comes_byte_by_byte_ends_the_connection(framing):
+    """It is split in two at every place, with chunks that have extensions."""
+    body = b"hello" if framing is None else b"2;a=b\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"
+    request = request_bytes(body=body, framing=framing)
+    async with byte_fleet() as (_, server, caller):
+        for cut in range(1, len(request)):
+            caller.writer.write(request[:cut])
+            await asyncio.sleep(0.002)
+            status, _, received = await caller.send(request[cut:])
+            assert (status, received) == (200, b"whole"), cut
+            assert server.received[-1][1] == b"hello"
