Answer requests whose texts aren't UTF-8 or hold control characters

Callers got a closed connection without a byte for a request that a server had run and answered whole, if one of its headers held a control character; 500 where an identifier or the name of a turn wasn't UTF-8 and the request was refused or, with JSON log lines as on the platform, even where it had been answered; and UTF-8 in headers, also in their own Request-Id, encoded twice.

Cause: aiohttp's writer refuses control characters, and orjson, quote() and the writer refuse the surrogates by which aiohttp decodes other bytes. Heads now go through sendable_text(), a log line that orjson refuses is encoded by json, and names of turns are quoted byte by byte. sendable_text() is in error_response(), so that the product's own front end has it, too.

--- a/celerypulley/decision_log.py
+++ b/celerypulley/decision_log.py
@@ -1,6 +1,7 @@
 """Logging of decisions, one line each, as text or JSON."""
 
 import enum
+import json
 
 import orjson
 from absl import logging
@@ -54,7 +55,10 @@
             "reason": reason,
             **{name: _to_json_value(value) for name, value in fields.items()},
         }
-        return orjson.dumps(line).decode()
+        try:
+            return orjson.dumps(line).decode()
+        except TypeError:  # text of callers that is not UTF-8, or a large number
+            return json.dumps(line)
 
 
 def _to_json_value(value: object) -> object:
--- a/celerypulley/hosts/turn_archive.py
+++ b/celerypulley/hosts/turn_archive.py
@@ -182,5 +182,7 @@
 def _turn_key(organisation: str, turn: str) -> str | None:
     if not turn or len(turn) > _MAX_NAME_CHARS:
         return None
-    key = f"{TURN_PREFIX}{quote(organisation, safe='')}/{quote(turn, safe='')}"
+    # Bytes of the name that are not UTF-8 are surrogates.
+    quoted = quote(turn, safe="", errors="surrogateescape")
+    key = f"{TURN_PREFIX}{quote(organisation, safe='')}/{quoted}"
     return key if len(key) <= 200 else None
--- a/celerypulley/links/caller_server.py
+++ b/celerypulley/links/caller_server.py
@@ -16,6 +16,7 @@
 from celerypulley.hosts.entry import Caller, Entry
 from celerypulley.hosts.metrics import HostMetrics
 from celerypulley.hosts.program_rules import require_configuration
+from celerypulley.links.header_text import sendable_text
 from celerypulley.links.peer_messages import OpenProgram, RunCall, RunTurn
 from celerypulley.links.response_sink import CallerDisconnectedError
 from celerypulley.settings import Address
@@ -296,6 +297,7 @@
     `closing` asks the caller to close the connection. `status` overrides the status
     that belongs to the kind of error.
     """
+    request_id = sendable_text(request_id)
     headers = {
         "X-Request-Id": request_id,
         "X-Celerypulley-Run": refusal.run.value,
@@ -308,7 +310,7 @@
     error = {
         "type": refusal.kind.value,
         "code": refusal.kind.value,
-        "message": refusal.detail,
+        "message": sendable_text(refusal.detail),
         "run": refusal.run.value,
         "request_id": request_id,
     }
--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -14,6 +14,7 @@
 from celerypulley.errors import ErrorKind, Refusal
 from celerypulley.links.caller_server import error_response
 from celerypulley.links.forward_dialect import Dialect
+from celerypulley.links.header_text import sendable_text
 from celerypulley.links.response_sink import CallerDisconnectedError
 from celerypulley.programs.opaque_request import OpaqueRequest
 from celerypulley.settings import Address
@@ -70,7 +71,7 @@
         body: bytes,
     ) -> None:
         """Set the complete response, which is sent once the handler returns."""
-        response = web.Response(status=status, reason=reason, body=body)
+        response = web.Response(status=status, reason=sendable_text(reason), body=body)
         response.headers.popall("Content-Type", None)
         self._add_headers(response, headers)
         self.response = response
@@ -79,7 +80,7 @@
         self, status: int, reason: str, headers: tuple[tuple[bytes, bytes], ...]
     ) -> None:
         """Send the head of a chunked response; raise CallerDisconnectedError."""
-        response = web.StreamResponse(status=status, reason=reason)
+        response = web.StreamResponse(status=status, reason=sendable_text(reason))
         self._add_headers(response, headers)
         if self.request.version >= (1, 1):
             response.enable_chunked_encoding()
@@ -107,7 +108,8 @@
         self, response: web.StreamResponse, headers: tuple[tuple[bytes, bytes], ...]
     ) -> None:
         for name, value in headers:
-            response.headers.add(name.decode("latin-1"), value.decode("latin-1"))
+            text = value.decode("utf-8", "surrogateescape")
+            response.headers.add(name.decode("latin-1"), sendable_text(text))
         if self.closing:
             response.force_close()
             response.headers["Connection"] = "close"
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from celerypulley.decision_log import DecisionLog, LogFormat
 from celerypulley.hosts.fleet_host import FleetHost
 from tests.fleet import API_KEY, Fleet, desired_state, running_fleet
 from tests.harness import wait_until
@@ -255,3 +256,50 @@
             status, _, received = await caller.send(request[cut:])
             assert (status, received) == (200, b"whole"), cut
             assert server.received[-1][1] == b"hello"
+
+
+EVENT = b"id: 1\ndata: x\n\n"
+
+
+@pytest.mark.parametrize("path", ["/unsafe/x", "/turns/x"])
+@pytest.mark.parametrize(
+    ("sent", "received"),
+    [
+        (b"a\x01b\x7fc", b"a b c"),
+        (b"a\tb", b"a\tb"),
+        ("\u00e9\u20ac".encode(), "\u00e9\u20ac".encode()),
+        (b"\xe9", "\u00e9".encode()),
+        (b"", b""),
+    ],
+)
+async def test_whole_response_with_an_odd_header_is_dropped(sent, received, path):
+    """The server ran the request; callers got a closed connection without a byte."""
+    async with byte_fleet() as (_, server, caller):
+        response = response_bytes(b"X-Odd: %s\r\n" % sent)
+        server.response = response.replace(b"5\r\n\r\nwhole", b"15\r\n\r\n" + EVENT)
+        for request_id in (b"one", b"two"):
+            status, head, body = await caller.send(request_bytes(path, request_id))
+            assert (status, body) == (200, EVENT)
+            assert header_of(head, b"X-Odd") == received
+
+
+@pytest.mark.parametrize("log_format", LogFormat)
+@pytest.mark.parametrize("status", [b"200 \xe9", b"404 \x01"])
+@pytest.mark.parametrize("name", [b"\xff", "\u00e9".encode(), b"a b"])
+@pytest.mark.parametrize("path", ["/unsafe/x", "/turns/x", "/nowhere/x"])
+async def test_response_to_an_odd_identifier_is_replaced_by_500(
+    monkeypatch, path, name, status, log_format
+):
+    """Callers choose identifiers, and the names of turns and programs."""
+    monkeypatch.setattr(DecisionLog, "format", log_format)
+    async with byte_fleet() as (_, server, caller):
+        response = response_bytes(status=status)
+        server.response = response.replace(b"5\r\n\r\nwhole", b"15\r\n\r\n" + EVENT)
+        expected = 404 if path == "/nowhere/x" else int(status.split()[0])
+        assert (await caller.send(request_bytes(path, name)))[0] == expected
+        added = b"Program-Id: %s\r\nPrevious-Turn: %s\r\n" % (name, name)
+        following = await caller.send(request_bytes(path, b"two", added=added))
+        assert following[0] == expected
+        added = b"Previous-Turn: %s\r\n" % (name + b"?")
+        unknown = await caller.send(request_bytes(path, b"three", added=added))
+        assert unknown[0] == (expected if path == "/unsafe/x" else 404)
