Ask for the body of a request that expects 100-continue

A caller that sends Expect: 100-continue and waits before its body, as HTTP allows, got no response at all: neither side sent anything until one of them gave up.

Cause: aiohttp answers the expectation only in its applications, and callers are served by its lower-level server. The server now asks for the body.

test_caller_that_waits_before_its_body_gets_no_response failed before in the 2 of 4 cases that have a body; 4 pass.

--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -192,6 +192,7 @@
         self._count_active(1)
         try:
             limit = self.body_limit()
+            await _send_continue(request)
             body = await _read_body(request, limit)
             if _may_have_trailers(request):
                 sink.closing = True
@@ -232,6 +233,14 @@
         return sink.response
 
 
+async def _send_continue(request: web.BaseRequest) -> None:
+    """Ask for the body where the caller sends it only then."""
+    if request.version < (1, 1) or not request.can_read_body:
+        return
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
 def _may_have_trailers(request: web.BaseRequest) -> bool:
     """Return whether a trailer may follow the body, or what was read of it.
 
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -303,3 +303,20 @@
         added = b"Previous-Turn: %s\r\n" % (name + b"?")
         unknown = await caller.send(request_bytes(path, b"three", added=added))
         assert unknown[0] == (expected if path == "/unsafe/x" else 404)
+
+
+@pytest.mark.parametrize("body", [b"hello", b""])
+@pytest.mark.parametrize("expect", [b"100-continue", b"100-Continue"])
+async def test_caller_that_waits_before_its_body_gets_no_response(expect, body):
+    async with byte_fleet() as (_, server, caller):
+        request = request_bytes(body=body, added=b"Expect: %s\r\n" % expect)
+        for _ in range(2):
+            caller.writer.write(request.removesuffix(body))
+            if body:
+                interim = await asyncio.wait_for(
+                    caller.reader.readuntil(b"\r\n\r\n"), _READ_TIMEOUT_S
+                )
+                assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+            status, _, received = await caller.send(body)
+            assert (status, received) == (200, b"whole")
+            assert server.received[-1][1] == body
