Finish what was read, and what is being written, before a stop ends

Callers on kept connections saw theirs close without a response after a SIGTERM, although their request had been passed on to a server; and a slow reader of a long response saw it end early.

Cause: once no request was active for an instant, the host closed all connections and gave them 0.5 s, twice, to end. A request that came within the few steps of the event loop until then was passed on and cut 1 s later. And a response counted as ended when it was handed over for writing: what its caller had yet to read was cut, or lost with the process.

Now a request is active until its response has been handed to the kernel. The host looks again whether one is active after what has been read has reached its handler, and one that is read even later has the rest of the drain time, while idle connections close at once.

--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -25,6 +25,7 @@
 _IDLE_TIMEOUT_S = 75.0  # longer than any idle timeout that operators set, 15 s
 _ABORT_TIMEOUT_S = 0.5  # for responses that are still being written
 _LISTEN_BACKLOG = 1_024  # a dropped SYN delays its sender by seconds
+_STEPS_TO_HANDLER = 5  # of the event loop, from the bytes of a request to its handler
 _BARE_LAST_CHUNK = b"\r\n0\r\n\r\n"  # the end of a body in chunks without trailers
 _log = DecisionLog("callers")
 
@@ -174,39 +175,60 @@
     async def drain(self) -> None:
         """Close the socket, let active requests finish and close all connections.
 
-        Requests that have not finished after `drain_ms` are aborted. Connections stay
-        open until then, since aiohttp drops what arrives on one that it is closing,
-        also the rest of a body.
+        Requests that have not finished after `drain_ms` are aborted. Connections are
+        read until no request is active, since aiohttp drops what arrives on one that it
+        is closing, also the rest of a body. What was read before has its response.
         """
         runner, self._runner = self._runner, None
-        if runner is None or self._site is None:
+        if runner is None or runner.server is None or self._site is None:
             return
         await self._site.stop()
+        drain_s = self.drain_ms / 1000
         with suppress(TimeoutError):
-            await asyncio.wait_for(self._is_idle.wait(), self.drain_ms / 1000)
+            async with asyncio.timeout(drain_s):
+                await self._wait_until_idle()
+                # Requests that were read by now are served, others not.
+                runner.server.pre_shutdown()
+                await runner.server.shutdown(drain_s)
         await runner.cleanup()
 
+    async def _wait_until_idle(self) -> None:
+        """Wait until no request is active, nor one that was read before that."""
+        while True:
+            await self._is_idle.wait()
+            for _ in range(_STEPS_TO_HANDLER):
+                await asyncio.sleep(0)
+            if not self.active:
+                return
+
     async def _serve_request(self, request: web.BaseRequest) -> web.StreamResponse:
         received_ms = self.clock.now_ms()
         sink = ForwardSink(request, self.draining or self.redirects_callers())
         self._count_active(1)
         try:
-            limit = self.body_limit()
-            await _send_continue(request)
-            body = await _read_body(request, limit)
-            if _may_have_trailers(request):
-                sink.closing = True
-            if body is None:
-                detail = f"the request body exceeds {limit} bytes"
-                return self._final_response(
-                    sink, Refusal(ErrorKind.BODY_TOO_LARGE, detail), ""
-                )
-            decoded = self.dialect.decode(request, body, received_ms)
-            refusal = await self.run(decoded, sink)
-            return self._final_response(sink, refusal, decoded.request_id)
+            response = await self._respond(request, sink, received_ms)
+            await _finish(request, response)
+            return response
         finally:
             self._count_active(-1)
 
+    async def _respond(
+        self, request: web.BaseRequest, sink: ForwardSink, received_ms: float
+    ) -> web.StreamResponse:
+        limit = self.body_limit()
+        await _send_continue(request)
+        body = await _read_body(request, limit)
+        if _may_have_trailers(request):
+            sink.closing = True
+        if body is None:
+            detail = f"the request body exceeds {limit} bytes"
+            return self._final_response(
+                sink, Refusal(ErrorKind.BODY_TOO_LARGE, detail), ""
+            )
+        decoded = self.dialect.decode(request, body, received_ms)
+        refusal = await self.run(decoded, sink)
+        return self._final_response(sink, refusal, decoded.request_id)
+
     def _count_active(self, change: int) -> None:
         self.active += change
         if self.active:
@@ -233,6 +255,19 @@
         return sink.response
 
 
+async def _finish(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Return once all of a response has been handed to the kernel.
+
+    aiohttp finishes responses, too, but after the request has ended for this server.
+    """
+    if request.transport is None:
+        return
+    request.transport.set_write_buffer_limits(high=0)
+    with suppress(OSError):
+        await response.prepare(request)
+        await response.write_eof()
+
+
 async def _send_continue(request: web.BaseRequest) -> None:
     """Ask for the body where the caller sends it only then."""
     if request.version < (1, 1) or not request.can_read_body:
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -1,6 +1,7 @@
 """Callers' connections as raw bytes: which requests end without their response."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
@@ -9,6 +10,7 @@
 
 from celerypulley.decision_log import DecisionLog, LogFormat
 from celerypulley.hosts.fleet_host import FleetHost
+from celerypulley.stand_ins.opaque_server import Mode
 from tests.fleet import API_KEY, Fleet, desired_state, running_fleet
 from tests.harness import wait_until
 
@@ -123,11 +125,16 @@
 
 
 @asynccontextmanager
-async def connected(host: FleetHost) -> AsyncIterator[Caller]:
+async def connected(
+    host: FleetHost, receive_buffer_bytes: int = 65_536
+) -> AsyncIterator[Caller]:
     """Connect to a host once it keeps callers' connections open."""
     await wait_until(lambda: host._was_ready)
     address = host.settings.caller_address
-    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+    sock.connect((address.ip, address.port))
+    reader, writer = await asyncio.open_connection(sock=sock)
     try:
         yield Caller(reader, writer)
     finally:
@@ -320,3 +327,45 @@
             status, _, received = await caller.send(body)
             assert (status, received) == (200, b"whole")
             assert server.received[-1][1] == body
+
+
+async def test_request_read_as_the_last_one_ends_is_cut_at_the_stop(monkeypatch):
+    """Nothing is active for an instant, so that the host closes its connections."""
+    async with running_fleet() as fleet:
+        (host,), (server,) = fleet.hosts, fleet.servers
+        server.mode = Mode.STREAM
+        server.event_interval_s = 0.35  # in all longer than connections get to end
+        request = request_bytes("/turns/x", b"two", deadline_ms=b"1900")
+        async with connected(host) as first, connected(host) as second:
+            set_idle = host.server._is_idle.set
+
+            def send_at_once() -> None:
+                set_idle()
+                monkeypatch.undo()
+                second.writer.write(request)
+
+            monkeypatch.setattr(host.server._is_idle, "set", send_at_once)
+            first.writer.write(request_bytes("/turns/x", deadline_ms=b"1900"))
+            await wait_until(lambda: server.received)
+            draining = asyncio.create_task(host.server.drain())
+            assert (await first.read_response())[0] == 200
+            status, _, body = await second.read_response()
+            assert (status, body.count(b"piece")) == (200, 4)
+            await draining
+
+
+async def test_response_to_a_slow_reader_is_cut_at_the_stop():
+    """Its request has ended for the host, but not for the caller."""
+    body = b"x" * 4_000_000
+    async with byte_fleet() as (fleet, server, _):
+        (host,) = fleet.hosts
+        server.response = response_bytes().replace(b": 5", b": %d" % len(body))
+        server.response = server.response.replace(b"whole", body)
+        async with connected(host, receive_buffer_bytes=4_096) as caller:
+            caller.writer.write(request_bytes())
+            await caller.reader.readuntil(b"\r\n\r\n")
+            draining = asyncio.create_task(host.server.drain())
+            await asyncio.wait([draining], timeout=1.5)
+            assert not draining.done()
+            assert await caller.reader.readexactly(len(body)) == body
+            await draining
