Refuse requests in a drain that may last longer than the host

During a planned stop a caller with a kept connection sent a stream after the balancer had left the host; it was passed on, and cut in its middle when the host's time was over, though another host could have served it whole.

Cause: a request was accepted up to 1 s before the stop, whatever its time. A request that comes after the balancer has left, and whose deadline is later than the stop, is now refused at once with the run state "not run" and Retry-After. Requests that came before, or that end in time, are served as before.

--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -363,8 +363,9 @@
         """Fail readiness probes, then wait for active requests to finish."""
         _log.write("draining", "stop requested", active=self.server.active)
         self.server.draining = True
-        drained_ms = self.clock.now_ms() + _LEAVE_BALANCER_MS + self.server.drain_ms
-        self.forwarder.stop_by(drained_ms - _LAST_RESPONSE_MS)
+        drain_start_ms = self.clock.now_ms() + _LEAVE_BALANCER_MS
+        drained_ms = drain_start_ms + self.server.drain_ms
+        self.forwarder.stop_by(drained_ms - _LAST_RESPONSE_MS, drain_start_ms)
         await asyncio.sleep(_LEAVE_BALANCER_MS / 1000)
         await self.server.drain()
         self.gossip.announce()  # the last requests, which no later message counts
--- a/celerypulley/hosts/forwarder.py
+++ b/celerypulley/hosts/forwarder.py
@@ -41,14 +41,17 @@
         self.metrics = metrics
         self.clock = clock
         self._stop_ms = float("inf")
+        self._last_call_ms = float("inf")
         self._running: set[asyncio.Timeout] = set()
 
-    def stop_by(self, stop_ms: float) -> None:
+    def stop_by(self, stop_ms: float, last_call_ms: float = float("inf")) -> None:
         """End every request with a response by `stop_ms` at the latest.
 
-        Requests that come shortly before that are refused.
+        Requests that come shortly before that are refused, and so are those that come
+        after `last_call_ms` and may last longer.
         """
         self._stop_ms = stop_ms
+        self._last_call_ms = last_call_ms
         remaining_s = (stop_ms - self.clock.now_ms()) / 1000
         stop_at_s = asyncio.get_running_loop().time() + remaining_s
         for timeout in self._running:
@@ -61,8 +64,10 @@
         admitted: AdmittedRequest | None = None
         refusal: Refusal | None = None
         try:
-            self._check_shutdown()
+            self._check_shutdown(is_outlasting=False)
             admitted = await self.admission.admit(request)
+            is_late = request.received_ms > self._last_call_ms
+            self._check_shutdown(is_late and admitted.deadline_ms > self._stop_ms)
             await self._run_admitted(admitted, sink)
         except CallRefusedError as error:
             refusal = error.refusal
@@ -101,9 +106,9 @@
         finally:
             self._running.discard(timeout)
 
-    def _check_shutdown(self) -> None:
+    def _check_shutdown(self, is_outlasting: bool) -> None:
         remaining_ms = self._stop_ms - self.clock.now_ms()
-        if remaining_ms < _MIN_SERVICE_MS:
+        if is_outlasting or remaining_ms < _MIN_SERVICE_MS:
             raise CallRefusedError(
                 Refusal(
                     ErrorKind.SHUTTING_DOWN,
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -9,6 +9,7 @@
 import pytest
 
 from celerypulley.decision_log import DecisionLog, LogFormat
+from celerypulley.hosts import fleet_host
 from celerypulley.hosts.fleet_host import FleetHost
 from celerypulley.stand_ins.opaque_server import Mode
 from tests.fleet import API_KEY, Fleet, desired_state, running_fleet
@@ -369,3 +370,34 @@
             assert not draining.done()
             assert await caller.reader.readexactly(len(body)) == body
             await draining
+
+
+@pytest.mark.parametrize(
+    ("sent_after_s", "deadline_ms", "status"),
+    [(0.6, b"9000", 503), (0.6, b"2500", 200), (0.1, b"2500", 200)],
+)
+async def test_stream_that_outlasts_the_stop_is_passed_on_and_cut(
+    monkeypatch, sent_after_s, deadline_ms, status
+):
+    """Another host could have served it; the balancer has left this one long ago."""
+    monkeypatch.setattr(fleet_host, "_LEAVE_BALANCER_MS", 300.0)
+    monkeypatch.setattr(fleet_host, "_STOP_MARGIN_MS", 4_200.0)  # ends 3.5 s later
+    state = desired_state()
+    for each in state["routes"]:
+        each["timeoutMs"] = 30_000
+    async with running_fleet(state=state) as fleet:
+        (host,), (server,) = fleet.hosts, fleet.servers
+        server.mode = Mode.STREAM
+        server.event_interval_s = 0.5
+        async with connected(host) as first, connected(host) as second:
+            first.writer.write(request_bytes("/turns/x", b"x", deadline_ms=b"2500"))
+            await wait_until(lambda: server.received)
+            leaving = asyncio.create_task(host.leave())
+            await asyncio.sleep(sent_after_s)
+            if status == 503:
+                server.event_count = 20
+            request = request_bytes("/turns/x", b"two", deadline_ms=deadline_ms)
+            assert (await second.send(request))[0] == status
+            assert len(server.received) == (1 if status == 503 else 2)
+            assert (await first.read_response())[0] == 200
+            await leaving
