Log who ended a connection with a request under way, and what was sent

The record of the incident says that requests ended without an answer, and its logs don't say how the callers' connections ended. One line a request now does, "response cut", where its response wasn't written to the end: by the caller, by the host (with the refusal as the reason) or by its stop, whether the head was sent, and the chunks and bytes of the body.

test_log_does_not_say_who_ended_a_response, 5 cases, fails without it.

--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -25,6 +25,7 @@
 _IDLE_TIMEOUT_S = 75.0  # longer than any idle timeout that operators set, 15 s
 _ABORT_TIMEOUT_S = 0.5  # for responses that are still being written
 _LISTEN_BACKLOG = 1_024  # a dropped SYN delays its sender by seconds
+_MAX_LOGGED_CHARS = 100
 _STEPS_TO_HANDLER = 5  # of the event loop, from the bytes of a request to its handler
 _BARE_LAST_CHUNK = b"\r\n0\r\n\r\n"  # the end of a body in chunks without trailers
 _log = DecisionLog("callers")
@@ -55,7 +56,11 @@
 
 
 class ForwardSink:
-    """The response to one caller: complete, or a head followed by chunks."""
+    """The response to one caller: complete, or a head followed by chunks.
+
+    `chunk_count` and `body_bytes` are what has been written of a chunked body, and
+    `caller_left` tells whether writing has failed.
+    """
 
     def __init__(self, request: web.BaseRequest, closing: bool) -> None:
         """Respond to `request`; `closing` asks the caller to use another connection."""
@@ -63,6 +68,9 @@
         self.closing = closing
         self.response: web.StreamResponse | None = None
         self.is_aborted = False
+        self.caller_left = False
+        self.chunk_count = 0
+        self.body_bytes = 0
 
     async def respond(
         self,
@@ -89,6 +97,7 @@
         try:
             await response.prepare(self.request)
         except OSError as error:
+            self.caller_left = True
             raise CallerDisconnectedError(str(error)) from error
 
     async def chunk(self, data: bytes) -> None:
@@ -97,7 +106,10 @@
         try:
             await self.response.write(data)
         except OSError as error:
+            self.caller_left = True
             raise CallerDisconnectedError(str(error)) from error
+        self.chunk_count += 1
+        self.body_bytes += len(data)
 
     def abort(self) -> None:
         """Close the connection so that a partial response cannot look complete."""
@@ -145,6 +157,7 @@
         self.clock = clock
         self.draining = False
         self.active = 0
+        self._is_closing = False
         self._is_idle = asyncio.Event()
         self._is_idle.set()
         self._runner: web.ServerRunner | None = None
@@ -190,6 +203,7 @@
                 # Requests that were read by now are served, others not.
                 runner.server.pre_shutdown()
                 await runner.server.shutdown(drain_s)
+        self._is_closing = True
         await runner.cleanup()
 
     async def _wait_until_idle(self) -> None:
@@ -207,8 +221,13 @@
         self._count_active(1)
         try:
             response = await self._respond(request, sink, received_ms)
-            await _finish(request, response)
+            if not sink.is_aborted and not await _finish(request, response):
+                _log_cut(sink, "caller", "it closed before the end of its response")
             return response
+        except asyncio.CancelledError:
+            ended_by = "stop" if self._is_closing else "caller"
+            _log_cut(sink, ended_by, "its connection closed while its request ran")
+            raise
         finally:
             self._count_active(-1)
 
@@ -252,20 +271,37 @@
                 response.force_close()
             return response
         sink.abort()
+        _log_cut(sink, "caller" if sink.caller_left else "host", refusal.detail)
         return sink.response
 
 
-async def _finish(request: web.BaseRequest, response: web.StreamResponse) -> None:
-    """Return once all of a response has been handed to the kernel.
+def _log_cut(sink: ForwardSink, ended_by: str, reason: str) -> None:
+    """Log who ended a connection with a request under way, and what was written."""
+    _log.write(
+        "response cut",
+        reason,
+        request=sink.request.headers.get("Request-Id", "")[:_MAX_LOGGED_CHARS],
+        ended_by=ended_by,
+        head_sent=sink.response is not None and sink.response.prepared,
+        chunks=sink.chunk_count,
+        body_bytes=sink.body_bytes,
+    )
+
+
+async def _finish(request: web.BaseRequest, response: web.StreamResponse) -> bool:
+    """Return once all of a response is in the kernel; False if the caller has left.
 
     aiohttp finishes responses, too, but after the request has ended for this server.
     """
     if request.transport is None:
-        return
+        return False
     request.transport.set_write_buffer_limits(high=0)
-    with suppress(OSError):
+    try:
         await response.prepare(request)
         await response.write_eof()
+    except OSError:
+        return False
+    return True
 
 
 async def _send_continue(request: web.BaseRequest) -> None:
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -401,3 +401,42 @@
             assert len(server.received) == (1 if status == 503 else 2)
             assert (await first.read_response())[0] == 200
             await leaving
+
+
+@pytest.mark.parametrize(
+    ("ended_by", "mode", "path", "head_sent"),
+    [
+        ("caller", Mode.HANG, "/unsafe/x", False),
+        ("caller", Mode.HANG_WITHIN_EVENT, "/turns/x", True),
+        ("host", Mode.RESET_WITHIN_EVENT, "/turns/x", True),
+        ("stop", Mode.HANG, "/unsafe/x", False),
+        ("stop", Mode.HANG_WITHIN_EVENT, "/turns/x", True),
+    ],
+)
+async def test_log_does_not_say_who_ended_a_response(
+    monkeypatch, ended_by, mode, path, head_sent
+):
+    lines = []
+    monkeypatch.setattr(
+        "celerypulley.links.forward_server._log.write",
+        lambda decision, *_reason, **fields: lines.append((decision, fields)),
+    )
+    async with running_fleet() as fleet:
+        (host,), (server,) = fleet.hosts, fleet.servers
+        server.mode = mode
+        host.server.drain_ms = 100.0
+        async with connected(host) as caller:
+            caller.writer.write(request_bytes(path))
+            await wait_until(lambda: server.received)
+            if head_sent:
+                await caller.reader.readuntil(b"piece 2")
+            if ended_by == "caller":
+                caller.writer.close()
+            if ended_by == "stop":
+                await host.server.drain()
+            await wait_until(lambda: lines)
+        ((decision, fields),) = lines
+        assert decision == "response cut"
+        assert (fields["request"], fields["ended_by"]) == ("one", ended_by)
+        assert fields["head_sent"] is head_sent
+        assert bool(fields["body_bytes"]) is head_sent
