Keep trailers and stops from later requests of the product's front end, too

A caller of the product's own front end whose body in chunks had a trailer saw its next request on the connection read with that trailer as a header: a program was opened under a parent that nobody had named, here answered 404. And the host counted a response as ended that its caller had yet to read, so that a stop could cut it.

The connection of a body in chunks now ends with its response, and a request is active until its response is in the kernel. Requests that come during the drain are refused here, so none is passed on and cut; Expect is answered by aiohttp's applications; numbers of headers were checked already.

test_trailer_becomes_a_header_of_the_next_request_for_programs failed before (404 for 201) and passes.

--- a/celerypulley/links/caller_server.py
+++ b/celerypulley/links/caller_server.py
@@ -47,6 +47,8 @@
         """Send status and headers; raise CallerDisconnectedError."""
         all_headers = {**headers, "X-Request-Id": self.request_id}
         self.response = web.StreamResponse(status=status, headers=all_headers)
+        if _is_chunked(self.request):
+            self.response.force_close()
         try:
             await self.response.prepare(self.request)
         except OSError as error:
@@ -158,18 +160,23 @@
         self.active_requests[task] = None
         try:
             refusal = await self._run_handler(request, handle, sink, task)
+            if refusal is None and sink.response is not None:
+                self.active_requests[task] = None  # complete, so never cancelled
+                await _finish_response(request, sink.response)
         finally:
             del self.active_requests[task]
         self.metrics.record_request(self.clock.now_ms() - started_ms, refusal)
         if refusal is None and sink.response is not None:
-            await _finish_response(sink.response)
             return sink.response
         if refusal is None:
             refusal = Refusal(
                 ErrorKind.OUTCOME_UNKNOWN, "the handler ended without a response"
             )
         if sink.response is None:
-            return error_response(refusal, sink.request_id, self.draining)
+            response = error_response(refusal, sink.request_id, self.draining)
+            if _is_chunked(request):
+                response.force_close()
+            return response
         _log.write("response aborted", refusal.detail, kind=refusal.kind.value)
         if request.transport is not None:
             request.transport.abort()
@@ -322,7 +329,19 @@
     )
 
 
-async def _finish_response(response: web.StreamResponse) -> None:
+def _is_chunked(request: web.Request) -> bool:
+    """Return whether a trailer may follow the body of a request.
+
+    aiohttp's parser takes the last one for a header of the next request on the
+    connection, so that the connection may not be used again.
+    """
+    return "Transfer-Encoding" in request.headers
+
+
+async def _finish_response(request: web.Request, response: web.StreamResponse) -> None:
+    """Return once all of a response has been handed to the kernel."""
+    if request.transport is not None:
+        request.transport.set_write_buffer_limits(high=0)
     try:
         await response.write_eof()
     except OSError as error:
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -13,7 +13,7 @@
 from celerypulley.hosts.fleet_host import FleetHost
 from celerypulley.stand_ins.opaque_server import Mode
 from tests.fleet import API_KEY, Fleet, desired_state, running_fleet
-from tests.harness import wait_until
+from tests.harness import running_deployment, wait_until
 
 _READ_TIMEOUT_S = 5.0
 
@@ -440,3 +440,20 @@
         assert (fields["request"], fields["ended_by"]) == ("one", ended_by)
         assert fields["head_sent"] is head_sent
         assert bool(fields["body_bytes"]) is head_sent
+
+
+async def test_trailer_becomes_a_header_of_the_next_request_for_programs():
+    """The product's own front end."""
+    async with running_deployment() as deployment:
+        address = deployment.hosts[0].settings.caller_address
+        reader, writer = await asyncio.open_connection(address.ip, address.port)
+        caller = Caller(reader, writer)
+        head = "POST /v1/programs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+        head += f"{deployment.keys['kiosk']}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        end = b"0\r\nX-Celerypulley-Parent: nobody\r\n\r\n"
+        status, response_head, _ = await caller.send(head.encode() + end)
+        assert status == 201
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            assert (await caller.send(head.encode() + b"0\r\n\r\n"))[0] == 201
+            assert header_of(response_head, b"Connection") != b"close"
+        writer.close()
