Refuse a receipt whose number of turns is in other digits

A caller with such a receipt got 500 for its turn: str.isdigit() accepts digits that int() refuses. It is now 400, as for any other receipt that has the wrong form.

test_odd_receipt_of_a_turn_fails_with_500 failed before and passes.

--- a/celerypulley/hosts/program_rules.py
+++ b/celerypulley/hosts/program_rules.py
@@ -46,7 +46,7 @@
     if not receipt:
         return
     turns, _, digest = receipt.partition(".")
-    if not turns.isdigit():
+    if not (turns.isascii() and turns.isdigit()):
         raise CallRefusedError.of(
             ErrorKind.BAD_REQUEST,
             f"receipt {receipt!r} does not have the form turns.digest",
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -457,3 +457,13 @@
             assert (await caller.send(head.encode() + b"0\r\n\r\n"))[0] == 201
             assert header_of(response_head, b"Connection") != b"close"
         writer.close()
+
+
+async def test_odd_receipt_of_a_turn_fails_with_500():
+    async with running_deployment() as deployment:
+        (host, *_) = deployment.hosts
+        program = await deployment.open_program(host)
+        status, _, _ = await deployment.send_turn(
+            host, program, "hello", **{"X-Celerypulley-Receipt": "\u00b2.x"}
+        )
+        assert status == 400
