Accept as many header lines as fit into the largest header

A caller whose request had 129 header lines or more got 400, which callers don't try again, though operators limit only the bytes of a header. Cause: aiohttp's own limit of 128 lines. It now follows from the largest header.

test_request_with_many_short_headers_is_refused failed before (400).

--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -22,6 +22,7 @@
 __all__ = ["ForwardServer", "ForwardSink"]
 
 _MAX_HEADER_BYTES = 16_384  # the largest header that operators allow callers to send
+_MAX_HEADER_LINES = _MAX_HEADER_BYTES // len("a:\r\n")
 _IDLE_TIMEOUT_S = 75.0  # longer than any idle timeout that operators set, 15 s
 _ABORT_TIMEOUT_S = 0.5  # for responses that are still being written
 _LISTEN_BACKLOG = 1_024  # a dropped SYN delays its sender by seconds
@@ -172,6 +173,7 @@
             keepalive_timeout=_IDLE_TIMEOUT_S,
             max_line_size=_MAX_HEADER_BYTES,
             max_field_size=_MAX_HEADER_BYTES,
+            max_headers=_MAX_HEADER_LINES,
             auto_decompress=False,
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=_ABORT_TIMEOUT_S)
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -403,6 +403,15 @@
             await leaving
 
 
+async def test_request_with_many_short_headers_is_refused():
+    """Operators limit the size of a header only."""
+    async with byte_fleet() as (_, server, caller):
+        added = b"".join(b"X-%d: a\r\n" % number for number in range(1_000))
+        status, _, _ = await caller.send(request_bytes(added=added))
+        assert status == 200
+        assert server.received[0][0].count(b"\r\nX-") == 1_000
+
+
 @pytest.mark.parametrize(
     ("ended_by", "mode", "path", "head_sent"),
     [
