Log discarded responses, stray bytes and earlier use of connections

No change of logic. The logs of the incident can't tell its hypotheses apart: they don't say which responses were discarded and why, whether a connection to a server was used before, nor that bytes came on an idle one.

The first bytes that come on an idle connection have one line. `answered` and `call failed` state, for each server that was sent the request, how many requests its connection had carried before.

--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -28,17 +28,23 @@
 class Attempts:
     """The servers that a request was sent to.
 
-    `not_run_count` of them reported that they did not run it.
+    `requests_before` counts, for each of them, the requests that its connection had
+    carried before. `not_run_count` of them reported that they did not run it.
     """
 
     servers: list[str] = attrs.Factory(list)
     not_run_count: int = 0
+    requests_before: list[int] = attrs.Factory(list)
 
     @property
     def may_have_run(self) -> bool:
         """Return whether a server got the request and did not report it as not run."""
         return len(self.servers) > self.not_run_count
 
+    def describe_connections(self) -> str:
+        """Return `requests_before` for the log, in the order of `servers`."""
+        return ",".join(map(str, self.requests_before))
+
     def deadline_refusal(self, detail: str) -> Refusal:
         """Return the refusal for a request whose deadline has passed."""
         if self.may_have_run:
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -170,6 +170,7 @@
         )
         call.send(self.dialect.encode(request, forwarded))
         admitted.attempts.servers.append(server.name)
+        admitted.attempts.requests_before.append(call.requests_before)
 
     async def read_head(
         self, call: ServerCall, server: EngineState, admitted: AdmittedRequest
@@ -180,7 +181,8 @@
         seal counts as no response.
         """
         head = await call.read_head(
-            self.dialect.response_matcher(admitted.request.request_id)
+            admitted.request.request_id,
+            self.dialect.response_matcher(admitted.request.request_id),
         )
         metadata = self.dialect.response_metadata(head)
         now_ms = self.clock.now_ms()
@@ -236,6 +238,7 @@
             request=admitted.request.request_id,
             server=server.name,
             sent=error.sent,
+            requests_before=admitted.attempts.describe_connections(),
             failures=server.consecutive_failures,
             fingerprint=admitted.fingerprint,
             method=admitted.request.method,
--- a/celerypulley/hosts/forwarder.py
+++ b/celerypulley/hosts/forwarder.py
@@ -142,6 +142,9 @@
             version=self.admission.desired_state.version,
             version_age_ms=_rounded_ms(self.admission.desired_state.age_ms()),
             servers=",".join(admitted.attempts.servers) if admitted else "",
+            requests_before=(
+                admitted.attempts.describe_connections() if admitted else ""
+            ),
             took_ms=round(took_ms, 1),
             response_started=sink.response is not None,
         )
--- a/celerypulley/links/forward_dialect.py
+++ b/celerypulley/links/forward_dialect.py
@@ -53,13 +53,14 @@
 
     `decode(request, body, now_ms)` parses a caller's request and `encode(request,
     call)` serialises it for a server. `response_metadata(head)` parses the head of a
-    response. `response_matcher(request_id)` returns a predicate on response headers,
-    and on whether the connection was used before, that tells whether a response belongs
-    to the request. `status_of` overrides the HTTP status of error kinds.
+    response. `response_matcher(request_id)` returns a function of response headers, and
+    of whether the connection was used before, that returns why a response does not
+    belong to the request, or None if it does. `status_of` overrides the HTTP status of
+    error kinds.
     """
 
     decode: Callable[[web.BaseRequest, bytes, float], OpaqueRequest]
     encode: Callable[[OpaqueRequest, ForwardedCall], bytes]
     response_metadata: Callable[[ResponseHead], ResponseMetadata]
-    response_matcher: Callable[[str], Callable[[Any, bool], bool]]
+    response_matcher: Callable[[str], Callable[[Any, bool], str | None]]
     status_of: dict[ErrorKind, int] = attrs.Factory(dict)
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -14,6 +14,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
 
 __all__ = [
     "Reachability",
@@ -33,6 +34,7 @@
 _MAX_HEADER_BYTES = 16_384  # the largest header that operators allow callers to send
 _MAX_BYTES_BEFORE_HEAD = 1024 * 1024  # with late responses to earlier requests
 _MAX_BODY_BYTES = 4 * 1024 * 1024  # a thirtieth of the memory of the smallest host
+_log = DecisionLog("server-link")
 
 
 class ServerCallError(Exception):
@@ -70,14 +72,23 @@
     """aiohttp's client protocol with a limit on what a server may send.
 
     It also tells a reset from an orderly close. `bytes_left` is what the server may
-    send; it is infinite from the head of a response to its end.
+    send; it is infinite from the head of a response to its end. `idle_address` is the
+    server's address while no request is under way, and empty otherwise.
     """
 
     connection_error: BaseException | None = None
     bytes_left: float = _MAX_BYTES_BEFORE_HEAD
+    idle_address: str = ""
 
     def data_received(self, data: bytes) -> None:
         """Parse `data`, or close the connection if the server sends too much."""
+        if self.idle_address:
+            _log.write(
+                "bytes outside a request",
+                f"{len(data)} bytes came while no request was under way",
+                server=self.idle_address,
+            )
+            self.idle_address = ""
         self.bytes_left -= len(data)
         if self.bytes_left < 0:
             self.abort()
@@ -103,7 +114,7 @@
     protocol: _ServerProtocol
     idle_since_ms: float
     idle_limit_ms: float = _DEFAULT_IDLE_MS
-    is_reused: bool = False
+    requests_carried: int = 0
 
     def is_usable(self, now_ms: float) -> bool:
         """Return whether the connection can carry another request."""
@@ -132,22 +143,31 @@
                 "the connection closed before the request was sent", False
             )
         self.connection.protocol.bytes_left = _MAX_BYTES_BEFORE_HEAD
+        self.connection.protocol.idle_address = ""
         transport.write(request)
 
+    @property
+    def requests_before(self) -> int:
+        """Return how many requests the connection had carried before this one."""
+        return self.connection.requests_carried
+
     async def read_head(
-        self, belongs_to_request: Callable[[Any, bool], bool]
+        self, request_id: str, find_mismatch: Callable[[Any, bool], str | None]
     ) -> ResponseHead:
-        """Return the head of the response whose headers `belongs_to_request` accepts.
+        """Return the head of the response to the request; raise ServerCallError.
 
-        It is also told whether the connection was used before. Responses to earlier
-        requests are read and discarded. Raise ServerCallError.
+        `find_mismatch` returns why headers belong to another response, or None. It is
+        also told whether the connection was used before. Responses to earlier requests
+        are read and discarded.
         """
+        is_reused = self.requests_before > 0
         try:
             for _ in range(_MAX_RESPONSES_READ):
                 message, payload = await self.connection.protocol.read()
                 if message.code < 200:
                     continue
-                if belongs_to_request(message.headers, self.connection.is_reused):
+                mismatch = find_mismatch(message.headers, is_reused)
+                if mismatch is None:
                     self.connection.protocol.bytes_left = float("inf")
                     self._payload = payload
                     self._head = ResponseHead(
@@ -158,6 +178,14 @@
                         message.should_close,
                     )
                     return self._head
+                _log.write(
+                    "response discarded",
+                    mismatch,
+                    request=request_id,
+                    server=self.address,
+                    status=message.code,
+                    requests_before=self.requests_before,
+                )
                 while await payload.readany():
                     pass
         except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError) as e:
@@ -284,7 +312,8 @@
             connection.protocol.close()
             return
         connection.protocol.bytes_left = _MAX_BYTES_BEFORE_HEAD
-        connection.is_reused = True
+        connection.requests_carried += 1
+        connection.protocol.idle_address = address
         self._idle.setdefault(address, []).append(connection)
 
     def close_idle(self, address: str) -> None:
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -150,13 +150,15 @@
 
 
 def _response_matcher(request_id: str):
-    def belongs_to_request(headers, is_reused_connection: bool) -> bool:
+    def find_mismatch(headers, is_reused_connection: bool) -> str | None:
         # Without an identifier it may be a second response to an earlier request.
         if "Request-Id" not in headers:
-            return not is_reused_connection or not request_id
-        return headers["Request-Id"] == request_id
+            if is_reused_connection and request_id:
+                return "no identifier"
+            return None
+        return None if headers["Request-Id"] == request_id else "other identifier"
 
-    return belongs_to_request
+    return find_mismatch
 
 
 DIALECT = Dialect(
