Tell late responses by what the connection has carried

Callers got responses that were not their own, and lost ones that were whole. A server may respond a second time, late. The identifier, which callers choose, was the only thing that tied a response to its request, and one parser ran over all that came on a connection:

- A caller that tried again and kept its identifier, two callers or organisations with one identifier, and requests without one or with an empty one got the late response to the earlier request: a 200 where the server answered 500.
- A late response that was cut short was joined to the one after it: the status of the late one, the identifier, seal and body of the right one.
Of a head of which 13 bytes or more had come, also on an idle connection, the caller got a 200 with the seal and body of a 500.
- A complete response was lost, 502, if bytes that aren't HTTP followed it in the same segment, or anything after `Connection: close`.
Such bytes belong to no request.
- A response to HEAD with a length was waited for until the deadline.

Now the connection decides. It carries each identifier at most once; a request that can't be told from those carried goes on another connection, in exchange for an idle one if none fits, so that idle connections don't pile up. Each request has a parser of its own (httptools, which reports head, body and end before it refuses what follows). Bytes while no request is under way, or behind a complete response, end the connection, and the complete response stands. A connection that brought a late response, or one without an identifier, isn't used again. On a reused connection, a head that holds the text of a further status line is refused, and on any one a head with identifiers that differ, two lengths, or a length and an encoding. HEAD and bodiless statuses end with their head. An unframed body that the host itself cuts no longer looks whole.

A connection is closed after 1,000 requests, which bounds the memory for identifiers.

--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -17,8 +17,8 @@
 from celerypulley.hosts.server_directory import ServerDirectory
 from celerypulley.hosts.stall_monitor import STALL_TIMEOUT_MS, StallMonitor
 from celerypulley.links.forward_dialect import Dialect, ForwardedCall, ResponseMetadata
+from celerypulley.links.response_parser import RequestIdentity, ResponseHead
 from celerypulley.links.server_connection import (
-    ResponseHead,
     ServerCall,
     ServerCallError,
     ServerLinks,
@@ -145,6 +145,16 @@
             )
         return remaining_ms
 
+    async def start_call(
+        self, server: EngineState, admitted: AdmittedRequest
+    ) -> ServerCall:
+        """Return a call of a request to a server; raise ServerCallError."""
+        request = admitted.request
+        identity = RequestIdentity(
+            request.request_id, request.method, self.dialect.response_identifiers
+        )
+        return await self.links.start_call(server.address, identity)
+
     def send(
         self,
         call: ServerCall,
@@ -180,10 +190,7 @@
         The server's load is updated from the metadata. A success without the server's
         seal counts as no response.
         """
-        head = await call.read_head(
-            admitted.request.request_id,
-            self.dialect.response_matcher(admitted.request.request_id),
-        )
+        head = await call.read_head()
         metadata = self.dialect.response_metadata(head)
         now_ms = self.clock.now_ms()
         server.last_received_ms = now_ms
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -10,11 +10,8 @@
 from celerypulley.hosts.admission import AdmittedRequest
 from celerypulley.hosts.forward_context import Chooser, ForwardContext
 from celerypulley.links.forward_dialect import ResponseMetadata
-from celerypulley.links.server_connection import (
-    ResponseHead,
-    ServerCall,
-    ServerCallError,
-)
+from celerypulley.links.response_parser import ResponseHead
+from celerypulley.links.server_connection import ServerCall, ServerCallError
 
 __all__ = ["FailedAttempt", "ServerAttempt", "not_run_attempt", "try_servers"]
 
@@ -49,9 +46,8 @@
 ) -> FailedAttempt:
     """Return the failed attempt for a server that refused to run the request.
 
-    The connection is not released and so closed after the attempt: a server that sends
-    its refusal again would refuse the next request on it, whose identifier is the same
-    if the caller tries again.
+    The connection is not released and so closed after the attempt: the rest of the
+    refusal need not come, and no caller waits for it.
     """
     detail = f"{server.name} answered {head.status} without running the request"
     refusal = Refusal(ErrorKind.OVERLOADED, detail, retry_after_s=_SHED_RETRY_S)
@@ -92,7 +88,7 @@
         started_ms = context.clock.now_ms()
         try:
             with context.count_in_flight(server, prefill_tokens(server)):
-                call = await context.links.start_call(server.address)
+                call = await context.start_call(server, admitted)
                 send_count += 1
                 with context.stall_guard(call, server, admitted, send_count):
                     failed = await run_attempt(
--- a/celerypulley/links/forward_dialect.py
+++ b/celerypulley/links/forward_dialect.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from celerypulley.errors import ErrorKind
-from celerypulley.links.server_connection import ResponseHead
+from celerypulley.links.response_parser import ResponseHead
 from celerypulley.programs.opaque_request import OpaqueRequest
 
 __all__ = ["Dialect", "ForwardedCall", "ResponseMetadata"]
@@ -53,14 +53,12 @@
 
     `decode(request, body, now_ms)` parses a caller's request and `encode(request,
     call)` serialises it for a server. `response_metadata(head)` parses the head of a
-    response. `response_matcher(request_id)` returns a function of response headers, and
-    of whether the connection was used before, that returns why a response does not
-    belong to the request, or None if it does. `status_of` overrides the HTTP status of
-    error kinds.
+    response. `response_identifiers(headers)` returns the request identifiers that the
+    headers of a response state. `status_of` overrides the HTTP status of error kinds.
     """
 
     decode: Callable[[web.BaseRequest, bytes, float], OpaqueRequest]
     encode: Callable[[OpaqueRequest, ForwardedCall], bytes]
     response_metadata: Callable[[ResponseHead], ResponseMetadata]
-    response_matcher: Callable[[str], Callable[[Any, bool], str | None]]
+    response_identifiers: Callable[[Any], list[str]]
     status_of: dict[ErrorKind, int] = attrs.Factory(dict)
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -1,24 +1,27 @@
 """Connections to backend servers that tell whether a request may have run.
 
-A request is written in one piece and its response is parsed by aiohttp's parser. The
-connection returns to the pool only after a complete response.
+A request is written in one piece. Its connection returns to the pool only after a
+complete response, and if nothing came on it that belonged to no request. It carries
+each request identifier at most once, since a server may respond late a second time.
 """
 
 import asyncio
 import enum
-from collections.abc import AsyncIterator, Callable
-from typing import Any
+from collections.abc import AsyncIterator
 
-import aiohttp
 import attrs
-from aiohttp.client_proto import ResponseHandler
 
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
+from celerypulley.links.response_parser import (
+    InvalidResponseError,
+    RequestIdentity,
+    ResponseHead,
+    ResponseParser,
+)
 
 __all__ = [
     "Reachability",
-    "ResponseHead",
     "ServerCall",
     "ServerCallError",
     "ServerLinks",
@@ -30,9 +33,8 @@
 _MAX_IDLE_MS = 15_000.0  # longer idle connections occupy slots that busier hosts need
 _IDLE_MARGIN_MS = 1_000.0  # before the keep-alive timeout that a server states
 _DEFAULT_IDLE_MS = 1_000.0  # if no timeout is stated: the smallest that could be
-_MAX_RESPONSES_READ = 3  # late responses to earlier requests are discarded
-_MAX_HEADER_BYTES = 16_384  # the largest header that operators allow callers to send
-_MAX_BYTES_BEFORE_HEAD = 1024 * 1024  # with late responses to earlier requests
+_MAX_REQUESTS_CARRIED = 1_000  # bounds the memory for their identifiers
+_MAX_BUFFERED_BYTES = 128 * 1024  # of a body, until its reader has taken them
 _MAX_BODY_BYTES = 4 * 1024 * 1024  # a thirtieth of the memory of the smallest host
 _log = DecisionLog("server-link")
 
@@ -57,163 +59,195 @@
     SILENT = "does not answer"
 
 
-@attrs.frozen
-class ResponseHead:
-    """Status line and headers of a response, as the server sent them."""
-
-    status: int
-    reason: str
-    headers: Any  # a case-insensitive multidict
-    raw_headers: tuple[tuple[bytes, bytes], ...]
-    should_close: bool
+class _ServerProtocol(asyncio.Protocol):
+    """One connection to a server: bytes in, and what ended it.
 
+    Bytes that come while no response is awaited belong to no request, and end the
+    connection. `error` tells what ended it before the response was complete.
+    """
 
-class _ServerProtocol(ResponseHandler):
-    """aiohttp's client protocol with a limit on what a server may send.
+    def __init__(self, address: str) -> None:
+        """Create the protocol of a connection to `address`."""
+        self.address = address
+        self.transport: asyncio.Transport | None = None
+        self.response: ResponseParser | None = None
+        self.error = ""
+        self._waiter: asyncio.Future[None] | None = None
+        self._is_paused = False
 
-    It also tells a reset from an orderly close. `bytes_left` is what the server may
-    send; it is infinite from the head of a response to its end. `idle_address` is the
-    server's address while no request is under way, and empty otherwise.
-    """
+    @property
+    def is_open(self) -> bool:
+        """Return whether a request can be sent."""
+        return self.transport is not None and not self.transport.is_closing()
 
-    connection_error: BaseException | None = None
-    bytes_left: float = _MAX_BYTES_BEFORE_HEAD
-    idle_address: str = ""
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport."""
+        assert isinstance(transport, asyncio.Transport), "a stream transport"
+        self.transport = transport
 
     def data_received(self, data: bytes) -> None:
-        """Parse `data`, or close the connection if the server sends too much."""
-        if self.idle_address:
-            _log.write(
-                "bytes outside a request",
-                f"{len(data)} bytes came while no request was under way",
-                server=self.idle_address,
-            )
-            self.idle_address = ""
-        self.bytes_left -= len(data)
-        if self.bytes_left < 0:
+        """Parse `data` if a response is awaited."""
+        response = self.response
+        if response is None or response.is_complete:
+            self._end_for_strays(f"{len(data)} bytes while no request was under way")
+            return
+        try:
+            response.feed(data)
+        except InvalidResponseError as error:
+            self._fail(str(error))
             self.abort()
             return
-        super().data_received(data)
+        self._wake()
+        if response.has_strays:
+            self._end_for_strays("bytes behind a complete response")
+        elif response.buffered_bytes > _MAX_BUFFERED_BYTES and not self._is_paused:
+            self._is_paused = True
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on after the buffered part of the body has been taken."""
+        if self._is_paused and self.transport is not None:
+            self._is_paused = False
+            self.transport.resume_reading()
+
+    def eof_received(self) -> None:
+        """End a response that the end of the connection delimits."""
+        if self.response is not None and not self.response.is_complete:
+            self.response.feed_end()
+        self._fail("the server ended the connection")
 
-    def abort(self) -> None:
-        """Close the connection at once.
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Store what ended the connection."""
+        self._fail(repr(exc) if exc is not None else "the connection was closed")
+        self.transport = None
+        if self.response is not None:
+            self.response.forget_parser()
+
+    async def wait(self) -> None:
+        """Return after the next bytes, or the end of the connection."""
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
 
-        The base class forgets the body first, so that its reader would never be woken.
-        """
+    def close(self) -> None:
+        """Close the connection after what has been written."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
         if self.transport is not None:
             self.transport.abort()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Store the error that ended the connection, or None."""
-        self.connection_error = exc
-        super().connection_lost(exc)
+    def _end_for_strays(self, detail: str) -> None:
+        if self.is_open:
+            _log.write("bytes outside a request", detail, server=self.address)
+        self.abort()
+
+    def _fail(self, detail: str) -> None:
+        if not self.error:
+            self.error = detail
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
 
 @attrs.define(eq=False)
 class _Connection:
+    """A connection, and the hashes of the identifiers that it has carried.
+
+    Two identifiers with one hash only cost a further connection.
+    """
+
     protocol: _ServerProtocol
     idle_since_ms: float
     idle_limit_ms: float = _DEFAULT_IDLE_MS
-    requests_carried: int = 0
+    carried: set[int] = attrs.Factory(set)
 
     def is_usable(self, now_ms: float) -> bool:
         """Return whether the connection can carry another request."""
-        if not self.protocol.is_connected() or self.protocol.should_close:
-            return False
-        return now_ms - self.idle_since_ms < self.idle_limit_ms
+        return (
+            self.protocol.is_open and now_ms - self.idle_since_ms < self.idle_limit_ms
+        )
+
+    def can_carry(self, identity: RequestIdentity) -> bool:
+        """Return whether the request can be told from those carried before."""
+        if not identity.request_id:
+            return not self.carried
+        return hash(identity.request_id) not in self.carried
 
 
 class ServerCall:
     """One request on one connection, until the end of its response."""
 
-    def __init__(self, pool: "ServerLinks", address: str, connection: _Connection):
+    def __init__(
+        self,
+        pool: "ServerLinks",
+        connection: _Connection,
+        identity: RequestIdentity,
+    ) -> None:
         """Use a connection that no other call uses, and return it to `pool`."""
         self.pool = pool
-        self.address = address
         self.connection = connection
-        self._payload: aiohttp.StreamReader | None = None
-        self._head: ResponseHead | None = None
+        self.requests_before = len(connection.carried)
         self.is_released = False
+        self._response = ResponseParser(
+            identity, self.requests_before > 0, self._log_discarded
+        )
+
+    def _log_discarded(self, status: int, mismatch: str) -> None:
+        _log.write(
+            "response discarded",
+            mismatch,
+            request=self._response.identity.request_id,
+            server=self.connection.protocol.address,
+            status=status,
+            requests_before=self.requests_before,
+        )
 
     def send(self, request: bytes) -> None:
         """Write the complete request; raise ServerCallError if it cannot be written."""
-        transport = self.connection.protocol.transport
-        if transport is None or transport.is_closing():
+        protocol = self.connection.protocol
+        if not protocol.is_open:
             raise ServerCallError(
                 "the connection closed before the request was sent", False
             )
-        self.connection.protocol.bytes_left = _MAX_BYTES_BEFORE_HEAD
-        self.connection.protocol.idle_address = ""
-        transport.write(request)
+        self.connection.carried.add(hash(self._response.identity.request_id))
+        protocol.response = self._response
+        protocol.transport.write(request)
 
-    @property
-    def requests_before(self) -> int:
-        """Return how many requests the connection had carried before this one."""
-        return self.connection.requests_carried
-
-    async def read_head(
-        self, request_id: str, find_mismatch: Callable[[Any, bool], str | None]
-    ) -> ResponseHead:
+    async def read_head(self) -> ResponseHead:
         """Return the head of the response to the request; raise ServerCallError.
 
-        `find_mismatch` returns why headers belong to another response, or None. It is
-        also told whether the connection was used before. Responses to earlier requests
-        are read and discarded.
+        Interim responses and late ones to earlier requests are discarded.
         """
-        is_reused = self.requests_before > 0
-        try:
-            for _ in range(_MAX_RESPONSES_READ):
-                message, payload = await self.connection.protocol.read()
-                if message.code < 200:
-                    continue
-                mismatch = find_mismatch(message.headers, is_reused)
-                if mismatch is None:
-                    self.connection.protocol.bytes_left = float("inf")
-                    self._payload = payload
-                    self._head = ResponseHead(
-                        message.code,
-                        message.reason,
-                        message.headers,
-                        message.raw_headers,
-                        message.should_close,
-                    )
-                    return self._head
-                _log.write(
-                    "response discarded",
-                    mismatch,
-                    request=request_id,
-                    server=self.address,
-                    status=message.code,
-                    requests_before=self.requests_before,
-                )
-                while await payload.readany():
-                    pass
-        except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError) as e:
-            raise ServerCallError(f"no response came: {e!r}", True) from e
-        raise ServerCallError("received only responses to other requests", True)
+        protocol = self.connection.protocol
+        while self._response.head is None:
+            if protocol.error:
+                raise ServerCallError(f"no response came: {protocol.error}", True)
+            await protocol.wait()
+        return self._response.head
 
     async def iter_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raise ServerCallError if it is cut off."""
-        assert self._payload is not None, "the head is read before the body"
-        try:
-            while True:
-                data = await self._payload.readany()
-                if not data:
-                    break
+        response, protocol = self._response, self.connection.protocol
+        while True:
+            data = response.take_body()
+            if data:
+                protocol.resume_reading()
                 yield data
-        except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError) as e:
-            raise ServerCallError(f"the response was cut off: {e!r}", True) from e
-        connection_error = self.connection.protocol.connection_error
-        if connection_error is not None and self._ends_with_connection():
-            raise ServerCallError(
-                f"the response was cut off by a reset: {connection_error!r}", True
-            )
-
-    def _ends_with_connection(self) -> bool:
-        """Return whether only the end of the connection delimits the response."""
-        assert self._head is not None, "the head is read before the body"
-        headers = self._head.headers
-        return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+                continue
+            if response.is_complete:
+                return
+            if protocol.error:
+                raise ServerCallError(
+                    f"the response was cut off: {protocol.error}", True
+                )
+            await protocol.wait()
 
     async def read_body(self) -> bytes:
         """Return the complete body; raise ServerCallError if cut off or too long."""
@@ -231,12 +265,30 @@
     def release(self) -> None:
         """Return the connection to the pool after a complete response, or close it."""
         self.is_released = True
-        head = self._head
-        is_complete = self._payload is not None and self._payload.is_eof()
-        if head is None or not is_complete or head.should_close:
+        if not self._is_reusable():
             self.abort()
             return
-        self.pool.release(self.address, self.connection, head)
+        self.connection.protocol.response = None
+        self.pool.release(self.connection, self._response.head)
+
+    def _is_reusable(self) -> bool:
+        """Return whether what comes next can be told from what has come.
+
+        A late response to HEAD states the length of a body that it doesn't have. A
+        server that states no identifier would not be believed again.
+        """
+        response = self._response
+        head, identity = response.head, response.identity
+        return (
+            head is not None
+            and response.is_complete
+            and not head.should_close
+            and not response.has_strays
+            and response.discarded_count == 0
+            and identity.method != "HEAD"
+            and len(self.connection.carried) < _MAX_REQUESTS_CARRIED
+            and bool(identity.identifiers_of(head.headers))
+        )
 
     def abort(self) -> None:
         """Close the connection at once, so that the server stops its work."""
@@ -252,20 +304,26 @@
         self.opened_count = 0
         self._idle: dict[str, list[_Connection]] = {}
 
-    async def start_call(self, address: str) -> ServerCall:
+    async def start_call(self, address: str, identity: RequestIdentity) -> ServerCall:
         """Return a call on an idle or new connection; raise ServerCallError.
 
-        A server may close an idle connection just as a request arrives, so none is
-        reused near the end of the keep-alive timeout that the server states.
+        No connection is used whose late responses could be taken for the request's.
+        If that excludes all idle ones, one of them is closed for the new one. A server
+        may close an idle connection just as a request arrives, so none is reused near
+        the end of the keep-alive timeout that the server states.
         """
         now_ms = self.clock.now_ms()
         idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable(now_ms):
-                return ServerCall(self, address, connection)
-            connection.protocol.close()
-        return ServerCall(self, address, await self._connect(address))
+        for index in reversed(range(len(idle))):
+            connection = idle[index]
+            if not connection.is_usable(now_ms):
+                idle.pop(index).protocol.close()
+                continue
+            if connection.can_carry(identity):
+                return ServerCall(self, idle.pop(index), identity)
+        if idle:
+            idle.pop(0).protocol.close()
+        return ServerCall(self, await self._connect(address), identity)
 
     async def probe(self, address: str) -> Reachability:
         """Open a connection to a server, and keep it for the next call.
@@ -292,29 +350,20 @@
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 _, protocol = await loop.create_connection(
-                    lambda: _ServerProtocol(loop), ip, int(port)
+                    lambda: _ServerProtocol(address), ip, int(port)
                 )
         except (OSError, TimeoutError) as error:
             raise ServerCallError(f"no connection: {error!r}", False) from error
-        protocol.set_response_params(
-            read_until_eof=True,
-            auto_decompress=False,
-            max_line_size=_MAX_HEADER_BYTES,
-            max_field_size=_MAX_HEADER_BYTES,
-        )
         return _Connection(protocol, self.clock.now_ms())
 
-    def release(self, address: str, connection: _Connection, head: ResponseHead):
+    def release(self, connection: _Connection, head: ResponseHead) -> None:
         """Keep a connection for the next call, for as long as the server does."""
         connection.idle_since_ms = self.clock.now_ms()
         connection.idle_limit_ms = _keep_alive_ms(head.headers.get("Keep-Alive", ""))
-        if connection.idle_limit_ms <= 0 or connection.protocol.should_close:
+        if connection.idle_limit_ms <= 0 or not connection.protocol.is_open:
             connection.protocol.close()
             return
-        connection.protocol.bytes_left = _MAX_BYTES_BEFORE_HEAD
-        connection.requests_carried += 1
-        connection.protocol.idle_address = address
-        self._idle.setdefault(address, []).append(connection)
+        self._idle.setdefault(connection.protocol.address, []).append(connection)
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to a server that was removed."""
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -7,7 +7,7 @@
 
 from celerypulley.errors import ErrorKind
 from celerypulley.links.forward_dialect import Dialect, ForwardedCall, ResponseMetadata
-from celerypulley.links.server_connection import ResponseHead
+from celerypulley.links.response_parser import ResponseHead
 from celerypulley.programs.opaque_request import OpaqueRequest, PrefixPart
 
 __all__ = ["DIALECT"]
@@ -149,23 +149,15 @@
     return True if values == ["1"] else None
 
 
-def _response_matcher(request_id: str):
-    def find_mismatch(headers, is_reused_connection: bool) -> str | None:
-        # Without an identifier it may be a second response to an earlier request.
-        if "Request-Id" not in headers:
-            if is_reused_connection and request_id:
-                return "no identifier"
-            return None
-        return None if headers["Request-Id"] == request_id else "other identifier"
-
-    return find_mismatch
+def _response_identifiers(headers) -> list[str]:
+    return headers.getall("Request-Id", [])
 
 
 DIALECT = Dialect(
     decode=_decode_request,
     encode=_encode_request,
     response_metadata=_decode_response_head,
-    response_matcher=_response_matcher,
+    response_identifiers=_response_identifiers,
     # A quarantined request is valid, so it gets no 4xx; it has not run this time.
     status_of={ErrorKind.QUARANTINED: 503},
 )
--- a/celerypulley/stand_ins/opaque_server.py
+++ b/celerypulley/stand_ins/opaque_server.py
@@ -7,10 +7,11 @@
 import enum
 import socket
 import struct
+from collections.abc import Callable
 
 import attrs
 
-__all__ = ["Mode", "OpaqueServer", "ReceivedRequest"]
+__all__ = ["Mode", "OpaqueServer", "ReceivedRequest", "Script"]
 
 _DEFAULT_EVENT_COUNT = 4
 
@@ -97,11 +98,27 @@
         return self.headers.get("request-id", "")
 
 
+@attrs.frozen
+class Script:
+    """The bytes that a server sends for one request, as functions of that request.
+
+    `response(request)` is sent in one write after `wait_s`. `late(request)` follows
+    `late_after_s` after it, or else, if that is None, as soon as the next request on
+    the connection has arrived, before the response to that one.
+    """
+
+    response: Callable[[ReceivedRequest], bytes]
+    late: Callable[[ReceivedRequest], bytes] | None = None
+    late_after_s: float | None = None
+    wait_s: float = 0.0
+
+
 @attrs.define(eq=False)
 class OpaqueServer:
     """One server and the requests that it received.
 
-    Each request uses up one of `next_modes`; after these, `mode` applies. Streams have
+    Each request uses up one of `next_scripts`, or else one of `next_modes`; after
+    these, `mode` applies. Streams have
     `event_count` events, `event_interval_s` apart. `cut_response` is a response, the
     number of its bytes that are sent, and whether a reset follows. `client_disconnects`
     counts connections that end within a request or its response. `added_headers` are
@@ -111,6 +128,7 @@
     name: str
     mode: Mode = Mode.COMPLETE
     next_modes: list[Mode] = attrs.Factory(list)
+    next_scripts: list[Script] = attrs.Factory(list)
     event_count: int = _DEFAULT_EVENT_COUNT
     event_interval_s: float = 0.0
     received: list[ReceivedRequest] = attrs.Factory(list)
@@ -123,6 +141,8 @@
     address: str = ""
     _server: asyncio.Server | None = None
     _writers: set = attrs.Factory(set)
+    _late_tasks: set = attrs.Factory(set)
+    _owed: dict[asyncio.StreamWriter, bytes] = attrs.Factory(dict)
     _last_refusals: dict[asyncio.StreamWriter, bytes] = attrs.Factory(dict)
 
     async def start(self) -> None:
@@ -166,6 +186,7 @@
         finally:
             self._writers.discard(writer)
             self._last_refusals.pop(writer, None)
+            self._owed.pop(writer, None)
             writer.close()
 
     async def _serve_request(
@@ -186,9 +207,31 @@
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         request = ReceivedRequest(request_line, headers, body)
         self.received.append(request)
+        if writer in self._owed:
+            writer.write(self._owed.pop(writer))
+            await writer.drain()
+        if self.next_scripts:
+            await self._play(self.next_scripts.pop(0), request, writer)
+            return True
         mode = self.next_modes.pop(0) if self.next_modes else self.mode
         return await self._respond(mode, request, writer)
 
+    async def _play(
+        self, script: Script, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(script.wait_s)
+        writer.write(script.response(request))
+        await writer.drain()
+        if script.late is None:
+            return
+        late = script.late(request)
+        if script.late_after_s is None:
+            self._owed[writer] = late
+            return
+        task = asyncio.create_task(_write_later(writer, late, script.late_after_s))
+        self._late_tasks.add(task)
+        task.add_done_callback(self._late_tasks.discard)
+
     async def _respond(
         self, mode: Mode, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
@@ -317,6 +360,13 @@
         return True
 
 
+async def _write_later(
+    writer: asyncio.StreamWriter, data: bytes, wait_s: float
+) -> None:
+    await asyncio.sleep(wait_s)
+    writer.write(data)
+
+
 def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
     writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
 
