--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import pytest
+import uvloop
 
 from celerypulley.stand_ins.opaque_server import ReceivedRequest, Script
 from tests.fleet import API_KEY, Fleet, Response, desired_state, running_fleet
@@ -365,3 +366,18 @@
             assert second.status == status
             if body is not None:
                 assert second.body == body
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_servers_are_unreachable_on_the_event_loop_of_the_product(run):
+    async def call_twice() -> None:
+        async with running_fleet() as fleet:
+            (server,) = fleet.servers
+            server.next_scripts = [Script(with_length(200)), Script(in_chunks(200))]
+            for number in range(2):
+                headers = {"Request-Id": f"request-{number}"}
+                response = await _call(fleet, f"/unsafe/{number}", "POST", headers)
+                assert _is_own(response, f"/unsafe/{number}", headers, 200)
+            assert server.connection_count == 1
+
+    run(call_twice())
