--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -381,3 +381,15 @@
             assert server.connection_count == 1
 
     run(call_twice())
+
+
+async def test_unframed_body_that_the_host_cuts_off_looks_whole():
+    """The server falls silent; the host closes the connection and tries another."""
+    async with running_fleet(servers=2) as fleet:
+        unframed = _raw(f"HTTP/1.1 200 OK\r\n{SEALED}Connection: close\r\n\r\nhalf")
+        scripts = [Script(unframed), Script(with_length(200))]
+        for server in fleet.servers:
+            server.next_scripts = scripts
+        headers = {"Request-Id": "request", "Deadline-Ms": "1500"}
+        response = await _call(fleet, "/safe/x", "GET", headers)
+        assert _is_own(response, "/safe/x", headers, 200), response
