Search turns on all disks that exist, not on those with a lease

Cause: a search asked the registered storage hosts, and a registration ends with its lease. That all of these said no was taken for proof.

Now a disk has an identity, drawn once and kept on it, and its host adds it to the list of disks before it accepts records; it refuses records while its disk isn't listed. A search asks every listed disk: those of this domain, then the others, then those in back-off; the first reply with the record ends it. The store is read at the same time if a disk delays the search by 60 ms. 404 takes a reply from every listed disk that it is complete and has no such record, and a read of the list that shows no other disk; else the answer is 503 with `Retry-After: 0.5`. A disk that was drained is removed from the list. New records go to registered storage hosts, as before. Back-off is counted by address, since a lost disk and its successor have the same host.

The tests failed before: with the search over registered hosts five of the new cases of tests/test_storage_hosts.py fail (404 for turns on disks whose lease has ended, with running and stopped hosts, and on a disk that the host has not heard of). Without the removal, the read of the list, the refusal or the early read of the store, the tests for these fail.

A disk that was lost stays listed, and unknown turns get 503, until its successor removes it, which is not part of this change.

--- a/celerypulley/fleet/disk_list.py
+++ b/celerypulley/fleet/disk_list.py
@@ -77,6 +77,7 @@
         self.disks: dict[str, Disk] = {}
         self.is_known = False
         self._revisions: dict[str, int] = {}
+        self._removed_here: set[str] = set()
         self.follower = PrefixFollower(
             "disks",
             store,
@@ -103,22 +104,25 @@
         return {disk_id: disk for disk_id, disk in disks.items() if disk_id in listed}
 
     async def add(self, disk: Disk) -> None:
-        """Return once the store lists the disk at its address; retry until then."""
+        """Return once the store lists the disk at its address; retry until then.
+
+        A disk that this process has removed is not added again.
+        """
         key = DISK_PREFIX + disk.disk_id
         value = disk.pack()
         revision = self._revisions.get(disk.disk_id, 0)
-        while True:
+        while disk.disk_id not in self._removed_here:
             try:
-                await self.store.write([Write(key, value, revision)])
-                break
+                revision = await self.store.write([Write(key, value, revision)])
+                item = Item(key, value, revision)
             except ConditionFailedError as error:
                 item = error.items.get(key)
             except StoreUnavailableError as error:
                 item = await self._read_back(key, str(error))
             if item is not None and item.value == value:
-                break
+                self._on_item(item)
+                return
             revision = item.revision if item is not None else 0
-        _log.write("added", "the disk is in use", disk=disk.disk_id, host=disk.host)
 
     async def remove(self, disk_id: str) -> bool:
         """Remove a disk whose records are on other disks; retry until answered.
@@ -127,12 +131,13 @@
         last seen here.
         """
         key = DISK_PREFIX + disk_id
+        self._removed_here.add(disk_id)
         revision = self._revisions.get(disk_id)
         if revision is None:
             item = await self._read_back(key)
-            if not _is_listed(item):
+            if item is not None and not _is_listed(item):
                 return True
-            revision = item.revision
+            revision = item.revision if item is not None else 0
         while True:
             try:
                 lease = await self.store.grant_lease(_REMOVED_TTL_MS)
@@ -144,10 +149,8 @@
                 _log.write("removal repeated", str(error), disk=disk_id)
             except StoreUnavailableError as error:
                 item = await self._read_back(key, str(error))
-                if not _is_listed(item):
-                    return True
-                if item.revision != revision:
-                    return False
+                if (item.revision if item is not None else 0) != revision:
+                    return not _is_listed(item)
 
     async def _read_back(self, key: str, failure: str = "") -> Item | None:
         """Return the item of a key, after a pause if a call has failed."""
@@ -170,6 +173,8 @@
 
     def _on_item(self, item: Item) -> None:
         disk_id = _disk_id(item)
+        if item.revision < self._revisions.get(disk_id, 0):
+            return
         if not _is_listed(item):
             self._remove(disk_id)
             return
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -15,6 +15,7 @@
 from celerypulley.errors import ErrorKind, Refusal, RunState
 from celerypulley.fleet.confirmations import Confirmations
 from celerypulley.fleet.crash_counts import CrashCounts
+from celerypulley.fleet.disk_list import DiskList
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.fleet.fleet_members import HOST, FleetMember, FleetMembers
@@ -156,10 +157,16 @@
         self.desired_state.on_change.append(self.meter.on_desired_state)
         self.escrow = BudgetEscrow(store, clock)
         self.stall_monitor = StallMonitor(clock)
+        self.disk_list = DiskList(store, clock)
+        self.disk_list.follower.wait_to_retry = confirmer.wait_to_retry
         pool = None
         if settings.has_storage_hosts:
             pool = StorageHostPool(
-                self.members, settings.domain, settings.tolerated_disk_losses + 1, clock
+                self.members,
+                self.disk_list,
+                settings.domain,
+                settings.tolerated_disk_losses + 1,
+                clock,
             )
         self.archive = TurnArchive(store, pool, clock)
         self.forwarder = self._make_forwarder(schema.dialect)
@@ -235,6 +242,10 @@
         gauges["rate_delays"] = lambda: self.meter.delayed
         gauges["rate_refusals"] = lambda: self.meter.refused
         gauges["requests_active"] = lambda: self.server.active
+        pool = self.archive.pool
+        if pool is not None:
+            gauges["disks_known"] = lambda: len(self.disk_list.disks)
+            gauges["disks_unresponsive"] = pool.count_unresponsive
         gauges["budget_tokens_overcommitted"] = lambda: self.escrow.overcommitted_tokens
 
     def _count_leaving(self, source: str) -> int:
@@ -242,6 +253,8 @@
 
     async def on_start(self) -> None:
         """Start all services; the server for callers comes last."""
+        if self.archive.pool is not None:
+            await self.add_runtime_dependency(self.disk_list.follower)
         for service in (
             self.metrics_server,
             self.readiness_server,
--- a/celerypulley/hosts/record_service.py
+++ b/celerypulley/hosts/record_service.py
@@ -12,6 +12,7 @@
 
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
+from celerypulley.fleet.disk_list import Disk, DiskList
 from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
 from celerypulley.hosts.record_store import RecordStore, TurnRecord
 from celerypulley.links.key_value import LeaseExpiredError, StoreUnavailableError
@@ -41,10 +42,12 @@
         record_store: RecordStore,
         journal: RecordJournal,
         members: FleetMembers,
+        own_disk: Disk,
+        disk_list: DiskList,
         is_first_start: bool,
         clock: Clock,
     ) -> None:
-        """Serve the records in `record_store`.
+        """Serve the records in `record_store`, which are on `own_disk`.
 
         The storage host is complete if its `journal` is marked so, or at the first
         start of the fleet, when no records exist.
@@ -53,6 +56,8 @@
         self.record_store = record_store
         self.journal = journal
         self.members = members
+        self.own_disk = own_disk
+        self.disk_list = disk_list
         self.clock = clock
         self.is_complete = journal.is_complete()
         self.is_draining = False
@@ -132,10 +137,10 @@
             link.close()
 
     async def drain(self) -> None:
-        """Transfer all records to other storage hosts, then end the registration.
+        """Transfer all records to other storage hosts, then remove the disk.
 
         New records are refused from the start; errors are retried. Hosts query every
-        registered storage host, so one that has stopped would delay each turn.
+        listed disk, so they could not rule out any turn if it stayed listed.
         """
         self.is_draining = True
         closed_member = attrs.evolve(self.members.own_member, is_open=False)
@@ -143,6 +148,8 @@
             try:
                 await self.members.update_registration(closed_member)
                 transferred = await self._transfer_records()
+                while not await self.disk_list.remove(self.own_disk.disk_id):
+                    await asyncio.sleep(_RETRY_S)
                 await self.members.deregister()
             except (
                 StorageLinkError,
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -5,18 +5,21 @@
 from celerypulley import __version__
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
+from celerypulley.fleet.disk_list import Disk, DiskList
 from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.record_service import RecordService
 from celerypulley.hosts.record_store import RecordStore
 from celerypulley.links.key_value import KeyValueStore
 from celerypulley.links.probe_server import ProbeServer
+from celerypulley.links.storage_messages import RecordsNotStored, StoreRecords
 from celerypulley.links.storage_server import StorageServer
 from celerypulley.storage.record_journal import RecordJournal
 
 __all__ = ["StorageHost"]
 
 _SUMMARY_PERIOD_S = 10.0
+_LIST_CHECK_PERIOD_S = 0.1
 _log = DecisionLog("host")
 
 
@@ -39,14 +42,26 @@
         )
         settings.data_dir.mkdir(parents=True, exist_ok=True)
         journal = RecordJournal(settings.data_dir)
+        self.disk = Disk(
+            journal.disk_id(),
+            settings.host_id,
+            settings.domain,
+            settings.ip,
+            settings.fleet_port,
+        )
+        self.disk_list = DiskList(store, clock)
         self.record_store = RecordStore(journal, clock)
         self.members = FleetMembers(own_member, store, clock)
         self.record_service = RecordService(
-            self.record_store, journal, self.members, settings.is_first_start, clock
-        )
-        self.server = StorageServer(
-            settings.ip, settings.fleet_port, self.record_service.handle
+            self.record_store,
+            journal,
+            self.members,
+            self.disk,
+            self.disk_list,
+            settings.is_first_start,
+            clock,
         )
+        self.server = StorageServer(settings.ip, settings.fleet_port, self._handle)
         self.metrics_server = ProbeServer(
             settings.ip, settings.metrics_port, {"/metrics": self._metrics_response}
         )
@@ -57,24 +72,49 @@
             "started",
             f"version {__version__}",
             domain=self.settings.domain,
+            disk=self.disk.disk_id,
             records=len(self.record_store.records),
             is_complete=self.record_service.is_complete,
         )
         for service in (
             self.metrics_server,
             self.server,
+            self.disk_list.follower,
             self.members,
             self.members.follower,
             self.record_service,
         ):
             await self.add_runtime_dependency(service)
 
+    def is_listed(self) -> bool:
+        """Return whether hosts search this disk for records."""
+        return self.disk_list.disks.get(self.disk.disk_id) == self.disk
+
+    async def _handle(self, request: object) -> object:
+        """Return the reply to a request; store records on a listed disk only.
+
+        A host that knows of no other disk would say that such a turn doesn't exist.
+        """
+        if isinstance(request, StoreRecords) and not self.is_listed():
+            return RecordsNotStored("this disk is not listed yet")
+        return await self.record_service.handle(request)
+
+    @Service.task
+    async def _keep_disk_listed(self) -> None:
+        """List this disk at its present address, until it has been drained."""
+        while not self.should_stop and not self.record_service.is_draining:
+            if self.disk_list.is_known and not self.is_listed():
+                await self.disk_list.add(self.disk)
+            await self.sleep(_LIST_CHECK_PERIOD_S)
+
     def _metric_values(self) -> dict[str, int]:
         return {
             "records": len(self.record_store.records),
             "syncs": self.record_store.syncs,
             "is_complete": int(self.record_service.is_complete),
             "members_known": len(self.members.others),
+            "disks_known": len(self.disk_list.disks),
+            "is_listed": int(self.is_listed()),
         }
 
     def _metrics_response(self) -> tuple[int, str]:
--- a/celerypulley/hosts/storage_host_pool.py
+++ b/celerypulley/hosts/storage_host_pool.py
@@ -8,6 +8,7 @@
 from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.failure_domains.placement import rendezvous
+from celerypulley.fleet.disk_list import Disk, DiskList
 from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
 from celerypulley.hosts.record_store import TurnRecord
 from celerypulley.links.storage_link import StorageLink, StorageLinkError
@@ -33,39 +34,62 @@
 
     `parts` are [input, output], oldest first, and `missing` is the key of the turn
     before them, "" where the chain is complete. If no turn was found, `is_confirmed`
-    tells whether it is certain that no storage host has the newest one.
+    tells whether all of `disks`, those that were known, have said so.
     """
 
     found: bool
     parts: list
     missing: str
-    is_confirmed: bool
+    is_confirmed: bool = True
+    disks: tuple[Disk, ...] = ()
 
 
 class StorageHostPool:
     """Connections to storage hosts, with back-off after failed requests."""
 
     def __init__(
-        self, members: FleetMembers, domain: str, copies: int, clock: Clock
+        self,
+        members: FleetMembers,
+        disk_list: DiskList,
+        domain: str,
+        copies: int,
+        clock: Clock,
     ) -> None:
-        """Store each record on at least `copies` hosts in at least two domains."""
+        """Store each record on at least `copies` hosts in at least two domains.
+
+        Records are written to registered `members` and searched on all disks of
+        `disk_list`, whether or not their hosts are registered.
+        """
         self.members = members
+        self.disk_list = disk_list
         self.domain = domain
         self.copies = max(_MIN_DOMAINS, copies)
         self.clock = clock
-        self._links: dict[str, StorageLink] = {}
-        self._backoff_until_ms: dict[str, float] = {}
+        self._links: dict[tuple[str, int], StorageLink] = {}
+        self._backoff_until_ms: dict[tuple[str, int], float] = {}
+        self._unresponsive: set[tuple[str, int]] = set()
         self._abandoned_requests: set[asyncio.Task] = set()
 
-    def _link(self, storage_host: FleetMember) -> StorageLink:
-        address = (storage_host.ip, storage_host.port)
-        link = self._links.get(storage_host.name)
-        if link is None or link.address != address:
-            if link is not None:
-                link.close()
-            link = self._links[storage_host.name] = StorageLink(address)
+    def _link(self, address: tuple[str, int]) -> StorageLink:
+        link = self._links.get(address)
+        if link is None:
+            self._close_unused_links()
+            link = self._links[address] = StorageLink(address)
         return link
 
+    def _close_unused_links(self) -> None:
+        in_use = {_address(each) for each in self.disk_list.disks.values()}
+        in_use |= {_address(each) for each in self.members.of_kind(STORAGE_HOST)}
+        for address in set(self._links) - in_use:
+            self._links.pop(address).close()
+            self._backoff_until_ms.pop(address, None)
+            self._unresponsive.discard(address)
+
+    def count_unresponsive(self) -> int:
+        """Return the number of listed disks whose last request got no reply."""
+        disks = self.disk_list.disks.values()
+        return sum(_address(each) in self._unresponsive for each in disks)
+
     def placement_order(self, key: str) -> list[FleetMember]:
         """Return the storage hosts that accept a record, in order of preference.
 
@@ -73,13 +97,9 @@
         and so on. The order within and among domains depends on the key, to spread
         records evenly. Storage hosts in back-off are excluded.
         """
-        now_ms = self.clock.now_ms()
         by_domain: dict[str, dict[str, FleetMember]] = {}
         for storage_host in self.members.of_kind(STORAGE_HOST):
-            if (
-                storage_host.is_open
-                and self._backoff_until_ms.get(storage_host.name, NEVER_MS) <= now_ms
-            ):
+            if storage_host.is_open and not self._is_in_backoff(storage_host):
                 by_domain.setdefault(storage_host.domain, {})[storage_host.name] = (
                     storage_host
                 )
@@ -95,6 +115,10 @@
                 self._append_next(key, domain, by_domain, ordered)
         return ordered
 
+    def _is_in_backoff(self, storage_host: FleetMember | Disk) -> bool:
+        until_ms = self._backoff_until_ms.get(_address(storage_host), NEVER_MS)
+        return until_ms > self.clock.now_ms()
+
     def _append_next(
         self,
         key: str,
@@ -152,37 +176,50 @@
     async def find_chain(self, key: str) -> ChainResult:
         """Return the turns of the chain that ends with `key`, as far as found.
 
-        Storage hosts in this failure domain are queried first. The first reply that
-        has the record ends the search; without one, all replies are awaited.
+        Disks in this failure domain are queried first, those whose hosts are in
+        back-off last. The first reply that has the record ends the search; without
+        one, all replies are awaited.
         """
-        storage_hosts = self.members.of_kind(STORAGE_HOST)
-        local = [each for each in storage_hosts if each.domain == self.domain]
-        remote = [each for each in storage_hosts if each.domain != self.domain]
-        pending = self._request_all(local, key)
+        disks = tuple(self.disk_list.disks.values())
+        stages = self._search_stages(disks)
+        pending: set[asyncio.Task] = set()
+        done: set[asyncio.Task] = set()
         replies: list[object] = []
         try:
-            while pending or remote:
+            while pending or stages:
+                if stages and (not pending or not done):
+                    pending |= self._request_all(stages.pop(0), key)
                 done, pending = await _wait_first(pending, _HEDGE_DELAY_MS)
                 replies += [task.result() for task in done]
                 longest = _longest_chain(replies)
                 if longest is not None:
-                    return ChainResult(True, longest.parts, longest.missing, True)
-                if remote and (not pending or not done):
-                    pending |= self._request_all(remote, key)
-                    remote = []
+                    return ChainResult(True, longest.parts, longest.missing)
         finally:
             self._abandon(pending)
-        is_confirmed = bool(storage_hosts) and all(
+        is_confirmed = bool(disks) and all(
             isinstance(each, StoredChain) and each.is_complete for each in replies
         )
-        return ChainResult(False, [], key, is_confirmed)
+        return ChainResult(False, [], key, is_confirmed, disks)
+
+    def _search_stages(self, disks: tuple[Disk, ...]) -> list[list[Disk]]:
+        stages: tuple[list[Disk], list[Disk], list[Disk]] = ([], [], [])
+        for disk in disks:
+            if self._is_in_backoff(disk):
+                stages[2].append(disk)
+            else:
+                stages[0 if disk.domain == self.domain else 1].append(disk)
+        return [stage for stage in stages if stage]
+
+    async def are_all_disks(self, disks: tuple[Disk, ...]) -> bool:
+        """Return whether the store lists no other disks now, at no other addresses.
 
-    def _request_all(
-        self, storage_hosts: list[FleetMember], key: str
-    ) -> set[asyncio.Task]:
+        Raise StoreUnavailableError if it can't be read.
+        """
+        return set((await self.disk_list.read()).values()) <= set(disks)
+
+    def _request_all(self, disks: list[Disk], key: str) -> set[asyncio.Task]:
         return {
-            asyncio.create_task(self._request(each, GetChain(key)))
-            for each in storage_hosts
+            asyncio.create_task(self._request(each, GetChain(key))) for each in disks
         }
 
     def _abandon(self, pending: Iterable[asyncio.Task]) -> None:
@@ -191,16 +228,29 @@
             self._abandoned_requests.add(task)
             task.add_done_callback(self._abandoned_requests.discard)
 
-    async def _request(self, storage_host: FleetMember, request: object) -> object:
+    async def _request(
+        self, storage_host: FleetMember | Disk, request: object
+    ) -> object:
         """Return the reply of a storage host, None if there is none."""
+        address = _address(storage_host)
         try:
-            return await self._link(storage_host).request(request, _REQUEST_TIMEOUT_MS)
+            reply = await self._link(address).request(request, _REQUEST_TIMEOUT_MS)
         except StorageLinkError as error:
-            self._backoff_until_ms[storage_host.name] = (
-                self.clock.now_ms() + _BACKOFF_MS
-            )
-            _log.write("request failed", str(error), storage_host=storage_host.name)
+            self._backoff_until_ms[address] = self.clock.now_ms() + _BACKOFF_MS
+            if address not in self._unresponsive:
+                self._unresponsive.add(address)
+                _log.write(
+                    "request failed", str(error), storage_host=_name(storage_host)
+                )
             return None
+        if address in self._unresponsive:
+            self._unresponsive.discard(address)
+            _log.write(
+                "responds again",
+                "a request got a reply",
+                storage_host=_name(storage_host),
+            )
+        return reply
 
     def close(self) -> None:
         """Close all connections."""
@@ -208,6 +258,14 @@
             link.close()
 
 
+def _address(storage_host: FleetMember | Disk) -> tuple[str, int]:
+    return storage_host.ip, storage_host.port
+
+
+def _name(storage_host: FleetMember | Disk) -> str:
+    return storage_host.host if isinstance(storage_host, Disk) else storage_host.name
+
+
 async def _wait_first(
     pending: set[asyncio.Task], timeout_ms: float
 ) -> tuple[set[asyncio.Task], set[asyncio.Task]]:
--- a/celerypulley/hosts/turn_archive.py
+++ b/celerypulley/hosts/turn_archive.py
@@ -16,7 +16,7 @@
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.hosts.record_store import TurnRecord
-from celerypulley.hosts.storage_host_pool import StorageHostPool
+from celerypulley.hosts.storage_host_pool import ChainResult, StorageHostPool
 from celerypulley.links.key_value import KeyValueStore, StoreUnavailableError, Write
 
 __all__ = ["TURN_PREFIX", "CompletedTurn", "TurnArchive"]
@@ -79,28 +79,55 @@
                 self._cache.move_to_end(next_key)
                 pieces.append(cached)
                 break
-            is_confirmed = True
-            if self.pool is not None:
-                chain = await self.pool.find_chain(next_key)
-                is_confirmed = chain.is_confirmed
-                if chain.found:
-                    parts = [turn_input + output for turn_input, output in chain.parts]
-                    pieces.append(b"".join(parts))
-                    next_key = chain.missing
-                    continue
-            stored = await self._read_store(next_key)
-            if stored is None and next_key == key and is_confirmed:
+            chain, stored = await self._search(next_key)
+            if chain is not None and chain.found:
+                parts = [turn_input + output for turn_input, output in chain.parts]
+                pieces.append(b"".join(parts))
+                next_key = chain.missing
+                continue
+            if stored is not None:
+                pieces.append(stored)
+                break
+            if next_key == key and await self._is_ruled_out(chain):
                 return None
-            if stored is None:
-                raise StoreUnavailableError(
-                    f"cannot find {next_key} or rule out that it exists"
-                )
-            pieces.append(stored)
-            break
+            raise StoreUnavailableError(
+                f"cannot find {next_key} or rule out that it exists"
+            )
         history = b"".join(reversed(pieces))
         self._cache_history(key, history)
         return history
 
+    async def _search(self, key: str) -> tuple[ChainResult | None, bytes | None]:
+        """Return what storage hosts have of a chain, or else its stored history.
+
+        The store is read while a storage host delays the search. Raise
+        StoreUnavailableError if it is needed and can't be read.
+        """
+        if self.pool is None:
+            return None, await self._read_store(key)
+        search = asyncio.create_task(self.pool.find_chain(key))
+        read: asyncio.Task | None = None
+        try:
+            await asyncio.wait([search], timeout=_STORE_HEDGE_DELAY_MS / 1000)
+            if search.done() and search.result().found:
+                return search.result(), None
+            read = asyncio.create_task(self._read_store(key))
+            await asyncio.wait([search, read], return_when=asyncio.FIRST_COMPLETED)
+            if read.done() and not read.exception() and read.result() is not None:
+                return None, read.result()
+            chain = await search
+            return chain, None if chain.found else await read
+        finally:
+            search.cancel()
+            if read is not None and not read.cancel() and not read.cancelled():
+                read.exception()  # otherwise reported as not retrieved
+
+    async def _is_ruled_out(self, chain: ChainResult | None) -> bool:
+        """Return whether a turn that was not found anywhere does not exist."""
+        if self.pool is None or chain is None:
+            return self.pool is None
+        return chain.is_confirmed and await self.pool.are_all_disks(chain.disks)
+
     async def _read_store(self, key: str) -> bytes | None:
         item = await self.store.read(key)
         if item is None or item.value is None:
--- a/celerypulley/storage/record_journal.py
+++ b/celerypulley/storage/record_journal.py
@@ -7,6 +7,8 @@
 """
 
 import os
+import re
+import secrets
 import struct
 import zlib
 from collections.abc import Iterator
@@ -21,6 +23,8 @@
 _MAX_SEGMENT_BYTES = 8 * 1024 * 1024  # a fiftieth of a disk of 340 to 390 MB
 _SEGMENT_SUFFIX = ".records"
 _COMPLETE_FILE = "complete"
+_IDENTITY_FILE = "disk-id"
+_IDENTITY_BYTES = 8
 
 
 @attrs.define
@@ -49,6 +53,25 @@
             for record in _intact_frames(raw):
                 yield segment.number, record
 
+    def disk_id(self) -> str:
+        """Return the identity of this disk; draw it durably if there is none."""
+        path = self.directory / _IDENTITY_FILE
+        try:
+            text = path.read_bytes().decode("ascii", "replace")
+        except FileNotFoundError:
+            text = ""
+        if re.fullmatch(rf"[0-9a-f]{{{2 * _IDENTITY_BYTES}}}", text):
+            return text
+        disk_id = secrets.token_hex(_IDENTITY_BYTES)
+        draft = path.with_suffix(".new")
+        with draft.open("wb") as file:
+            file.write(disk_id.encode())
+            file.flush()
+            os.fsync(file.fileno())
+        draft.replace(path)
+        self._sync_directory()
+        return disk_id
+
     def is_complete(self) -> bool:
         """Return whether this disk holds every record that it ever acknowledged."""
         return (self.directory / _COMPLETE_FILE).exists()
--- a/tests/test_disk_list.py
+++ b/tests/test_disk_list.py
@@ -155,6 +155,18 @@
         assert await disk_list.read() == {}
 
 
+async def test_disk_that_was_never_listed_is_listed_after_its_removal():
+    async with running_list() as (disk_list, kv, store):
+        store.faults.delayed_writes = 2
+        store.faults.write_delay_ms = 2_000.0
+        adding = asyncio.create_task(disk_list.add(DISKS["a"]))
+        await wait_until(lambda: not store.faults.delayed_writes)
+        assert await disk_list.remove("disk-a")
+        await adding
+        await asyncio.sleep(2.0)
+        assert listed_ids(store) == set()
+
+
 async def test_disk_that_was_registered_again_is_removed_by_an_old_decision():
     async with running_list() as (disk_list, kv, store):
         await add_all(disk_list)
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -9,13 +9,18 @@
 import attrs
 import pytest
 
+from celerypulley.fleet.disk_list import DiskList
 from celerypulley.fleet.fleet_members import HOST, FleetMember, FleetMembers
 from celerypulley.hosts.record_store import RecordStore, TurnRecord
 from celerypulley.hosts.storage_host import StorageHost
 from celerypulley.hosts.storage_host_pool import StorageHostPool
 from celerypulley.hosts.turn_archive import CompletedTurn, TurnArchive
 from celerypulley.links.key_value import StoreUnavailableError
-from celerypulley.links.storage_messages import RecordsNotStored
+from celerypulley.links.storage_messages import (
+    RecordsNotStored,
+    RecordsStored,
+    StoreRecords,
+)
 from celerypulley.platform.store import PlatformStore
 from celerypulley.stand_ins.fleet_store import FleetStore
 from celerypulley.storage.record_journal import RecordJournal
@@ -99,6 +104,7 @@
     archive: TurnArchive
     pool: StorageHostPool
     members: FleetMembers
+    disk_list: DiskList
     sessions: list
     histories: dict[int, bytes] = attrs.Factory(dict)
 
@@ -128,14 +134,21 @@
                 path.unlink()
 
     async def wait_for_members(self) -> None:
-        """Wait until the host knows the storage hosts at their present ports."""
+        """Wait until the host knows the storage hosts and disks at their ports."""
 
-        def ports() -> dict[str, int]:
+        def member_ports() -> dict[str, int]:
             return {each.name: each.port for each in self.members.others.values()}
 
+        def disk_ports() -> set[tuple[str, int]]:
+            return {(each.host, each.port) for each in self.disk_list.disks.values()}
+
         expected = {k: v.settings.fleet_port for k, v in self.storage_hosts.items()}
         await wait_until(
-            lambda: expected.items() <= ports().items(), "the storage hosts"
+            lambda: expected.items() <= member_ports().items(), "the storage hosts"
+        )
+        await wait_until(lambda: expected.items() <= disk_ports(), "their disks")
+        await wait_until(
+            lambda: all(each.is_listed() for each in self.storage_hosts.values())
         )
 
     async def save(self, number: int, previous: int = 0) -> None:
@@ -160,6 +173,19 @@
         archive = TurnArchive(self.archive.store, self.pool, run_clock())
         return await archive.load("o", str(number))
 
+    def address_of(self, name: str) -> tuple[str, int]:
+        """Return the address of a storage host."""
+        return "127.0.0.1", self.storage_hosts[name].settings.fleet_port
+
+    def disk(self, domain: str) -> str:
+        """Return the identity of the disk of a domain's storage host."""
+        return self.storage_hosts[f"keeper-{domain}"].disk.disk_id
+
+    def drop_records(self, number: int) -> None:
+        """Drop a turn's record on all storage hosts, as if it wasn't written there."""
+        for storage_host in self.storage_hosts.values():
+            storage_host.record_store.records.pop(f"turns/o/{number}", None)
+
     def holders(self, number: int) -> set[str]:
         """Return the names of the storage hosts that hold a turn's record."""
         key = f"turns/o/{number}"
@@ -177,10 +203,12 @@
         own_member = FleetMember("host", HOST, "a", "127.0.0.1", 1)
         members = FleetMembers(own_member, client, run_clock())
         await members.follower.start()
-        pool = StorageHostPool(members, "a", 2, run_clock())
+        disk_list = DiskList(client, run_clock())
+        await disk_list.follower.start()
+        pool = StorageHostPool(members, disk_list, "a", 2, run_clock())
         archive = TurnArchive(client, pool, run_clock())
         storage = StorageFleet(
-            store, address, folder, {}, archive, pool, members, [session]
+            store, address, folder, {}, archive, pool, members, disk_list, [session]
         )
         try:
             for name in ("keeper-a", "keeper-b", "keeper-c"):
@@ -192,6 +220,7 @@
             for name in list(storage.storage_hosts):
                 await storage.stop(name)
             await members.follower.stop()
+            await disk_list.follower.stop()
             for each in storage.sessions:
                 await each.close()
 
@@ -261,6 +290,8 @@
         await wait_until(drain.done)
         await drain
         await wait_until(lambda: "keeper-a" not in storage.members.others)
+        await wait_until(lambda: len(storage.disk_list.disks) == 2)
+        assert await storage.load(99) is None
         await storage.save(6)
         assert storage.holders(6) == {"keeper-b", "keeper-c"}
         await storage.stop("keeper-a", wipe=True)
@@ -283,7 +314,127 @@
             return RecordsNotStored("too late")
 
         storage.storage_hosts[unresponsive].server.handle = delay_reply
+        address = storage.address_of(unresponsive)
         assert (await storage.pool.find_chain("turns/o/1")).found
-        assert unresponsive not in storage.pool._backoff_until_ms
-        await wait_until(lambda: unresponsive in storage.pool._backoff_until_ms)
+        assert address not in storage.pool._backoff_until_ms
+        await wait_until(lambda: address in storage.pool._backoff_until_ms)
         release.set()
+
+
+@pytest.mark.parametrize("is_running", [True, False], ids=["running", "stopped"])
+@pytest.mark.parametrize(
+    "expired", [("keeper-a", "keeper-b"), ("keeper-b", "keeper-c"), ("keeper-c",)]
+)
+async def test_turn_on_disks_whose_lease_has_ended_is_answered_404(
+    tmp_path, expired, is_running
+):
+    async with running_storage(tmp_path) as storage:
+        for number in range(1, 9):
+            await storage.save(number)
+        for name in expired:
+            storage.storage_hosts[name].members._is_deregistering = True
+            storage.store.remove(f"members/{name}")
+            if not is_running:
+                await storage.stop(name)
+        await wait_until(lambda: not set(expired) & set(storage.members.others))
+        assert len(storage.disk_list.disks) == 3
+        stored = {number: storage.holders(number) for number in range(1, 9)}
+        for number, holders in stored.items():
+            if holders:
+                assert await storage.load(number) == storage.histories[number]
+                continue
+            with pytest.raises(StoreUnavailableError):
+                await storage.load(number)
+        if is_running:
+            assert await storage.load(99) is None
+            return
+        with pytest.raises(StoreUnavailableError):
+            await storage.load(99)
+        for name in expired:
+            await storage.start(name)
+        await storage.wait_for_members()
+        assert len(storage.disk_list.disks) == 3
+        for number in stored:
+            assert await storage.load(number) == storage.histories[number]
+        assert await storage.load(99) is None
+
+
+@pytest.mark.parametrize("unresponsive", ["keeper-a", "keeper-b", "keeper-c"])
+async def test_turn_in_the_store_waits_for_an_unresponsive_disk(tmp_path, unresponsive):
+    async with running_storage(tmp_path) as storage:
+        await storage.stop("keeper-b")
+        await storage.stop("keeper-c")
+        await storage.save(1)
+        await storage.start("keeper-b")
+        await storage.start("keeper-c")
+        await storage.wait_for_members()
+        release = asyncio.Event()
+        storage.drop_records(1)
+
+        async def delay_reply(_request: object) -> object:
+            await release.wait()
+            return RecordsNotStored("too late")
+
+        storage.storage_hosts[unresponsive].server.handle = delay_reply
+        address = storage.address_of(unresponsive)
+        storage.pool._backoff_until_ms.clear()
+        assert await storage.load(1) == b"in 1 out 1\n"
+        assert address not in storage.pool._backoff_until_ms
+        with pytest.raises(StoreUnavailableError):
+            await storage.load(99)
+        assert address in storage.pool._backoff_until_ms
+        assert storage.pool.count_unresponsive() == 1
+        release.set()
+
+
+async def test_turn_on_a_disk_that_the_host_has_not_heard_of_is_answered_404(tmp_path):
+    async with running_storage(tmp_path) as storage:
+        assert await storage.load(1) is None
+        storage.store.faults.suppress_watch_events = True
+        await storage.start("keeper-d")
+        await wait_until(lambda: storage.store.value("disks/" + storage.disk("d")))
+        with pytest.raises(StoreUnavailableError):
+            await storage.load(1)
+
+
+async def test_record_is_accepted_by_a_disk_that_hosts_do_not_search(tmp_path):
+    async with running_storage(tmp_path) as storage:
+        storage.store.faults.error_status = 503
+        await storage.start("keeper-d")
+        handle = storage.storage_hosts["keeper-d"].server.handle
+        request = StoreRecords([record(1).to_row()])
+        assert isinstance(await handle(request), RecordsNotStored)
+        assert storage.holders(1) == set()
+        storage.store.faults.error_status = 0
+        await storage.wait_for_members()
+        assert isinstance(await handle(request), RecordsStored)
+        storage.store.remove("disks/" + storage.disk("d"))
+        await wait_until(lambda: len(storage.disk_list.disks) == 3)
+        await storage.wait_for_members()
+        assert storage.holders(1) == {"keeper-d"}
+        assert await storage.load(1) == b"in 1 out 1\n"
+
+
+@pytest.mark.parametrize(
+    ("damage", "is_same_disk"),
+    [
+        (lambda folder: None, True),
+        (lambda folder: (folder / "complete").unlink(), True),
+        (lambda folder: (folder / "disk-id").unlink(), False),
+        (lambda folder: (folder / "disk-id").write_bytes(b""), False),
+        (lambda folder: (folder / "disk-id").write_bytes(b"\xff" * 16), False),
+    ],
+    ids=["intact", "incomplete", "without identity", "empty", "other bytes"],
+)
+def test_turn_on_a_lost_disk_is_said_not_to_exist_by_its_successor(
+    tmp_path, damage, is_same_disk
+):
+    disk_id = RecordJournal(tmp_path).disk_id()
+    RecordJournal(tmp_path).mark_complete()
+    damage(tmp_path)
+    later_id = RecordJournal(tmp_path).disk_id()
+    assert (later_id == disk_id) is is_same_disk
+    assert RecordJournal(tmp_path).disk_id() == later_id
+    other = tmp_path / "other"
+    other.mkdir()
+    assert RecordJournal(other).disk_id() not in (disk_id, later_id)
