Put a registration right that a late write has replaced or ended

An entry host that loses its entry the same way gets no counts of the others and admits its share of each rate on top.

Cause: the entry was written without a condition, and after a lost answer again under a new lease. The lost write, applied some seconds later, tied the entry to the first lease again, which nobody renewed. The process renewed its second lease and never looked whether its entry was there.

Now an entry is written under the condition of what was last seen, so a lost write fails once a later one was applied, and the lease is kept, since the entry is written again under it. What the store has under the process's own name is known from the watch that it has anyway, with the lease (`Item.lease`). At each renewal a difference (gone, another lease, another value) is put right under its condition. A registration that nobody changes costs the same calls as before.

--- a/celerypulley/fleet/fleet_members.py
+++ b/celerypulley/fleet/fleet_members.py
@@ -11,6 +11,7 @@
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.links.key_value import (
+    ConditionFailedError,
     Item,
     KeyValueStore,
     LeaseExpiredError,
@@ -64,7 +65,8 @@
 class FleetMembers(Service):
     """Register this process and follow the entries of all others.
 
-    `addresses` and `domains` contain hosts only, not storage hosts.
+    `addresses` and `domains` contain hosts only, not storage hosts. What the store
+    has under this process's name is followed too, and put right when it differs.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self.domains: dict[str, str] = {}
         self.clock = clock
         self._lease = 0
+        self._own_entry: Item | None = None
         self._is_deregistering = False
         self._index_host(own_member)
         self.follower = PrefixFollower(
@@ -109,12 +112,15 @@
         listed = {item.key.removeprefix(MEMBER_PREFIX) for item in items}
         for name in set(self.others) - listed:
             self._remove(name)
+        if self.own_member.name not in listed:
+            self._own_entry = None
         for item in items:
             self._on_item(item)
 
     def _on_item(self, item: Item) -> None:
         name = item.key.removeprefix(MEMBER_PREFIX)
         if name == self.own_member.name:
+            self._on_own_item(item)
             return
         if item.value is None:
             self._remove(name)
@@ -138,6 +144,10 @@
             is_open=member.is_open,
         )
 
+    def _on_own_item(self, item: Item) -> None:
+        if self._own_entry is None or item.revision > self._own_entry.revision:
+            self._own_entry = item if item.value is not None else None
+
     def _remove(self, name: str) -> None:
         if self.others.pop(name, None) is None:
             return
@@ -153,7 +163,7 @@
                     await self.store.renew_lease(self._lease)
                 else:
                     self._lease = await self.store.grant_lease(_LEASE_TTL_MS)
-                    await self._write_entry()
+                await self._write_entry()
             except LeaseExpiredError as error:
                 _log.write("lease lost, registering again", str(error))
                 self._lease = 0
@@ -165,15 +175,36 @@
             await self.sleep(_RENEW_PERIOD_MS / 1000)
 
     async def _write_entry(self) -> None:
+        """Write the entry of this process unless the store is known to have it.
+
+        A write whose answer is lost may be applied seconds later, so its condition is
+        what was last seen, which a later write changes.
+        """
         key = MEMBER_PREFIX + self.own_member.name
-        try:
-            await self.store.write(
-                [Write(key, self.own_member.pack(), lease=self._lease)]
+        while not self._is_registered():
+            value = self.own_member.pack()
+            lease = self._lease
+            before = self._own_entry
+            revision = before.revision if before is not None else 0
+            try:
+                revision = await self.store.write([Write(key, value, revision, lease)])
+            except ConditionFailedError as error:
+                self._own_entry = error.items.get(key)
+                continue
+            self._own_entry = Item(key, value, revision, lease)
+            _log.write(
+                "registered",
+                "another entry was replaced" if before else "no entry was known",
+                lease=lease,
+                former_lease=before.lease if before else 0,
+                revision=revision,
             )
-        except StoreUnavailableError:
-            # A lease without its entry is useless, so it is not renewed.
-            self._lease = 0
-            raise
+
+    def _is_registered(self) -> bool:
+        entry = self._own_entry
+        if entry is None:
+            return False
+        return entry.lease == self._lease and entry.value == self.own_member.pack()
 
     async def update_registration(self, own_member: FleetMember) -> None:
         """Replace the entry of this process.
--- a/celerypulley/links/key_value.py
+++ b/celerypulley/links/key_value.py
@@ -19,11 +19,15 @@
 
 @attrs.frozen
 class Item:
-    """One key as it was last written; `value` is None if it was removed."""
+    """One key as it was last written; `value` is None if it was removed.
+
+    A `lease` of 0 means that the key stays until it is deleted.
+    """
 
     key: str
     value: bytes | None
     revision: int
+    lease: int = 0
 
 
 @attrs.frozen
--- a/celerypulley/platform/store.py
+++ b/celerypulley/platform/store.py
@@ -184,4 +184,4 @@
         value = base64.b64decode(row.get("value") or "", validate=True)
     except binascii.Error:
         value = b""
-    return Item(row["key"], value, revision)
+    return Item(row["key"], value, revision, int(row.get("lease") or 0))
