--- a/celerypulley/fleet/disk_list.py
+++ b/celerypulley/fleet/disk_list.py
@@ -187,7 +187,7 @@
             "disk listed",
             "entry added or changed",
             disk=disk_id,
-            host=disk.host,
+            storage_host=disk.host,
             domain=disk.domain,
             ip=disk.ip,
             port=disk.port,
@@ -197,7 +197,9 @@
         self._revisions.pop(disk_id, None)
         disk = self.disks.pop(disk_id, None)
         if disk is not None:
-            _log.write("disk removed", "entry removed", disk=disk_id, host=disk.host)
+            _log.write(
+                "disk removed", "entry removed", disk=disk_id, storage_host=disk.host
+            )
 
 
 def _disk_id(item: Item) -> str:
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -11,6 +11,7 @@
 
 from celerypulley.fleet.disk_list import DiskList
 from celerypulley.fleet.fleet_members import HOST, FleetMember, FleetMembers
+from celerypulley.hosts.fleet_host import FleetHost
 from celerypulley.hosts.record_store import RecordStore, TurnRecord
 from celerypulley.hosts.storage_host import StorageHost
 from celerypulley.hosts.storage_host_pool import StorageHostPool
@@ -21,6 +22,7 @@
     RecordsStored,
     StoreRecords,
 )
+from celerypulley.platform.roles import PLATFORM_SCHEMA
 from celerypulley.platform.store import PlatformStore
 from celerypulley.stand_ins.fleet_store import FleetStore
 from celerypulley.storage.record_journal import RecordJournal
@@ -438,3 +440,16 @@
     other = tmp_path / "other"
     other.mkdir()
     assert RecordJournal(other).disk_id() not in (disk_id, later_id)
+
+
+async def test_disks_known_to_a_host_are_no_metric(tmp_path):
+    async with running_storage(tmp_path) as storage:
+        settings = make_settings("host", storage.address, has_storage_hosts=True)
+        host = FleetHost(settings, storage.archive.store, PLATFORM_SCHEMA, run_clock())
+        await host.disk_list.follower.start()
+        await wait_until(lambda: "celerypulley_disks_known 3" in host.metrics.text())
+        assert "celerypulley_disks_unresponsive 0" in host.metrics.text()
+        await host.disk_list.follower.stop()
+        _, text = storage.storage_hosts["keeper-a"]._metrics_response()
+        assert "celerypulley_keeper_disks_known 3" in text
+        assert "celerypulley_keeper_is_listed 1" in text
