Copy to a new disk from all others side by side, without the missing one

Cause: a new or emptied disk copied from the registered storage hosts one after the other and gave up the whole round at the first that failed. The removed host stayed registered for up to 20 s, so nothing was copied from those that have the records.

A disk counts as complete when every other disk was copied. A disk that doesn't respond is not waited for if no more are missing than may be lost at once and all others were complete before they were copied in full: each of its records then has another copy, which was copied. A disk whose host uses another one by now can't be copied; its own predecessor is one. Two disks that are emptied at once copy from each other and complete. Before a disk is copied its host confirms that it uses this one.

--- a/celerypulley/hosts/record_service.py
+++ b/celerypulley/hosts/record_service.py
@@ -13,16 +13,19 @@
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.fleet.disk_list import Disk, DiskList
-from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
+from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMembers
+from celerypulley.hosts.record_copier import RecordCopier
 from celerypulley.hosts.record_store import RecordStore, TurnRecord
+from celerypulley.hosts.storage_peers import StoragePeers
 from celerypulley.links.key_value import LeaseExpiredError, StoreUnavailableError
 from celerypulley.links.storage_link import StorageLink, StorageLinkError
 from celerypulley.links.storage_messages import (
     GetChain,
+    GetState,
     ListRecords,
-    RecordPage,
     RecordsNotStored,
     RecordsStored,
+    StorageState,
     StoreRecords,
 )
 from celerypulley.storage.record_journal import RecordJournal
@@ -45,12 +48,14 @@
         own_disk: Disk,
         disk_list: DiskList,
         is_first_start: bool,
+        tolerated_losses: int,
         clock: Clock,
     ) -> None:
         """Serve the records in `record_store`, which are on `own_disk`.
 
         The storage host is complete if its `journal` is marked so, or at the first
-        start of the fleet, when no records exist.
+        start of the fleet, when no records exist. `tolerated_losses` disks of
+        `disk_list` may be lost at once.
         """
         super().__init__()
         self.record_store = record_store
@@ -61,10 +66,16 @@
         self.clock = clock
         self.is_complete = journal.is_complete()
         self.is_draining = False
+        self.peers = StoragePeers(own_disk, disk_list, clock)
+        self.copier = RecordCopier(record_store, self.peers, tolerated_losses)
         if is_first_start and not self.is_complete:
             journal.mark_complete()
             self.is_complete = True
 
+    async def on_start(self) -> None:
+        """Start to probe the other disks."""
+        await self.add_runtime_dependency(self.peers)
+
     async def handle(self, request: object) -> object:
         """Return the reply to a request."""
         if isinstance(request, StoreRecords):
@@ -73,6 +84,10 @@
             return self.record_store.chain(request.key, self.is_complete)
         if isinstance(request, ListRecords):
             return self.record_store.page(request.after, self.is_complete)
+        if isinstance(request, GetState):
+            return StorageState(
+                self.own_disk.disk_id, self.is_complete, self.is_draining
+            )
         return RecordsNotStored(f"unexpected request of type {type(request).__name__}")
 
     async def _store_records(self, request: StoreRecords) -> object:
@@ -87,54 +102,12 @@
 
     @Service.task
     async def _copy_missing_records(self) -> None:
-        """Copy the records of all other storage hosts, and retry until it succeeds."""
-        while not self.should_stop and not self.is_complete:
-            others = self.members.of_kind(STORAGE_HOST)
-            if not others:
-                await self.sleep(_RETRY_S)
-                continue
-            copied = 0
-            try:
-                for other in others:
-                    copied += await self._copy_from(other)
-            except (StorageLinkError, OSError) as error:
-                _log.write("copying failed", str(error), storage_hosts=len(others))
-                await self.sleep(_RETRY_S)
-                continue
-            await asyncio.to_thread(self.journal.mark_complete)
-            self.is_complete = True
-            _log.write(
-                "complete",
-                "copied missing records",
-                records=copied,
-                storage_hosts=len(others),
-            )
-
-    async def _copy_from(self, other: FleetMember) -> int:
-        link = StorageLink((other.ip, other.port))
-        copied = 0
-        after = ""
-        try:
-            while True:
-                page = await link.request(ListRecords(after), _REQUEST_TIMEOUT_MS)
-                if not isinstance(page, RecordPage):
-                    raise StorageLinkError(
-                        f"{other.name} did not send a page of records"
-                    )
-                records = [TurnRecord.from_row(row) for row in page.records]
-                missing = [r for r in records if r.key not in self.record_store.records]
-                if missing:
-                    await self.record_store.write(missing)
-                copied += len(missing)
-                if not page.more or not records:
-                    return copied
-                after = records[-1].key
-        except ValueError as error:
-            raise StorageLinkError(
-                f"{other.name} sent invalid records: {error}"
-            ) from error
-        finally:
-            link.close()
+        """Copy the records of all other disks if this one is new or was emptied."""
+        if self.is_complete:
+            return
+        await self.copier.copy_all()
+        await asyncio.to_thread(self.journal.mark_complete)
+        self.is_complete = True
 
     async def drain(self) -> None:
         """Transfer all records to other storage hosts, then remove the disk.
--- a/celerypulley/hosts/record_store.py
+++ b/celerypulley/hosts/record_store.py
@@ -32,6 +32,10 @@
         """Return the record as a list, the form used in messages and on disk."""
         return [self.key, self.kept_until_ms, self.previous, self.input, self.output]
 
+    def size_bytes(self) -> int:
+        """Return the size of the input and output."""
+        return len(self.input) + len(self.output)
+
     @classmethod
     def from_row(cls, row: object) -> "TurnRecord":
         """Return the record in a row; raise ValueError if it is invalid."""
@@ -162,5 +166,5 @@
                 return RecordPage(rows, True, is_complete)
             record = self.records[key]
             rows.append(record.to_row())
-            size += len(record.input) + len(record.output)
+            size += record.size_bytes()
         return RecordPage(rows, False, is_complete)
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -59,6 +59,7 @@
             self.disk,
             self.disk_list,
             settings.is_first_start,
+            settings.tolerated_disk_losses,
             clock,
         )
         self.server = StorageServer(settings.ip, settings.fleet_port, self._handle)
--- a/celerypulley/links/storage_messages.py
+++ b/celerypulley/links/storage_messages.py
@@ -4,10 +4,12 @@
 
 __all__ = [
     "GetChain",
+    "GetState",
     "ListRecords",
     "RecordPage",
     "RecordsNotStored",
     "RecordsStored",
+    "StorageState",
     "StoreRecords",
     "StoredChain",
 ]
@@ -72,3 +74,20 @@
     records: list
     more: bool
     is_complete: bool
+
+
+@message(79)
+class GetState:
+    """Request the state of a storage host."""
+
+
+@message(80)
+class StorageState:
+    """The disk that a storage host uses, and whether it may be copied to or from.
+
+    `is_complete` is as in StoredChain; `is_draining` tells whether it refuses records.
+    """
+
+    disk_id: str
+    is_complete: bool
+    is_draining: bool
