Give records with one copy a second one after a storage host has left

Cause: a storage host copied the others' records once in its life. Nothing gave a record a second copy again when one of its holders had left for good, and a host that got SIGTERM handed nothing over.

Each storage host now probes the other listed disks every 0.4 s. 2.5 s after the last reply of one, or when one is listed or has become complete, every complete host compares keys with those that respond, 1,000 at a time, until it knows two holders in two failure domains; the first holder in rendezvous order sends a record that lacks a copy to the best other host, at up to 1 MB/s. No comparison happens while the same disks respond, and a host that is back within two seconds stays one of them.

Once all hosts that respond are complete and have compared with the same disks, and no record is left with one copy, the absent disks are noted as covered, if no more are newly absent than may be lost at once. A new disk doesn't wait for a covered one, so another disk can be lost right after. A covered disk leaves the list when its host's registration has ended or its host uses another disk; one that starts again with its disk lists it again. A host that gets SIGTERM hands over what no other host has, up to 2 s before its grace ends, then ends its registration. Drain asks the hosts that respond and gives each record two copies on them, so one that doesn't reply isn't waited for.

Metrics: records_with_one_copy and copies_compared_ms, the time from the change to the end of the comparison.

The tests failed before: without the wait for the first comparison, which the code before doesn't have, the cases of test_turns_of_a_host_that_left_have_two_copies_in_time and test_disk_can_be_lost_soon_after_another_host_was_replaced time out on the change before (that of a stop as requested fails as there is no hand-over), as do test_retired_host_does_not_wait_for_one_that_does_not_reply and test_disk_that_was_lost_leaves_the_list_once_its_turns_are_copied.

--- /dev/null
+++ b/celerypulley/hosts/copy_restorer.py
@@ -0,0 +1,339 @@
+"""Copy the records again that have too few copies, after a storage host has left."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+import xxhash
+from mode import Service
+
+from celerypulley.clock import NEVER_MS, Clock
+from celerypulley.decision_log import DecisionLog
+from celerypulley.failure_domains.placement import rendezvous
+from celerypulley.fleet.disk_list import Disk
+from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMembers
+from celerypulley.hosts.record_store import RecordStore, TurnRecord
+from celerypulley.hosts.storage_peers import StoragePeer, StoragePeers
+from celerypulley.links.storage_link import StorageLinkError
+from celerypulley.links.storage_messages import (
+    FindMissing,
+    MissingKeys,
+    RecordsStored,
+    StoreRecords,
+)
+
+__all__ = ["CopyCounts", "CopyRestorer"]
+
+_REQUEST_TIMEOUT_MS = 2_000.0  # a batch of 256 KB on the slowest link, 15 Mbit/s
+_KEYS_PER_REQUEST = 1_000  # at most 200 KB
+_BATCH_BYTES = 256 * 1024
+_MAX_BYTES_PER_S = 1_000_000.0  # half of the slowest link
+_CHECK_PERIOD_S = 0.2
+_RETRY_S = 0.5
+_MAX_COPYING_MS = 3_000.0  # an emptied disk has copied what it needs by then
+_log = DecisionLog("copies")
+
+
+@attrs.define
+class CopyCounts:
+    """The result of one comparison: records compared, sent, and left with one copy."""
+
+    records: int = 0
+    sent: int = 0
+    sent_bytes: int = 0
+    single: int = 0
+
+
+class CopyRestorer(Service):
+    """Compare keys with the other storage hosts each time that another set responds.
+
+    `records_with_one_copy` is the count after the last comparison, and `compared_ms`
+    the time from the last change to that comparison's end. `covered` are the absent
+    disks whose records all have copies on others.
+    """
+
+    def __init__(
+        self,
+        record_store: RecordStore,
+        peers: StoragePeers,
+        members: FleetMembers,
+        copies: int,
+        is_active: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        """Keep `copies` of each record in `record_store` while `is_active()`."""
+        super().__init__()
+        self.record_store = record_store
+        self.peers = peers
+        self.members = members
+        self.copies = copies
+        self.is_active = is_active
+        self.clock = clock
+        self.records_with_one_copy = 0
+        self.compared_ms = 0.0
+        self.covered: set[str] = set()
+        self._restored_for: frozenset | None = None
+        self._pace = _make_pacer(_MAX_BYTES_PER_S, clock)
+
+    @Service.task
+    async def _restore(self) -> None:
+        """Restore copies once after each change of the disks that respond."""
+        awaited = None
+        changed_ms = NEVER_MS
+        while not self.should_stop:
+            await self.sleep(_CHECK_PERIOD_S)
+            now_ms = self.clock.now_ms()
+            state = self._state()
+            if state != awaited:
+                awaited = state
+                changed_ms = now_ms
+            if not self.is_active() or not self._is_settled(now_ms - changed_ms):
+                continue
+            if self.is_current():
+                continue
+            try:
+                counts = await self.restore(self.copies, counts_own=True)
+            except StorageLinkError as error:
+                _log.write("comparison failed", str(error))
+                await self.sleep(_RETRY_S)
+                continue
+            self._restored_for = state
+            self.records_with_one_copy = counts.single
+            self.compared_ms = self.clock.now_ms() - changed_ms
+            _log.write(
+                "copies compared",
+                f"{len(state)} other storage hosts respond",
+                took_ms=round(self.compared_ms),
+                **attrs.asdict(counts),
+            )
+
+    def is_current(self) -> bool:
+        """Return whether the last comparison was with those that respond now."""
+        return self._restored_for == self._state()
+
+    def _state(self) -> frozenset:
+        return frozenset(
+            (each.state.disk_id, each.state.is_complete)
+            for each in self.peers.present()
+        )
+
+    def _is_settled(self, unchanged_ms: float) -> bool:
+        """Return whether it is known who responds, and no disk is being copied to."""
+        now_ms = self.clock.now_ms()
+        if not all(
+            each.is_settled(now_ms) or self.peers.is_superseded(each.disk)
+            for each in self.peers.peers.values()
+        ):
+            return False
+        is_copying = any(not each.state.is_complete for each in self.peers.present())
+        return not is_copying or unchanged_ms >= _MAX_COPYING_MS
+
+    async def restore(self, copies: int, counts_own: bool) -> CopyCounts:
+        """Send each record that has too few copies to others; return the counts.
+
+        `counts_own` tells whether the record here counts as a copy. Raise
+        StorageLinkError if a storage host that responds can't be asked.
+        """
+        counts = CopyCounts()
+        after = ""
+        while True:
+            keys = self.record_store.keys_after(after, _KEYS_PER_REQUEST)
+            if not keys:
+                return counts
+            after = keys[-1]
+            await self._restore_page(keys, copies, counts_own, counts)
+
+    async def _restore_page(
+        self, keys: list[str], copies: int, counts_own: bool, counts: CopyCounts
+    ) -> None:
+        peers = self.peers.present()
+        targets = [each for each in peers if not each.state.is_draining]
+        if not counts_own:  # two hosts that leave at once don't rely on each other
+            peers = targets
+        domains = {each.disk.domain for each in targets}
+        if counts_own:
+            domains.add(self.peers.own_disk.domain)
+
+        def has_enough(holders: list[Disk]) -> bool:
+            held_domains = {each.domain for each in holders}
+            least = min(copies, len(domains))
+            return len(holders) >= copies and len(held_domains) >= least
+
+        holders = await self._find_holders(keys, peers, counts_own, has_enough)
+        counts.records += len(keys)
+        lacking = []
+        for key in keys:
+            if has_enough(holders[key]) or key not in self.record_store.records:
+                continue
+            if counts_own and not self._is_sender(key, holders[key]):
+                continue
+            lacking.append(key)
+        batches: dict[str, list[TurnRecord]] = {
+            each.disk.disk_id: [] for each in targets
+        }
+        for key in lacking:
+            while not has_enough(holders[key]):
+                target = _choose_target(key, holders[key], targets)
+                if target is None:
+                    break
+                holders[key].append(target)
+                batches[target.disk_id].append(self.record_store.records[key])
+        counts.single += sum(len(holders[key]) < copies for key in lacking)
+        for peer in targets:
+            await self._send(peer, batches[peer.disk.disk_id], counts)
+
+    async def _find_holders(
+        self,
+        keys: list[str],
+        peers: list[StoragePeer],
+        counts_own: bool,
+        has_enough: Callable[[list[Disk]], bool],
+    ) -> dict[str, list[Disk]]:
+        """Return the disks that have a record of each key, until there are enough."""
+        holders: dict[str, list[Disk]] = {
+            key: [self.peers.own_disk] if counts_own else [] for key in keys
+        }
+        for peer in peers:
+            asked = [key for key in keys if not has_enough(holders[key])]
+            if not asked:
+                break
+            reply = await peer.link.request(FindMissing(asked), _REQUEST_TIMEOUT_MS)
+            if not isinstance(reply, MissingKeys):
+                raise StorageLinkError(f"{peer.disk.host} did not compare its keys")
+            missing = set(reply.keys)
+            for key in asked:
+                if key not in missing:
+                    holders[key].append(peer.disk)
+            await self._pace(sum(len(key) for key in asked))
+        return holders
+
+    def _is_sender(self, key: str, holders: list[Disk]) -> bool:
+        own_id = self.peers.own_disk.disk_id
+        return rendezvous(key, [each.disk_id for each in holders]) == own_id
+
+    async def _send(
+        self, peer: StoragePeer, records: list[TurnRecord], counts: CopyCounts
+    ) -> None:
+        for batch in _split(records):
+            request = StoreRecords([each.to_row() for each in batch])
+            reply = await peer.link.request(request, _REQUEST_TIMEOUT_MS)
+            if not isinstance(reply, RecordsStored):
+                raise StorageLinkError(f"{peer.disk.host} stored no copies: {reply}")
+            size_bytes = sum(each.size_bytes() for each in batch)
+            counts.sent += len(batch)
+            counts.sent_bytes += size_bytes
+            await self._pace(size_bytes)
+
+    def compared_with(self) -> int:
+        """Return a digest of the disks that respond, if records have copies on them.
+
+        It is 0 if the last comparison was with others, or left records with one copy.
+        """
+        if not self.is_active() or not self.is_current() or self.records_with_one_copy:
+            return 0
+        disk_ids = [each.disk.disk_id for each in self.peers.present()]
+        names = "\0".join(sorted([self.peers.own_disk.disk_id, *disk_ids]))
+        return xxhash.xxh32_intdigest(names.encode()) or 1
+
+    @Service.task
+    async def _follow_absent_disks(self) -> None:
+        """Note which absent disks have copies elsewhere, and remove those gone."""
+        while not self.should_stop:
+            await self.sleep(_CHECK_PERIOD_S)
+            self._update_covered()
+            for disk in self._gone_disks():
+                is_removed = await self.peers.disk_list.remove(disk.disk_id)
+                _log.write(
+                    "disk given up" if is_removed else "disk kept",
+                    "its records have copies on other disks",
+                    disk=disk.disk_id,
+                    storage_host=disk.host,
+                )
+
+    def _update_covered(self) -> None:
+        """Add the absent disks once all others have restored the copies without them.
+
+        This is true only if no more disks are absent than may be lost at once.
+        """
+        present = self.peers.present()
+        absent = [each for each in self.peers.peers.values() if each not in present]
+        self.covered &= {each.disk.disk_id for each in absent}
+        digest = self.compared_with()
+        have_restored = all(
+            each.state.is_complete and each.state.compared_with == digest
+            for each in present
+        )
+        if not digest or not have_restored:
+            return
+        known = self.covered.union(*(each.state.covered for each in present))
+        missing = [
+            each
+            for each in absent
+            if each.disk.disk_id not in known
+            and not self.peers.is_superseded(each.disk)
+        ]
+        if len(missing) < self.copies:
+            self.covered |= {each.disk.disk_id for each in absent}
+
+    def _gone_disks(self) -> list[Disk]:
+        """Return the disks that this storage host has to remove from the list.
+
+        A registered host may still respond to others. One that starts again with its
+        disk lists it again.
+        """
+        if not self.compared_with():
+            return []
+        registered = {each.name for each in self.members.of_kind(STORAGE_HOST)}
+        own_id = self.peers.own_disk.disk_id
+        names = [own_id, *(each.disk.disk_id for each in self.peers.present())]
+        gone = []
+        for disk_id in self.covered:
+            disk = self.peers.peers[disk_id].disk
+            is_gone = (
+                disk.host not in registered and disk.host != self.peers.own_disk.host
+            )
+            if not is_gone and not self.peers.is_superseded(disk):
+                continue
+            if rendezvous(disk_id, names) == own_id:
+                gone.append(disk)
+        return gone
+
+
+def _choose_target(
+    key: str, holders: list[Disk], peers: list[StoragePeer]
+) -> Disk | None:
+    """Return the disk for the next copy, in another failure domain if possible."""
+    held = {each.disk_id for each in holders}
+    domains = {each.domain for each in holders}
+    free = {
+        each.disk.disk_id: each.disk for each in peers if each.disk.disk_id not in held
+    }
+    other = [disk_id for disk_id, disk in free.items() if disk.domain not in domains]
+    chosen = rendezvous(key, other or free)
+    return free[chosen] if chosen else None
+
+
+def _split(records: list[TurnRecord]) -> list[list[TurnRecord]]:
+    """Return the records in batches of about `_BATCH_BYTES`."""
+    batches: list[list[TurnRecord]] = []
+    size_bytes = 0
+    for record in records:
+        if not batches or size_bytes >= _BATCH_BYTES:
+            batches.append([])
+            size_bytes = 0
+        batches[-1].append(record)
+        size_bytes += record.size_bytes()
+    return batches
+
+
+def _make_pacer(bytes_per_s: float, clock: Clock) -> Callable[[int], Awaitable[None]]:
+    """Return a function that waits so long that its bytes keep to a rate."""
+    free_ms = NEVER_MS
+
+    async def pace(size_bytes: int) -> None:
+        nonlocal free_ms
+        now_ms = clock.now_ms()
+        free_ms = max(free_ms, now_ms) + size_bytes / bytes_per_s * 1000
+        await asyncio.sleep(max(0.0, free_ms - now_ms) / 1000)
+
+    return pace
--- a/celerypulley/hosts/record_copier.py
+++ b/celerypulley/hosts/record_copier.py
@@ -98,12 +98,17 @@
     def _has_every_record(self) -> bool:
         """Return whether each other disk was copied, or all of its records elsewhere.
 
-        A superseded disk can't be copied. While no more disks are missing than may be
-        lost, each record of theirs has another copy on a disk that was complete.
+        A superseded disk can't be copied, and the records of a covered one are on
+        others. While no more disks are missing than may be lost, each record of theirs
+        has another copy on a disk that was complete.
         """
         if not self.peers.disk_list.is_known or not self._sources:
             return False
-        missing = [each for each in self._sources.values() if not each.is_copied]
+        missing = [
+            each
+            for each in self._sources.values()
+            if not each.is_copied and not self._is_covered(each)
+        ]
         present = [each for each in self._sources.values() if each.is_copied]
         absent = [each for each in missing if not self._is_superseded(each)]
         if not absent:
@@ -117,6 +122,9 @@
     def _is_superseded(self, source: _Source) -> bool:
         return self.peers.is_superseded(source.disk)
 
+    def _is_covered(self, source: _Source) -> bool:
+        return self.peers.is_covered(source.disk)
+
     async def _copy_from(self, source: _Source) -> None:
         """Copy a disk, again when it is complete, and retry until it succeeds."""
         link = StorageLink((source.disk.ip, source.disk.port))
--- a/celerypulley/hosts/record_service.py
+++ b/celerypulley/hosts/record_service.py
@@ -13,16 +13,19 @@
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.fleet.disk_list import Disk, DiskList
-from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMembers
+from celerypulley.fleet.fleet_members import FleetMembers
+from celerypulley.hosts.copy_restorer import CopyRestorer
 from celerypulley.hosts.record_copier import RecordCopier
 from celerypulley.hosts.record_store import RecordStore, TurnRecord
 from celerypulley.hosts.storage_peers import StoragePeers
 from celerypulley.links.key_value import LeaseExpiredError, StoreUnavailableError
-from celerypulley.links.storage_link import StorageLink, StorageLinkError
+from celerypulley.links.storage_link import StorageLinkError
 from celerypulley.links.storage_messages import (
+    FindMissing,
     GetChain,
     GetState,
     ListRecords,
+    MissingKeys,
     RecordsNotStored,
     RecordsStored,
     StorageState,
@@ -32,7 +35,7 @@
 
 __all__ = ["RecordService"]
 
-_REQUEST_TIMEOUT_MS = 2_000.0  # a page of 256 KB on the slowest link, 15 Mbit/s
+_MIN_COPIES = 2  # a record survives the loss of a failure domain
 _RETRY_S = 0.3
 _log = DecisionLog("keeper")
 
@@ -64,17 +67,26 @@
         self.own_disk = own_disk
         self.disk_list = disk_list
         self.clock = clock
+        self.copies = max(_MIN_COPIES, tolerated_losses + 1)
         self.is_complete = journal.is_complete()
         self.is_draining = False
+        self.is_leaving = False
         self.peers = StoragePeers(own_disk, disk_list, clock)
         self.copier = RecordCopier(record_store, self.peers, tolerated_losses)
+        self.restorer = CopyRestorer(
+            record_store, self.peers, members, self.copies, self._is_active, clock
+        )
         if is_first_start and not self.is_complete:
             journal.mark_complete()
             self.is_complete = True
 
     async def on_start(self) -> None:
-        """Start to probe the other disks."""
+        """Start to probe the other disks and to keep the copies of records."""
         await self.add_runtime_dependency(self.peers)
+        await self.add_runtime_dependency(self.restorer)
+
+    def _is_active(self) -> bool:
+        return self.is_complete and not self.is_draining and not self.is_leaving
 
     async def handle(self, request: object) -> object:
         """Return the reply to a request."""
@@ -84,15 +96,21 @@
             return self.record_store.chain(request.key, self.is_complete)
         if isinstance(request, ListRecords):
             return self.record_store.page(request.after, self.is_complete)
+        if isinstance(request, FindMissing):
+            return MissingKeys(self.record_store.missing_keys(request.keys))
         if isinstance(request, GetState):
             return StorageState(
-                self.own_disk.disk_id, self.is_complete, self.is_draining
+                self.own_disk.disk_id,
+                self.is_complete,
+                self.is_draining or self.is_leaving,
+                self.restorer.compared_with(),
+                sorted(self.restorer.covered),
             )
         return RecordsNotStored(f"unexpected request of type {type(request).__name__}")
 
     async def _store_records(self, request: StoreRecords) -> object:
-        if self.is_draining:
-            return RecordsNotStored("this storage host is draining")
+        if self.is_draining or self.is_leaving:
+            return RecordsNotStored("this storage host is draining or leaving")
         try:
             records = [TurnRecord.from_row(row) for row in request.records]
             await self.record_store.write(records)
@@ -112,15 +130,16 @@
     async def drain(self) -> None:
         """Transfer all records to other storage hosts, then remove the disk.
 
-        New records are refused from the start; errors are retried. Hosts query every
-        listed disk, so they could not rule out any turn if it stayed listed.
+        New records are refused from the start; errors are retried. Each record gets
+        its copies on those storage hosts that respond. Hosts query every listed disk,
+        so they could not rule out any turn if this one stayed listed.
         """
         self.is_draining = True
         closed_member = attrs.evolve(self.members.own_member, is_open=False)
         while True:
             try:
                 await self.members.update_registration(closed_member)
-                transferred = await self._transfer_records()
+                await self._transfer_records()
                 while not await self.disk_list.remove(self.own_disk.disk_id):
                     await asyncio.sleep(_RETRY_S)
                 await self.members.deregister()
@@ -132,31 +151,42 @@
                 _log.write("draining failed", str(error))
                 await asyncio.sleep(_RETRY_S)
                 continue
-            _log.write("drained", "records transferred", records=transferred)
+            _log.write("drained", "records transferred")
             return
 
-    async def _transfer_records(self) -> int:
-        others = [each for each in self.members.of_kind(STORAGE_HOST) if each.is_open]
-        if not others and self.record_store.records:
-            raise StorageLinkError("no other storage host is open")
-        transferred = 0
-        for other in others:
-            link = StorageLink((other.ip, other.port))
-            try:
-                transferred += await self._transfer_to(link)
-            finally:
-                link.close()
-        return transferred
-
-    async def _transfer_to(self, link: StorageLink) -> int:
-        after = ""
-        transferred = 0
+    async def _transfer_records(self) -> None:
+        others = [
+            each
+            for each in self.peers.peers.values()
+            if not self.peers.is_superseded(each.disk)
+        ]
+        copies = min(self.copies, max(1, len(others)))
+        counts = await self.restorer.restore(copies, counts_own=False)
+        _log.write("transferred", "drain requested", **attrs.asdict(counts))
+        if counts.single:
+            raise StorageLinkError(f"{counts.single} records have too few copies")
+
+    async def leave(self, limit_ms: float) -> None:
+        """Transfer the records without another copy, then end the registration.
+
+        New records are refused from the start. Errors are retried until `limit_ms`
+        has passed. The disk stays listed, since its host may start again with it.
+        """
+        self.is_leaving = True
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                await self._hand_over()
+        except TimeoutError:
+            _log.write("handing over incomplete", f"not done in {limit_ms:.0f} ms")
+
+    async def _hand_over(self) -> None:
         while True:
-            page = self.record_store.page(after, self.is_complete)
-            if not page.records:
-                return transferred
-            reply = await link.request(StoreRecords(page.records), _REQUEST_TIMEOUT_MS)
-            if not isinstance(reply, RecordsStored):
-                raise StorageLinkError(f"records not stored: {reply}")
-            transferred += len(page.records)
-            after = page.records[-1][0]
+            try:
+                counts = await self.restorer.restore(1, counts_own=False)
+                _log.write("handed over", "stop requested", **attrs.asdict(counts))
+                await self.members.deregister()
+            except (StorageLinkError, StoreUnavailableError) as error:
+                _log.write("handing over failed", str(error))
+                await asyncio.sleep(_RETRY_S)
+                continue
+            return
--- a/celerypulley/hosts/record_store.py
+++ b/celerypulley/hosts/record_store.py
@@ -1,6 +1,7 @@
 """The records of one storage host: by key in memory, and in a journal on disk."""
 
 import asyncio
+import heapq
 from concurrent.futures import ThreadPoolExecutor
 
 import attrs
@@ -168,3 +169,11 @@
             rows.append(record.to_row())
             size += record.size_bytes()
         return RecordPage(rows, False, is_complete)
+
+    def keys_after(self, after: str, count: int) -> list[str]:
+        """Return the next keys above `after` in order, at most `count`."""
+        return heapq.nsmallest(count, (key for key in self.records if key > after))
+
+    def missing_keys(self, keys: list[str]) -> list[str]:
+        """Return those of `keys` that have no record here."""
+        return [key for key in keys if key not in self.records]
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -109,6 +109,7 @@
             await self.sleep(_LIST_CHECK_PERIOD_S)
 
     def _metric_values(self) -> dict[str, int]:
+        restorer = self.record_service.restorer
         return {
             "records": len(self.record_store.records),
             "syncs": self.record_store.syncs,
@@ -116,6 +117,8 @@
             "members_known": len(self.members.others),
             "disks_known": len(self.disk_list.disks),
             "is_listed": int(self.is_listed()),
+            "records_with_one_copy": restorer.records_with_one_copy,
+            "copies_compared_ms": round(restorer.compared_ms),
         }
 
     def _metrics_response(self) -> tuple[int, str]:
--- a/celerypulley/hosts/storage_peers.py
+++ b/celerypulley/hosts/storage_peers.py
@@ -65,6 +65,12 @@
             for each in self.present()
         )
 
+    def is_covered(self, disk: Disk) -> bool:
+        """Return whether all complete disks know copies of every record of `disk`."""
+        states = [each.state for each in self.present()]
+        complete = [each for each in states if each is not None and each.is_complete]
+        return bool(complete) and all(disk.disk_id in each.covered for each in complete)
+
     @Service.task
     async def _follow_list(self) -> None:
         while not self.should_stop:
--- a/celerypulley/links/storage_messages.py
+++ b/celerypulley/links/storage_messages.py
@@ -3,9 +3,11 @@
 from celerypulley.links.codec import message
 
 __all__ = [
+    "FindMissing",
     "GetChain",
     "GetState",
     "ListRecords",
+    "MissingKeys",
     "RecordPage",
     "RecordsNotStored",
     "RecordsStored",
@@ -76,6 +78,20 @@
     is_complete: bool
 
 
+@message(77)
+class FindMissing:
+    """Request those of some keys of which no record is stored here."""
+
+    keys: list
+
+
+@message(78)
+class MissingKeys:
+    """The requested keys of which this storage host has no record."""
+
+    keys: list
+
+
 @message(79)
 class GetState:
     """Request the state of a storage host."""
@@ -83,11 +99,16 @@
 
 @message(80)
 class StorageState:
-    """The disk that a storage host uses, and whether it may be copied to or from.
+    """The disk that a storage host uses, and what it knows of copies.
 
-    `is_complete` is as in StoredChain; `is_draining` tells whether it refuses records.
+    `is_complete` is as in StoredChain; `is_draining` tells whether it refuses
+    records. `compared_with` is a digest of the disks that last responded to it, 0
+    unless each of its records was then found to have enough copies on them. `covered`
+    are absent disks whose records all have copies elsewhere.
     """
 
     disk_id: str
     is_complete: bool
     is_draining: bool
+    compared_with: int
+    covered: list
--- a/celerypulley/platform/roles.py
+++ b/celerypulley/platform/roles.py
@@ -31,6 +31,7 @@
 
 _EXIT_BAD_SETTINGS = 2
 _STORE_TIMEOUT_MS = 1_000.0  # tolerates a store sixty times slower than 4 ms
+_STORE_STOP_MS = 2_000.0  # to close connections and files before SIGKILL
 PLATFORM_SCHEMA = PlatformSchema(
     OPERATOR_PREFIX,
     DESIRED_STATE_KEY,
@@ -102,6 +103,7 @@
         )
         await stop_requested.wait()
         retirement.cancel()
+        await host.record_service.leave(settings.shutdown_grace_ms - _STORE_STOP_MS)
         await host.stop()
     _log_stopped()
 
--- a/tests/test_copies_of_records.py
+++ b/tests/test_copies_of_records.py
@@ -28,12 +28,30 @@
     storage.storage_hosts[name].server.handle = never_reply
 
 
+async def stop_as_requested(storage: StorageFleet, name: str) -> None:
+    """Stop a storage host as the platform does it, with SIGTERM."""
+    await storage.storage_hosts[name].record_service.leave(6_000.0)
+    await storage.stop(name)
+
+
 async def write(storage: StorageFleet, number: int, names: tuple[str, ...]) -> None:
     """Write a record to some storage hosts."""
     for name in names:
         await storage.storage_hosts[name].record_store.write([record(number)])
 
 
+async def wait_for_peers(storage: StorageFleet) -> None:
+    """Wait until every storage host has compared its records with all others."""
+    others = len(storage.storage_hosts) - 1
+    services = [each.record_service for each in storage.storage_hosts.values()]
+    await wait_until(
+        lambda: all(
+            len(each.peers.present()) == others and each.restorer.is_current()
+            for each in services
+        )
+    )
+
+
 PAIRS = (
     ("keeper-a", "keeper-b"),
     ("keeper-b", "keeper-c"),
@@ -64,12 +82,16 @@
     was_complete: bool = True
     has_failed: bool = False
     is_superseded: bool = False
+    is_covered: bool = False
 
 
 COPIED = SourceCase()
 COPYING = SourceCase(is_copied=False, was_complete=False)
 FAILED = SourceCase(is_copied=False, was_complete=False, has_failed=True)
 INCOMPLETE = SourceCase(was_complete=False)
+COVERED = SourceCase(
+    is_copied=False, was_complete=False, has_failed=True, is_covered=True
+)
 SUPERSEDED = SourceCase(is_copied=False, was_complete=False, is_superseded=True)
 
 
@@ -87,6 +109,9 @@
         ([COPIED, SUPERSEDED], True),
         ([COPIED, SUPERSEDED, FAILED], False),
         ([COPIED, INCOMPLETE, SUPERSEDED, SUPERSEDED], True),
+        ([COPIED, SUPERSEDED, COVERED], True),
+        ([COPIED, FAILED, COVERED], True),
+        ([COPIED, COPYING, COVERED], False),
     ],
 )
 async def test_turns_of_a_silent_disk_are_elsewhere_only_if_one_is_missing(
@@ -96,9 +121,41 @@
         copier = storage.storage_hosts["keeper-a"].record_service.copier
         copier._sources = dict(enumerate(sources))
         copier._is_superseded = lambda source: source.is_superseded
+        copier._is_covered = lambda source: source.is_covered
         assert copier._has_every_record() == is_whole
 
 
+async def test_disk_that_was_lost_leaves_the_list_once_its_turns_are_copied(tmp_path):
+    async with running_storage(tmp_path) as storage:
+        for number in range(1, 7):
+            await write(storage, number, PAIRS[number % 3])
+        disk_list = storage.storage_hosts["keeper-b"].record_service.peers.disk_list
+        await wait_until(lambda: len(disk_list.disks) == 3)
+        lost = storage.storage_hosts["keeper-a"].record_service.peers.own_disk.disk_id
+        await storage.stop("keeper-a", wipe=True)
+        await storage.start("keeper-a")
+        await wait_until(lambda: len(disk_list.disks) == 3)
+        await wait_until(lambda: lost not in disk_list.disks)
+        assert storage.storage_hosts["keeper-a"].record_service.is_complete
+
+
+async def test_disk_can_be_lost_soon_after_another_host_was_replaced(tmp_path):
+    async with running_storage(tmp_path) as storage:
+        await wait_for_peers(storage)
+        for number in range(1, 7):
+            await write(storage, number, PAIRS[number % 3])
+        await storage.stop("keeper-a", wipe=True)
+        await storage.start("new-a")
+        await asyncio.sleep(CATCH_UP_S)
+        started_s = time.monotonic()
+        await storage.stop("keeper-b", wipe=True)
+        emptied = await storage.start("keeper-b")
+        await wait_until(lambda: emptied.record_service.is_complete)
+        assert time.monotonic() - started_s < CATCH_UP_S
+        keys = {f"turns/o/{number}" for number in range(1, 7)}
+        assert set(emptied.record_store.records) == keys
+
+
 async def test_two_disks_emptied_at_once_become_complete(tmp_path):
     async with running_storage(tmp_path) as storage:
         await write(storage, 1, PAIRS[0])
@@ -113,3 +170,60 @@
             )
         )
         assert storage.holders(1) == {"keeper-a", "keeper-b", "keeper-c"}
+
+
+@pytest.mark.parametrize("leave", [refuse_connections, hang, stop_as_requested])
+async def test_turns_of_a_host_that_left_have_two_copies_in_time(tmp_path, leave):
+    async with running_storage(tmp_path) as storage:
+        await wait_for_peers(storage)
+        for number in range(1, 31):
+            await write(storage, number, PAIRS[number % 3])
+        left_s = time.monotonic()
+        await leave(storage, "keeper-a")
+
+        def have_two_copies() -> bool:
+            return all(
+                storage.holders(number) >= {"keeper-b", "keeper-c"}
+                for number in range(1, 31)
+            )
+
+        await wait_until(have_two_copies)
+        assert time.monotonic() - left_s < CATCH_UP_S
+
+
+async def test_restart_within_two_seconds_copies_nothing(tmp_path):
+    async with running_storage(tmp_path) as storage:
+        await wait_for_peers(storage)
+        for number in range(1, 31):
+            await write(storage, number, PAIRS[number % 3])
+        await storage.stop("keeper-a")
+        await asyncio.sleep(1.5)
+        await storage.start("keeper-a")
+        await asyncio.sleep(3.0)
+        for number in range(1, 31):
+            assert storage.holders(number) == set(PAIRS[number % 3])
+
+
+async def test_host_that_stops_hands_over_turns_without_another_copy(tmp_path):
+    async with running_storage(tmp_path) as storage:
+        await wait_for_peers(storage)
+        await write(storage, 1, ("keeper-a",))
+        await write(storage, 2, ("keeper-a", "keeper-b"))
+        await stop_as_requested(storage, "keeper-a")
+        assert storage.holders(1)
+        assert storage.holders(2) == {"keeper-b"}
+
+
+async def test_retired_host_does_not_wait_for_one_that_does_not_reply(tmp_path):
+    async with running_storage(tmp_path) as storage:
+        await storage.start("keeper-d")
+        await wait_for_peers(storage)
+        for number in range(1, 7):
+            await write(storage, number, PAIRS[number % 3])
+        await hang(storage, "keeper-c")
+        await asyncio.wait_for(
+            storage.storage_hosts["keeper-a"].record_service.drain(), 10.0
+        )
+        for number in range(1, 7):
+            if "keeper-a" in PAIRS[number % 3]:
+                assert storage.holders(number) >= {"keeper-b", "keeper-d"}
