Test that a storage host that was given up comes back with its disk

A host that was stopped as requested leaves the list of disks once its records have copies elsewhere. The test starts it again with the same disk: it is listed again, is complete and is compared with.

--- a/tests/test_copies_of_records.py
+++ b/tests/test_copies_of_records.py
@@ -227,3 +227,20 @@
         for number in range(1, 7):
             if "keeper-a" in PAIRS[number % 3]:
                 assert storage.holders(number) >= {"keeper-b", "keeper-d"}
+
+
+async def test_host_that_was_given_up_comes_back_with_its_disk(tmp_path):
+    async with running_storage(tmp_path) as storage:
+        await wait_for_peers(storage)
+        for number in range(1, 7):
+            await write(storage, number, PAIRS[number % 3])
+        disk = storage.storage_hosts["keeper-a"].disk
+        disk_list = storage.storage_hosts["keeper-b"].disk_list
+        await stop_as_requested(storage, "keeper-a")
+        await wait_until(lambda: disk.disk_id not in disk_list.disks)
+        returned = await storage.start("keeper-a")
+        await wait_until(lambda: disk_list.disks.get(disk.disk_id) == returned.disk)
+        await wait_for_peers(storage)
+        assert returned.record_service.is_complete
+        for number in range(1, 7):
+            assert storage.holders(number) >= set(PAIRS[number % 3])
