A crashing turn is known by all that it continues

Cause: the fingerprint held method, path, organisation and the body that the caller sent. On a route whose history we keep that body is the new input alone; engines get the history before it, so turns of different programs shared one fingerprint.

The fingerprint now holds the body that the server gets: history and input. Weighed against the name of the previous turn, which is known before the history is loaded: a crashing program that begins again gets new names, and the same bytes would then crash three more engines under each name. The price is that a turn with a history is checked after its history was loaded and its rate was counted. What is not recognised is the same input after another history: engines get other bytes then. A call without a history keeps its fingerprint, so calls without a body still have one for each path and tenant.

The test failed before: the rows "other text" and "" were answered 503 and are answered 200. The rows with the same history, under the same name or another, are refused on both.

--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -31,16 +31,20 @@
 _log = DecisionLog("strikes")
 
 
-def request_fingerprint(request: OpaqueRequest, organisation: str) -> str:
+def request_fingerprint(
+    request: OpaqueRequest, organisation: str, history: bytes = b""
+) -> str:
     """Return a digest by which a request is recognised when it comes again.
 
-    It comes with the same method, path, organisation and body. What else belongs to a
-    request, such as its program or query, may differ.
+    It comes with the same method, path, organisation and body, and continues the same
+    `history`, which servers get before the body. What else belongs to a request, such
+    as its program, its query or the name of the turn that it continues, may differ.
     """
     hasher = hashlib.blake2b(digest_size=8)
     for part in (request.method, request.path, organisation):
         hasher.update(part.encode())
         hasher.update(b"\0")
+    hasher.update(history)
     hasher.update(request.body)
     return hasher.hexdigest()
 
--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -57,7 +57,8 @@
     """A request that may run, with its route, organisation and desired state.
 
     `deadline_ms` is the earlier of the caller's and the route's deadline, on this
-    host's monotonic clock.
+    host's monotonic clock. `fingerprint` does not yet hold a history that the request
+    continues.
     """
 
     request: OpaqueRequest
@@ -73,6 +74,16 @@
         """Return the organisation's name, empty on a public route."""
         return self.organisation.name if self.organisation else ""
 
+    @property
+    def continues_history(self) -> bool:
+        """Return whether servers get the history of an earlier turn before the body."""
+        return self.route.prepends_history and bool(self.request.previous_turn)
+
+    def with_history(self, history: bytes) -> "AdmittedRequest":
+        """Return the same request, recognised also by the history that it continues."""
+        fingerprint = request_fingerprint(self.request, self.organisation_name, history)
+        return attrs.evolve(self, fingerprint=fingerprint)
+
 
 class Admission:
     """Check requests before they are sent to a server."""
@@ -97,7 +108,10 @@
         self.clock = clock
 
     async def admit(self, request: OpaqueRequest) -> AdmittedRequest:
-        """Admit a request, after a wait for its rate, or raise CallRefusedError."""
+        """Admit a request, after a wait for its rate, or raise CallRefusedError.
+
+        Crashes of one that continues a history are checked once that is loaded.
+        """
         state = self.desired_state.state
         if state is None:
             raise CallRefusedError.of(
@@ -114,13 +128,15 @@
         fingerprint = request_fingerprint(
             request, organisation.name if organisation else ""
         )
-        self.crash_counts.check(fingerprint)
-        if organisation is not None:
-            await self.meter.acquire(organisation)
         deadline_ms = min(request.deadline_ms, request.received_ms + route.timeout_ms)
-        return AdmittedRequest(
+        admitted = AdmittedRequest(
             request, route, organisation, state, deadline_ms, fingerprint
         )
+        if not admitted.continues_history:
+            self.crash_counts.check(fingerprint)
+        if organisation is not None:
+            await self.meter.acquire(organisation)
+        return admitted
 
     def describe(self, request: OpaqueRequest) -> tuple[str, str]:
         """Return the names of route and organisation of a request that was refused."""
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -86,6 +86,9 @@
     async def run(self, admitted: AdmittedRequest, sink: ForwardSink) -> str:
         """Forward a stream; return the server's name or raise CallRefusedError."""
         history = await self._load_history(admitted)
+        if admitted.continues_history:
+            admitted = admitted.with_history(history)
+            self.context.crash_counts.check(admitted.fingerprint)
         reservation = await self._reserve_budget(admitted)
         service = pick_service(admitted.route, random.random())
         rule = admitted.state.services.get(service)
@@ -105,7 +108,7 @@
 
     async def _load_history(self, admitted: AdmittedRequest) -> bytes:
         request = admitted.request
-        if not admitted.route.prepends_history or not request.previous_turn:
+        if not admitted.continues_history:
             return b""
         organisation = admitted.organisation_name
         try:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -42,11 +42,14 @@
             await wait_until(partial(knows_start, host, server.name, started_ms))
 
 
-async def send_crashing(fleet: Fleet, number: int, path: str, **headers: str) -> int:
+async def send_crashing(
+    fleet: Fleet, number: int, path: str, body: bytes = b"hello", **headers: str
+) -> int:
     """Send a request while it crashes servers; return the status once all agree."""
     for server in fleet.servers:
         server.mode = Mode.CRASH
-    response = await fleet.call(path, host=number % len(fleet.hosts), headers=headers)
+    host = number % len(fleet.hosts)
+    response = await fleet.call(path, host, body=body, headers=headers)
     crashes = sum(server.crash_count for server in fleet.servers)
     await wait_until(
         lambda: all(sum(counts(host).values()) == crashes for host in fleet.hosts)
@@ -102,6 +105,40 @@
         assert (await send_whole(fleet, path, **fields)).status == 200
 
 
+@pytest.mark.parametrize(
+    ("previous", "body", "status"),
+    [
+        ("first", b"yes", 503),
+        ("same text", b"yes", 503),
+        ("other text", b"yes", 200),
+        ("", b"yes", 200),
+        ("first", b"no", 200),
+    ],
+)
+async def test_common_text_is_refused_after_three_crashes_elsewhere(
+    previous, body, status
+):
+    """A turn is known by its input and all that it continues, whatever its name."""
+    async with running_fleet(hosts=2, servers=2, state=STATE) as fleet:
+        texts = {"first": b"one", "same text": b"one", "other text": b"two"}
+        for server in fleet.servers:
+            server.mode = Mode.STREAM
+        for name, text in texts.items():
+            first = await fleet.call(
+                "/turns/x", body=text, headers={"Request-Id": name}
+            )
+            assert (first.status, first.complete) == (200, True)
+        for number in range(6):
+            headers = {"Previous-Turn": "first"}
+            await send_crashing(fleet, number, "/turns/x", body=b"yes", **headers)
+        assert sum(server.crash_count for server in fleet.servers) == 3
+        for server in fleet.servers:
+            server.mode = Mode.STREAM
+        headers = {"Previous-Turn": previous} if previous else {}
+        again = await fleet.call("/turns/x", host=1, body=body, headers=headers)
+        assert again.status == status
+
+
 @pytest.mark.parametrize(
     "mode",
     [
