A request that runs whole is cleared of crashes, and crashes are forgotten

Cause: a crash counts for each request that the server ran, and nothing took a mark back. Hosts that started learned the marks from the others.

A request that crashes servers never ends well. So a sealed, complete 2xx response clears the marks that were counted before its run began. Cleared marks stay known as cleared until their end, three for each fingerprint at most, so that a host which missed the clearing does not bring them back; a host that hears a cleared mark counted says again that it was cleared. Hosts exchange ages; marks in their last minute are not announced, so that late messages bring back none.

What protects calls without a body, which have one fingerprint for each path and tenant: they run often, and the next one that ends well clears them. Three servers that end at the same moment while each runs such a call still have it refused until the marks end.

The tests failed before: test_request_beside_the_culprit_is_refused_after_it_has_run _whole in its three rows, the crashes were never cleared; the tables in test_crash_counts.py on clearing and on the end of marks need what did not exist. In two tests the form of the marks was brought up to date; the table of odd forms grew.

--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -4,6 +4,12 @@
 once for a request, however many hosts saw it and however often it is heard. A host
 announces the crashes that it saw. Those of requests that crashed two servers or more
 are announced by all hosts, so that a host which starts learns of them from any other.
+
+A request that crashes servers never runs whole. So a run that ends well clears the
+marks that came before it began: they were those of servers that ended by themselves.
+All marks are forgotten after their life. Hosts exchange the ages of marks, not times,
+since their clocks differ; a mark that was cleared is announced as such, so that it
+does not come back from a host that still counts it.
 """
 
 import hashlib
@@ -25,9 +31,15 @@
 _MAX_FINGERPRINTS = 1_024
 # Recent crashes are part of all messages of this time, older ones of some, in turn.
 _ANNOUNCED_FOR_MS = 6_000.0  # four messages of a fleet of 171 hosts
-_RECENT_PER_MESSAGE = 16  # 500 bytes
+_RECENT_PER_MESSAGE = 16  # 500 bytes, if each crashed one server
 _OLDER_PER_MESSAGE = 4
 _MARK_BYTES = 4
+# A request may crash as many servers again after this time; the longest retention of
+# turns is a minute, and a lease of the store lasts as long at most.
+_LIFE_MS = 600_000.0
+# Older marks are not announced, so that a late message brings back no forgotten mark.
+_ANNOUNCED_LIFE_MS = _LIFE_MS - 60_000.0
+_MAX_CLEARED = 3  # by fingerprint; a mark that comes back is cleared once more
 _log = DecisionLog("strikes")
 
 
@@ -54,15 +66,31 @@
     return hashlib.blake2b(start, digest_size=_MARK_BYTES).digest()
 
 
+@attrs.define(eq=False)
+class _Mark:
+    """One crash: when it was counted, and whether a later run has ended well."""
+
+    counted_ms: float
+    is_cleared: bool = False
+
+
 @attrs.define(eq=False)
 class _Crashes:
-    """The marks of one request's crashes, and when the last one was learned."""
+    """The marks of one request's crashes, and when they changed last.
+
+    `is_own` means that this host saw a crash or a run that cleared some, or knows of
+    marks as cleared that another host counts.
+    """
 
     changed_ms: float
-    marks: set[bytes] = attrs.Factory(set)
+    marks: dict[bytes, _Mark] = attrs.Factory(dict)
     is_own: bool = False
 
 
+# A mark, its age in ms, and whether it was cleared.
+_Row = tuple[bytes, int, bool]
+
+
 class CrashCounts:
     """Count servers that ended while they ran a request, by its fingerprint."""
 
@@ -75,7 +103,13 @@
     def count(self, fingerprint: str) -> int:
         """Return how many servers a request is known to have crashed."""
         crashes = self._crashes.get(fingerprint)
-        return len(crashes.marks) if crashes else 0
+        if crashes is None:
+            return 0
+        oldest_ms = self.clock.now_ms() - _LIFE_MS
+        return sum(
+            not mark.is_cleared and mark.counted_ms > oldest_ms
+            for mark in crashes.marks.values()
+        )
 
     def record_crash(
         self, fingerprint: str, server: str, started_ms: int, evidence: str
@@ -84,7 +118,8 @@
 
         `started_ms` is the wall-clock time of the server's start.
         """
-        self._add(fingerprint, {_crash_mark(server, started_ms)}, is_own=True)
+        mark = _crash_mark(server, started_ms)
+        self._learn(fingerprint, (mark, 0, False), is_own=True)
         _log.write(
             "crash counted",
             evidence,
@@ -93,32 +128,80 @@
             crashes=self.count(fingerprint),
         )
 
-    def merge(self, table: dict[str, list[bytes]]) -> None:
+    def record_whole_run(self, fingerprint: str, began_ms: float) -> None:
+        """Clear the crashes that were counted before a run began that ended well.
+
+        `began_ms` is a monotonic time of this host.
+        """
+        crashes = self._crashes.get(fingerprint)
+        if crashes is None:
+            return
+        earlier = [
+            mark
+            for mark in crashes.marks.values()
+            if not mark.is_cleared and mark.counted_ms < began_ms
+        ]
+        if not earlier:
+            return
+        for mark in earlier:
+            mark.is_cleared = True
+        self._record_change(fingerprint, crashes, is_own=True)
+        _log.write(
+            "crashes cleared",
+            "a later run of the request ended well",
+            fingerprint=fingerprint,
+            cleared=len(earlier),
+            crashes=self.count(fingerprint),
+        )
+
+    def merge(self, table: dict[str, list[_Row]]) -> None:
         """Add the crashes that another host has announced.
 
         Raise ValueError if a mark has another form.
         """
-        for fingerprint, marks in table.items():
-            if not all(isinstance(m, bytes) and len(m) == _MARK_BYTES for m in marks):
-                raise ValueError(f"marks of crashes must be {_MARK_BYTES} bytes")
-            self._add(fingerprint, set(marks), is_own=False)
+        for fingerprint, rows in table.items():
+            for row in [_checked_row(each) for each in rows]:
+                self._learn(fingerprint, row)
 
-    def _add(self, fingerprint: str, marks: set[bytes], is_own: bool) -> None:
+    def _learn(self, fingerprint: str, row: _Row, is_own: bool = False) -> None:
+        """Add what is new in a row. Of two ages, the larger is true."""
+        name, age_ms, is_cleared = row
         now_ms = self.clock.now_ms()
+        if age_ms >= _LIFE_MS:
+            return
         crashes = self._crashes.get(fingerprint, _Crashes(now_ms))
-        if marks <= crashes.marks or len(crashes.marks) >= _CRASH_LIMIT:
+        mark = crashes.marks.get(name)
+        if mark is None:
+            if not is_cleared and self.count(fingerprint) >= _CRASH_LIMIT:
+                return
+            crashes.marks[name] = _Mark(now_ms - age_ms, is_cleared)
+            self._record_change(fingerprint, crashes, is_own)
             return
-        crashes.marks |= marks
-        crashes.changed_ms = now_ms
+        mark.counted_ms = min(mark.counted_ms, now_ms - age_ms)
+        if mark.is_cleared is is_cleared:
+            return
+        # Otherwise, the other host has yet to learn that the mark was cleared.
+        is_own |= mark.is_cleared
+        mark.is_cleared = True
+        self._record_change(fingerprint, crashes, is_own)
+
+    def _record_change(
+        self, fingerprint: str, crashes: _Crashes, is_own: bool = False
+    ) -> None:
+        crashes.changed_ms = self.clock.now_ms()
         crashes.is_own |= is_own
+        cleared = [name for name, mark in crashes.marks.items() if mark.is_cleared]
+        for name in cleared[:-_MAX_CLEARED]:
+            del crashes.marks[name]
         self._crashes[fingerprint] = crashes
         self._crashes.move_to_end(fingerprint)
         while len(self._crashes) > _MAX_FINGERPRINTS:
             # The oldest of the requests with the fewest crashes.
             del self._crashes[min(self._crashes, key=self.count)]
 
-    def to_announce(self) -> dict[str, list[bytes]]:
+    def to_announce(self) -> dict[str, list[_Row]]:
         """Return the crashes for the next message to other hosts."""
+        self._forget_old()
         recent_since_ms = self.clock.now_ms() - _ANNOUNCED_FOR_MS
         recent: list[str] = []
         older: list[str] = []
@@ -129,7 +212,38 @@
             (recent if is_recent else older).append(fingerprint)
         announced = heapq.nlargest(_RECENT_PER_MESSAGE, recent, key=self.count)
         announced += self._take_in_turn(older)
-        return {each: sorted(self._crashes[each].marks) for each in announced}
+        table = {each: self._rows(self._crashes[each]) for each in announced}
+        return {fingerprint: rows for fingerprint, rows in table.items() if rows}
+
+    def _rows(self, crashes: _Crashes) -> list[_Row]:
+        now_ms = self.clock.now_ms()
+        rows = [
+            (name, round(now_ms - mark.counted_ms), mark.is_cleared)
+            for name, mark in sorted(crashes.marks.items())
+        ]
+        return [row for row in rows if row[1] < _ANNOUNCED_LIFE_MS]
+
+    def _forget_old(self) -> None:
+        oldest_ms = self.clock.now_ms() - _LIFE_MS
+        for fingerprint, crashes in list(self._crashes.items()):
+            old = [
+                name
+                for name, mark in crashes.marks.items()
+                if mark.counted_ms <= oldest_ms
+            ]
+            if not old:
+                continue
+            for name in old:
+                del crashes.marks[name]
+            if not crashes.marks:
+                del self._crashes[fingerprint]
+            _log.write(
+                "crashes expired",
+                f"counted {_LIFE_MS:.0f} ms ago",
+                fingerprint=fingerprint,
+                expired=len(old),
+                crashes=self.count(fingerprint),
+            )
 
     def _take_in_turn(self, fingerprints: list[str]) -> Iterable[str]:
         for _ in range(min(len(fingerprints), _OLDER_PER_MESSAGE)):
@@ -150,3 +264,11 @@
         refusal = self.find_refusal(fingerprint)
         if refusal is not None:
             raise CallRefusedError(refusal)
+
+
+def _checked_row(row: object) -> _Row:
+    match row:
+        case [bytes(mark), int(age_ms), bool(is_cleared)]:
+            if len(mark) == _MARK_BYTES and age_ms >= 0:
+                return mark, age_ms, is_cleared
+    raise ValueError(f"no mark of {_MARK_BYTES} bytes with its age in ms: {row!r}")
--- a/celerypulley/fleet/fleet_gossip.py
+++ b/celerypulley/fleet/fleet_gossip.py
@@ -46,9 +46,9 @@
 
     `number` counts the messages. `admitted` are totals of admitted requests since the
     start, by organisation; `in_flight` the current calls, by server; `crashes` the
-    marks of crashes, by request fingerprint. Hosts with the same `view` know the
-    same members; `unreachable` are those of them from which the host receives nothing,
-    a bit for each in the order of their names, empty if there are none.
+    marks of crashes with their ages, by request fingerprint. Hosts with the same `view`
+    know the same members; `unreachable` are those of them from which the host receives
+    nothing, a bit for each in the order of their names, empty if there are none.
     `uptime_ms` is the time since the start. `leaving` are servers that announced to the
     host that they leave, with the times of their starts. `has_all_totals` tells whether
     `admitted` lacks only organisations without requests.
@@ -60,7 +60,7 @@
     received_ms: float
     admitted: dict[str, int] = attrs.Factory(dict)
     in_flight: dict[str, int] = attrs.Factory(dict)
-    crashes: dict[str, list[bytes]] = attrs.Factory(dict)
+    crashes: dict[str, list] = attrs.Factory(dict)
     view: int = 0
     unreachable: bytes = b""
     uptime_ms: float = float("inf")
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -7,6 +7,7 @@
 from tests.harness import ManualClock
 
 PERIOD_MS = 250.0
+LIFE_MS = 600_000.0
 
 
 def _is_refused(counts: CrashCounts, fingerprint: str = "f") -> bool:
@@ -85,7 +86,7 @@
     for number in range(900):
         for start in range(crashes):
             host.record_crash(f"other-{number}", "server", start, "")
-    other.merge({each: sorted(c.marks) for each, c in host._crashes.items()})
+    other.merge({each: host._rows(c) for each, c in host._crashes.items()})
     clock.advance(age_ms)
     assert len(host.to_announce()) == own
     assert len(other.to_announce()) == relayed
@@ -101,9 +102,117 @@
     assert all(started.count(f"other-{number}") == 1 for number in range(900))
 
 
-@pytest.mark.parametrize("marks", [["text"], [b"abc"], [b"abcde"], [7], [None]])
-def test_mark_of_another_form_is_counted(marks):
+@pytest.mark.parametrize(
+    "row",
+    [
+        "text",
+        b"abcd",
+        7,
+        None,
+        [],
+        ["text", 1, False],
+        [b"abc", 1, False],
+        [b"abcde", 1, False],
+        [b"abcd", -1, False],
+        [b"abcd", 1.5, False],
+        [b"abcd", None, False],
+        [b"abcd", 1, None],
+        [b"abcd", 1],
+        [b"abcd", 1, False, 1],
+    ],
+)
+def test_mark_of_another_form_is_counted(row):
     counts = CrashCounts(ManualClock().clock)
-    with pytest.raises(ValueError, match="marks"):
-        counts.merge({"f": marks})
+    with pytest.raises(ValueError, match="mark"):
+        counts.merge({"f": [[b"1234", 1, False], row]})
     assert counts.count("f") == 0
+
+
+@pytest.mark.parametrize("run_on", [0, 1, 2])
+@pytest.mark.parametrize(
+    ("crashes", "began_after", "left"),
+    [(1, 1, 0), (2, 2, 0), (2, 1, 1), (2, 0, 2), (3, 3, 0), (3, 2, 1), (3, 0, 3)],
+)
+def test_innocent_request_is_counted_for_good(run_on, crashes, began_after, left):
+    """A run that ends well clears the crashes before its beginning, on all hosts."""
+    clock = ManualClock()
+    hosts = [CrashCounts(clock.clock) for _ in range(3)]
+    began_ms = clock.now_ms
+    for start in range(crashes):
+        hosts[start].record_crash("f", "server", start, "")
+        _announce(hosts, clock)
+        if start + 1 == began_after:
+            began_ms = clock.now_ms
+            clock.advance(1.0)
+    clock.advance(1.0)
+    hosts[run_on].record_whole_run("f", began_ms)
+    _announce(hosts, clock, messages=3)
+    assert [host.count("f") for host in hosts] == [left] * 3
+
+
+def test_run_of_another_request_clears_crashes():
+    clock = ManualClock()
+    host = CrashCounts(clock.clock)
+    host.record_crash("f", "server", 1, "")
+    clock.advance(1.0)
+    host.record_whole_run("other", clock.now_ms)
+    assert host.count("f") == 1
+
+
+@pytest.mark.parametrize("crashes", [1, 3])
+def test_cleared_crash_comes_back_from_a_host_that_missed_it(crashes):
+    """The host was cut off, and announces the crash to all others and those started."""
+    clock = ManualClock()
+    hosts = [CrashCounts(clock.clock) for _ in range(3)]
+    for start in range(crashes):
+        hosts[0].record_crash("f", "server", start, "")
+    _announce(hosts, clock)
+    hosts[1].record_whole_run("f", clock.now_ms)
+    _announce(hosts[1:], clock, messages=120)
+    assert [host.count("f") for host in hosts] == [crashes, 0, 0]
+    hosts.append(CrashCounts(clock.clock))
+    _announce(hosts, clock, messages=5)
+    assert [host.count("f") for host in hosts] == [0] * 4
+
+
+def test_clearings_fill_the_memory():
+    clock = ManualClock()
+    host = CrashCounts(clock.clock)
+    for number in range(3_000):
+        host.record_crash(f"f-{number % 1_500}", "server", number, "")
+        host.record_crash("common", "server", number, "")
+        clock.advance(1.0)
+        host.record_whole_run(f"f-{number % 1_500}", clock.now_ms)
+        host.record_whole_run("common", clock.now_ms)
+    assert len(host._crashes) <= 1_024
+    assert sum(len(each.marks) for each in host._crashes.values()) <= 2 * 1_024
+
+
+@pytest.mark.parametrize("crash_gaps_ms", [(0.0, 0.0), (1_000.0, 200_000.0)])
+def test_request_is_refused_for_good(crash_gaps_ms):
+    """Marks end on the host that saw the crashes and on those that heard of them."""
+    clock = ManualClock()
+    hosts = [CrashCounts(clock.clock) for _ in range(2)]
+    first_ms = clock.now_ms
+    for start, gap_ms in enumerate((0.0, *crash_gaps_ms)):
+        clock.advance(gap_ms)
+        hosts[0].record_crash("f", "server", start, "")
+    _announce(hosts, clock, messages=3)
+    clock.advance(first_ms + LIFE_MS - clock.now_ms - 62_000.0)
+    hosts.append(CrashCounts(clock.clock))
+    _announce(hosts, clock, messages=3)
+    late_tables = [host.to_announce() for host in hosts]
+    clock.advance(first_ms + LIFE_MS - clock.now_ms - 10_000.0)
+    hosts.append(CrashCounts(clock.clock))
+    for table in late_tables:
+        for host in hosts:
+            host.merge(table)
+    clock.advance(9_990.0)
+    assert all(_is_refused(host) for host in hosts)
+    clock.advance(10.0)
+    for _ in range(3):
+        assert not any(_is_refused(host) for host in hosts[:3])
+        _announce(hosts, clock)
+    clock.advance(sum(crash_gaps_ms) + 62_000.0)
+    _announce(hosts, clock, messages=3)
+    assert all(host._crashes == {} for host in hosts)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -42,17 +42,31 @@
             await wait_until(partial(knows_start, host, server.name, started_ms))
 
 
+def _total_crashes(fleet: Fleet) -> int:
+    return sum(server.crash_count for server in fleet.servers)
+
+
 async def send_crashing(
-    fleet: Fleet, number: int, path: str, body: bytes = b"hello", **headers: str
+    fleet: Fleet,
+    number: int,
+    path: str,
+    body: bytes = b"hello",
+    method: str = "POST",
+    **headers: str,
 ) -> int:
     """Send a request while it crashes servers; return the status once all agree."""
+    crashes = -_total_crashes(fleet)
+    counted = [sum(counts(host).values()) for host in fleet.hosts]
     for server in fleet.servers:
         server.mode = Mode.CRASH
     host = number % len(fleet.hosts)
-    response = await fleet.call(path, host, body=body, headers=headers)
-    crashes = sum(server.crash_count for server in fleet.servers)
+    response = await fleet.call(path, host, method, body, headers)
+    crashes += _total_crashes(fleet)
     await wait_until(
-        lambda: all(sum(counts(host).values()) == crashes for host in fleet.hosts)
+        lambda: all(
+            sum(counts(host).values()) == before + crashes
+            for host, before in zip(fleet.hosts, counted, strict=True)
+        )
     )
     await restart_crashed(fleet)
     return response.status
@@ -105,6 +119,28 @@
         assert (await send_whole(fleet, path, **fields)).status == 200
 
 
+@pytest.mark.parametrize(
+    ("path", "method", "body"),
+    [("/unsafe/x", "GET", b""), ("/unsafe/x", "POST", b"b"), ("/turns/x", "POST", b"")],
+)
+async def test_request_beside_the_culprit_is_refused_after_it_has_run_whole(
+    path, method, body
+):
+    """Its servers crash by other causes, and it runs whole in between."""
+    async with running_fleet(hosts=2, servers=2, state=STATE) as fleet:
+        for number in range(4):
+            await send_crashing(fleet, number, path, body, method)
+            mode = Mode.STREAM if path.startswith("/turns/") else Mode.COMPLETE
+            for server in fleet.servers:
+                server.mode = mode
+            response = await fleet.call(path, host=1, body=body, method=method)
+            assert response.status == 200
+            await wait_until(
+                lambda: all(set(counts(host).values()) == {0} for host in fleet.hosts)
+            )
+        assert sum(server.crash_count for server in fleet.servers) == 4
+
+
 @pytest.mark.parametrize(
     ("previous", "body", "status"),
     [
@@ -197,7 +233,8 @@
             server.received.clear()
         call = asyncio.create_task(fleet.call("/safe/x"))
         await wait_until(lambda: any(server.received for server in fleet.servers))
-        host.crash_counts.merge({fingerprint: [b"1234", b"5678"]})
+        marks = [(b"1234", 0, False), (b"5678", 0, False)]
+        host.crash_counts.merge({fingerprint: marks})
         next(server for server in fleet.servers if server.received).crash()
         assert (await call).status == 502
         assert sum(len(server.received) for server in fleet.servers) == 1
