Crashes by a request outlast a kill of all hosts

Cause: marks of crashes were known to hosts only, by gossip.

Marks of a request that crashed two servers or more are now also in the platform store, a key for each mark, written by the hosts that saw one of the crashes or a clearing. Writes are idempotent and need no condition, since no two marks share a key. The value is the wall-clock time at which the crash was counted, so that a mark keeps its age. The keys have a lease of ten minutes, the life of a mark, and are deleted when the marks are cleared. A first crash costs no call; most requests beside a culprit have one only. A write that is carried out late, after its mark was cleared, stays until its lease ends.

A host reads the marks once, before it is ready or admits a request, which the store has to answer for its desired state anyway. Weighed against a watch: that would cost each host calls for its whole life, for what gossip brings within a second; what it misses is relayed by all hosts.

The test failed before: test_crashing_request_is_sent_again_after_all_hosts_were_killed, 502 instead of 503, the request reached servers. The fleet of the tests can replace all its hosts.

--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -15,7 +15,7 @@
 import hashlib
 import heapq
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -24,7 +24,7 @@
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.programs.opaque_request import OpaqueRequest
 
-__all__ = ["CrashCounts", "request_fingerprint"]
+__all__ = ["MARK_LIFE_MS", "CrashCounts", "request_fingerprint"]
 
 _CRASH_LIMIT = 3  # one request may crash at most three servers
 _RELAY_LIMIT = 2  # a crash that concerns one request only is rarely heard of twice
@@ -36,9 +36,9 @@
 _MARK_BYTES = 4
 # A request may crash as many servers again after this time; the longest retention of
 # turns is a minute, and a lease of the store lasts as long at most.
-_LIFE_MS = 600_000.0
+MARK_LIFE_MS = 600_000
 # Older marks are not announced, so that a late message brings back no forgotten mark.
-_ANNOUNCED_LIFE_MS = _LIFE_MS - 60_000.0
+_ANNOUNCED_LIFE_MS = MARK_LIFE_MS - 60_000.0
 _MAX_CLEARED = 3  # by fingerprint; a mark that comes back is cleared once more
 _log = DecisionLog("strikes")
 
@@ -68,10 +68,15 @@
 
 @attrs.define(eq=False)
 class _Mark:
-    """One crash: when it was counted, and whether a later run has ended well."""
+    """One crash: when it was counted, and whether a later run has ended well.
+
+    `is_lasting` means that it was counted beside another crash of the request, so that
+    it is kept in the store until it is cleared.
+    """
 
     counted_ms: float
     is_cleared: bool = False
+    is_lasting: bool = False
 
 
 @attrs.define(eq=False)
@@ -92,11 +97,17 @@
 
 
 class CrashCounts:
-    """Count servers that ended while they ran a request, by its fingerprint."""
+    """Count servers that ended while they ran a request, by its fingerprint.
+
+    The functions in `on_change` are called with the fingerprint whose marks changed.
+    `is_restored` is False until the marks of the store have been added.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Start without crashes."""
         self.clock = clock
+        self.on_change: list[Callable[[str], None]] = []
+        self.is_restored = True
         self._crashes: OrderedDict[str, _Crashes] = OrderedDict()
         self._next_older = 0
 
@@ -105,7 +116,7 @@
         crashes = self._crashes.get(fingerprint)
         if crashes is None:
             return 0
-        oldest_ms = self.clock.now_ms() - _LIFE_MS
+        oldest_ms = self.clock.now_ms() - MARK_LIFE_MS
         return sum(
             not mark.is_cleared and mark.counted_ms > oldest_ms
             for mark in crashes.marks.values()
@@ -167,7 +178,7 @@
         """Add what is new in a row. Of two ages, the larger is true."""
         name, age_ms, is_cleared = row
         now_ms = self.clock.now_ms()
-        if age_ms >= _LIFE_MS:
+        if age_ms >= MARK_LIFE_MS:
             return
         crashes = self._crashes.get(fingerprint, _Crashes(now_ms))
         mark = crashes.marks.get(name)
@@ -193,11 +204,36 @@
         cleared = [name for name, mark in crashes.marks.items() if mark.is_cleared]
         for name in cleared[:-_MAX_CLEARED]:
             del crashes.marks[name]
+        live = [mark for mark in crashes.marks.values() if not mark.is_cleared]
+        if len(live) >= _RELAY_LIMIT:
+            for mark in live:
+                mark.is_lasting = True
         self._crashes[fingerprint] = crashes
         self._crashes.move_to_end(fingerprint)
         while len(self._crashes) > _MAX_FINGERPRINTS:
             # The oldest of the requests with the fewest crashes.
-            del self._crashes[min(self._crashes, key=self.count)]
+            dropped = min(self._crashes, key=self.count)
+            del self._crashes[dropped]
+            self._report_change(dropped)
+        self._report_change(fingerprint)
+
+    def _report_change(self, fingerprint: str) -> None:
+        for listener in self.on_change:
+            listener(fingerprint)
+
+    def ages_to_store(self, fingerprint: str) -> dict[bytes, int | None]:
+        """Return the ages in ms of marks that must last, None for those cleared.
+
+        Only hosts that saw a crash or a clearing of the request store its marks.
+        """
+        crashes = self._crashes.get(fingerprint)
+        if crashes is None or not crashes.is_own:
+            return {}
+        return {
+            name: None if is_cleared else age_ms
+            for name, age_ms, is_cleared in self._rows(crashes)
+            if crashes.marks[name].is_lasting
+        }
 
     def to_announce(self) -> dict[str, list[_Row]]:
         """Return the crashes for the next message to other hosts."""
@@ -224,7 +260,7 @@
         return [row for row in rows if row[1] < _ANNOUNCED_LIFE_MS]
 
     def _forget_old(self) -> None:
-        oldest_ms = self.clock.now_ms() - _LIFE_MS
+        oldest_ms = self.clock.now_ms() - MARK_LIFE_MS
         for fingerprint, crashes in list(self._crashes.items()):
             old = [
                 name
@@ -239,11 +275,12 @@
                 del self._crashes[fingerprint]
             _log.write(
                 "crashes expired",
-                f"counted {_LIFE_MS:.0f} ms ago",
+                f"counted {MARK_LIFE_MS} ms ago",
                 fingerprint=fingerprint,
                 expired=len(old),
                 crashes=self.count(fingerprint),
             )
+            self._report_change(fingerprint)
 
     def _take_in_turn(self, fingerprints: list[str]) -> Iterable[str]:
         for _ in range(min(len(fingerprints), _OLDER_PER_MESSAGE)):
--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -117,6 +117,10 @@
             raise CallRefusedError.of(
                 ErrorKind.CONFIGURATION_STALE, "no desired state received yet"
             )
+        if not self.crash_counts.is_restored:
+            raise CallRefusedError.of(
+                ErrorKind.STATE_UNREACHABLE, "crashes of servers not read yet"
+            )
         route = state.find_route(request.http_host, request.path)
         if route is None:
             self._refuse_unknown(
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -26,6 +26,7 @@
 from celerypulley.hosts.budget_coordinator import BudgetCoordinator
 from celerypulley.hosts.budget_escrow import BudgetEscrow
 from celerypulley.hosts.crash_detector import CrashDetector
+from celerypulley.hosts.crash_mark_store import CrashMarkStore
 from celerypulley.hosts.desired_state_cache import DesiredStateCache
 from celerypulley.hosts.forward_context import ForwardContext
 from celerypulley.hosts.forward_metrics import ForwardMetrics
@@ -110,6 +111,7 @@
         )
         self.meter = FleetMeter(settings.quota_window_ms, clock)
         self.crash_counts = CrashCounts(clock)
+        self.crash_mark_store = CrashMarkStore(store, self.crash_counts, clock)
         self.crash_detector = CrashDetector(
             self.links.probe, self.directory.find_listing, self.crash_counts, clock
         )
@@ -142,12 +144,13 @@
         confirmer.ask_peer = confirmations.ask
         confirmer.pause_ms = confirmations.pause_ms
         confirmer.retry_ms = confirmations.retry_ms
-        for follower in (
+        for reader in (
             self.members.follower,
             self.desired_state.follower,
             self.directory.follower,
+            self.crash_mark_store,
         ):
-            follower.wait_to_retry = confirmer.wait_to_retry
+            reader.wait_to_retry = confirmer.wait_to_retry
         self.window_copier = WindowCopier(self.meter, self.datagrams, self.gossip)
         self.gossip.on_message += [
             self.meter.on_peer_counts,
@@ -265,6 +268,7 @@
             self.window_copier,
             self.stall_monitor,
             self.crash_detector,
+            self.crash_mark_store,
             self.desired_state.follower,
             self.desired_state.confirmer,
             self.directory.follower,
@@ -307,7 +311,7 @@
         """Return whether the balancer should send new connections to this host."""
         if self.server.draining or self.desired_state.state is None:
             return False
-        if not self.directory.servers:
+        if not self.directory.servers or not self.crash_counts.is_restored:
             return False
         if self.is_partitioned():
             return False
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -102,6 +102,30 @@
     servers: list[OpaqueServer]
     session: aiohttp.ClientSession
     request_count: int = 0
+    host_sessions: list[aiohttp.ClientSession] = attrs.Factory(list)
+
+    async def start_host(self) -> None:
+        """Start one more host, under the name of the next number."""
+        session = aiohttp.ClientSession()
+        self.host_sessions.append(session)
+        client = PlatformStore(self.store_address, session, 500.0)
+        settings = make_settings(f"host-{len(self.hosts)}", self.store_address)
+        host = FleetHost(settings, client, PLATFORM_SCHEMA, run_clock())
+        self.hosts.append(host)
+        await host.start()
+
+    async def replace_all_hosts(self) -> None:
+        """Stop all hosts, then start as many under their names."""
+        stopped, self.hosts = self.hosts, []
+        for host in stopped:
+            await host.stop()
+        for _ in stopped:
+            await self.start_host()
+        await self.wait_until_ready()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until all hosts are ready and know all members and servers."""
+        await wait_until(lambda: all(_has_converged(each, self) for each in self.hosts))
 
     def put_state(self, state: dict) -> None:
         """Write the desired state to the store."""
@@ -201,18 +225,9 @@
             await server.start()
             fleet.servers.append(server)
             fleet.register(server)
-        sessions = []
-        for number in range(hosts):
-            host_session = aiohttp.ClientSession()
-            sessions.append(host_session)
-            client = PlatformStore(store_address, host_session, 500.0)
-            settings = make_settings(f"host-{number}", store_address)
-            host = FleetHost(settings, client, PLATFORM_SCHEMA, run_clock())
-            await host.start()
-            fleet.hosts.append(host)
-        await wait_until(
-            lambda: all(_has_converged(host, fleet) for host in fleet.hosts)
-        )
+        for _ in range(hosts):
+            await fleet.start_host()
+        await fleet.wait_until_ready()
         try:
             yield fleet
         finally:
@@ -220,7 +235,7 @@
                 await host.stop()
             for server in fleet.servers:
                 await server.stop()
-            for each in (*sessions, session):
+            for each in (*fleet.host_sessions, session):
                 await each.close()
 
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -119,6 +119,34 @@
         assert (await send_whole(fleet, path, **fields)).status == 200
 
 
+@pytest.mark.parametrize("starts", [1, 3])
+async def test_crashing_request_is_sent_again_after_all_hosts_were_killed(starts):
+    async with running_fleet(hosts=3, servers=2, state=STATE) as fleet:
+        for number in range(3):
+            await send_crashing(fleet, number, "/unsafe/x")
+        await asyncio.sleep(0.3)
+        for _ in range(starts):
+            await fleet.replace_all_hosts()
+        for server in fleet.servers:
+            server.received.clear()
+        for host in range(3):
+            refused = await fleet.call("/unsafe/x", host)
+            assert (refused.status, b"quarantined" in refused.body) == (503, True)
+        assert not any(server.received for server in fleet.servers)
+        assert (await send_whole(fleet, "/unsafe/x", body=b"other")).status == 200
+
+
+async def test_cleared_request_is_refused_after_all_hosts_were_killed():
+    async with running_fleet(hosts=2, servers=2, state=STATE) as fleet:
+        for number in range(2):
+            await send_crashing(fleet, number, "/unsafe/x")
+        await asyncio.sleep(0.3)
+        assert (await send_whole(fleet, "/unsafe/x", host=1)).status == 200
+        await asyncio.sleep(0.3)
+        await fleet.replace_all_hosts()
+        assert [counts(host) for host in fleet.hosts] == [{}, {}]
+
+
 @pytest.mark.parametrize(
     ("path", "method", "body"),
     [("/unsafe/x", "GET", b""), ("/unsafe/x", "POST", b"b"), ("/turns/x", "POST", b"")],
