Hosts settle which cleared crashes they keep

Hosts announced the cleared crashes of a common request to each other again and again, each as a change.

Cause: a host keeps three cleared marks of a fingerprint, and dropped those that it had learned first. Hosts that learned them in another order kept others, and each announced mark took the place of one that came back with the next message.

The oldest by age are dropped now, so that all hosts keep the same. The end of a mark that was cleared before changes no count and is no longer logged.

The test failed before: test_hosts_tell_each_other_of_old_clearings_without_end, marks changed up to the last of 60 messages.

--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -91,6 +91,12 @@
     marks: dict[bytes, _Mark] = attrs.Factory(dict)
     is_own: bool = False
 
+    def excess_cleared(self) -> list[bytes]:
+        """Return the cleared marks that are too many, which are the oldest."""
+        cleared = [name for name, mark in self.marks.items() if mark.is_cleared]
+        cleared.sort(key=lambda name: self.marks[name].counted_ms)
+        return cleared[:-_MAX_CLEARED]
+
 
 # A mark, its age in ms, and whether it was cleared.
 _Row = tuple[bytes, int, bool]
@@ -186,6 +192,9 @@
             if not is_cleared and self.count(fingerprint) >= _CRASH_LIMIT:
                 return
             crashes.marks[name] = _Mark(now_ms - age_ms, is_cleared)
+            if name in crashes.excess_cleared():
+                del crashes.marks[name]
+                return
             self._record_change(fingerprint, crashes, is_own)
             return
         mark.counted_ms = min(mark.counted_ms, now_ms - age_ms)
@@ -201,8 +210,7 @@
     ) -> None:
         crashes.changed_ms = self.clock.now_ms()
         crashes.is_own |= is_own
-        cleared = [name for name, mark in crashes.marks.items() if mark.is_cleared]
-        for name in cleared[:-_MAX_CLEARED]:
+        for name in crashes.excess_cleared():
             del crashes.marks[name]
         live = [mark for mark in crashes.marks.values() if not mark.is_cleared]
         if len(live) >= _RELAY_LIMIT:
@@ -269,18 +277,19 @@
             ]
             if not old:
                 continue
-            for name in old:
-                del crashes.marks[name]
+            expired = sum(not crashes.marks.pop(name).is_cleared for name in old)
             if not crashes.marks:
                 del self._crashes[fingerprint]
+            self._report_change(fingerprint)
+            if not expired:
+                continue
             _log.write(
                 "crashes expired",
                 f"counted {MARK_LIFE_MS} ms ago",
                 fingerprint=fingerprint,
-                expired=len(old),
+                expired=expired,
                 crashes=self.count(fingerprint),
             )
-            self._report_change(fingerprint)
 
     def _take_in_turn(self, fingerprints: list[str]) -> Iterable[str]:
         for _ in range(min(len(fingerprints), _OLDER_PER_MESSAGE)):
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -1,5 +1,7 @@
 """Requests that crash servers, while the hosts that saw it restart."""
 
+import itertools
+
 import pytest
 
 from celerypulley.errors import CallRefusedError
@@ -188,6 +190,25 @@
     assert sum(len(each.marks) for each in host._crashes.values()) <= 2 * 1_024
 
 
+def test_hosts_tell_each_other_of_old_clearings_without_end():
+    """Each host has cleared other crashes of a common request, and they keep a few."""
+    clock = ManualClock()
+    hosts = [CrashCounts(clock.clock) for _ in range(3)]
+    for start in range(12):
+        host = hosts[start % 3]
+        host.record_crash("f", "server", start, "")
+        clock.advance(1.0)
+        host.record_whole_run("f", clock.now_ms)
+    for _ in range(60):
+        clock.advance(PERIOD_MS)
+        tables = [host.to_announce() for host in hosts]
+        for sender, receiver in itertools.permutations(range(3), 2):
+            hosts[receiver].merge(tables[sender])
+    assert [host.count("f") for host in hosts] == [0] * 3
+    settled_ms = clock.now_ms - 50 * PERIOD_MS
+    assert all(host._crashes["f"].changed_ms < settled_ms for host in hosts)
+
+
 @pytest.mark.parametrize("crash_gaps_ms", [(0.0, 0.0), (1_000.0, 200_000.0)])
 def test_request_is_refused_for_good(crash_gaps_ms):
     """Marks end on the host that saw the crashes and on those that heard of them."""
