--- a/celerypulley/links/response_parser.py
+++ b/celerypulley/links/response_parser.py
@@ -99,8 +99,11 @@
         self._parser: httptools.HttpResponseParser | None = (
             httptools.HttpResponseParser(self)
         )
+        # Control characters in the value of a header don't make a response ambiguous.
         self._parser.set_dangerous_leniencies(
-            lenient_optional_cr_before_lf=True, lenient_spaces_after_chunk_size=True
+            lenient_headers=True,
+            lenient_optional_cr_before_lf=True,
+            lenient_spaces_after_chunk_size=True,
         )
 
     def feed(self, data: bytes) -> None:
