--- a/tests/test_stops_under_load.py
+++ b/tests/test_stops_under_load.py
@@ -20,6 +20,8 @@
 
 _SEEDS = range(1, 1 + int(os.environ.get("STOP_SEEDS", "1")))
 _CALLERS = 8
+# The port for metrics is fixed, so runs beside each other need addresses of their own.
+_LOOPBACK_BLOCK = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
 _READY_S = 15.0
 _GRACE_S = 6  # 2.5 s of these for the balancer and 1 s before SIGKILL
 _TRAFFIC_S = 7.0  # until the last response to a stop that begins in the first second
@@ -247,7 +249,7 @@
     second.send_signal(signal.SIGTERM)
     assert first.process is not None, "the process has been started"
     await first.process.wait()
-    await first.start("127.0.0.2")
+    await first.start(f"{_LOOPBACK_BLOCK}.0")
 
 
 @pytest.mark.parametrize("seed", _SEEDS)
@@ -264,7 +266,7 @@
         edges = [EdgeProcess(f"edge-{n}", tmp_path, store_address) for n in range(2)]
         try:
             await asyncio.gather(
-                *(edge.start(f"127.0.0.{n + 2}") for n, edge in enumerate(edges))
+                *(edge.start(f"{_LOOPBACK_BLOCK}.{n}") for n, edge in enumerate(edges))
             )
             traffic = Traffic(choose, server, edges)
             end_s = asyncio.get_running_loop().time() + _TRAFFIC_S
