--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -393,3 +393,18 @@
         headers = {"Request-Id": "request", "Deadline-Ms": "1500"}
         response = await _call(fleet, "/safe/x", "GET", headers)
         assert _is_own(response, "/safe/x", headers, 200), response
+
+
+@pytest.mark.parametrize("timeout", ["²", "9" * 400, "9" * 5_000, ""])
+@pytest.mark.parametrize("framing", [with_length, in_chunks])
+@pytest.mark.parametrize("path", ["/safe", "/unsafe", "/turns"])
+async def test_odd_keep_alive_timeout_loses_a_complete_response(timeout, framing, path):
+    def respond(request: ReceivedRequest) -> bytes:
+        return framing(200)(request).replace(b"=9", f"={timeout}".encode())
+
+    async with running_fleet() as fleet:
+        (server,) = fleet.servers
+        server.next_scripts = [Script(respond)]
+        headers = {"Request-Id": "first"}
+        response = await _call(fleet, f"{path}/0", "POST", headers)
+        assert _is_own(response, f"{path}/0", headers, 200), response
