Refuse a head that holds the status line of another on a first request, too

A server began a head, broke off and sent its whole response, a failure: the caller got the status of the beginning, 200, with the identifier, seal and body of the failure. On connections used before such a head was refused already.

A response whose own header holds such a text, HTTP/1.1 200, is refused as well: the two can't be told apart.

--- a/celerypulley/links/response_parser.py
+++ b/celerypulley/links/response_parser.py
@@ -211,7 +211,7 @@
     def _check_line(self, line: bytes) -> None:
         if len(line) > _MAX_HEADER_BYTES:
             raise InvalidResponseError(f"a line over {_MAX_HEADER_BYTES} bytes")
-        if self.is_reused and _STATUS_LINE.search(line):
+        if _STATUS_LINE.search(line):
             raise InvalidResponseError("the text of two heads in one")
 
     def _find_mismatch(self, head: ResponseHead) -> str | None:
--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -408,3 +408,22 @@
         headers = {"Request-Id": "first"}
         response = await _call(fleet, f"{path}/0", "POST", headers)
         assert _is_own(response, f"{path}/0", headers, 200), response
+
+
+@pytest.mark.parametrize("path", ["/safe", "/unsafe", "/turns"])
+@pytest.mark.parametrize(
+    "cut",
+    [
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 200 OK\r\nServer-Load: ",
+        b"HTTP/1.1 200 OK\r\nServer-Load: 1,0,8 ",
+    ],
+)
+async def test_response_that_begins_again_has_the_status_of_its_cut_beginning(
+    path, cut
+):
+    async with running_fleet() as fleet:
+        (server,) = fleet.servers
+        server.next_scripts = [Script(lambda request: cut + with_length(500)(request))]
+        response = await _call(fleet, f"{path}/0", "POST", {"Request-Id": "first"})
+        assert response.status in (500, 502), response
