Parse every number in the heads of requests and responses by one function

The Keep-Alive timeout had a check of digits of its own beside that of the platform's dialect, which also took a timeout with leading zeros for a long one. Both call parse_whole_number() now.

--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -13,6 +13,7 @@
 
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
+from celerypulley.links.header_text import parse_whole_number
 from celerypulley.links.response_parser import (
     InvalidResponseError,
     RequestIdentity,
@@ -32,7 +33,6 @@
 _CONNECT_TIMEOUT_S = 0.25
 _MAX_IDLE_MS = 15_000.0  # longer idle connections occupy slots that busier hosts need
 _IDLE_MARGIN_MS = 1_000.0  # before the keep-alive timeout that a server states
-_MAX_TIMEOUT_DIGITS = 9
 _DEFAULT_IDLE_MS = 1_000.0  # if no timeout is stated: the smallest that could be
 _MAX_REQUESTS_CARRIED = 1_000  # bounds the memory for their identifiers
 _MAX_BUFFERED_BYTES = 128 * 1024  # of a body, until its reader has taken them
@@ -380,9 +380,9 @@
     """Return how long a connection may be idle, from a Keep-Alive header."""
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isascii() and value.isdigit():
-            if len(value) > _MAX_TIMEOUT_DIGITS:
-                return _MAX_IDLE_MS
-            stated_ms = int(value) * 1000.0
-            return min(_MAX_IDLE_MS, max(stated_ms / 2, stated_ms - _IDLE_MARGIN_MS))
+        stated_s = parse_whole_number(value) if name.lower() == "timeout" else None
+        if stated_s is None:
+            continue
+        stated_ms = stated_s * 1000.0
+        return min(_MAX_IDLE_MS, max(stated_ms / 2, stated_ms - _IDLE_MARGIN_MS))
     return _DEFAULT_IDLE_MS
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -7,13 +7,13 @@
 
 from celerypulley.errors import ErrorKind
 from celerypulley.links.forward_dialect import Dialect, ForwardedCall, ResponseMetadata
+from celerypulley.links.header_text import parse_whole_number
 from celerypulley.links.response_parser import ResponseHead
 from celerypulley.programs.opaque_request import OpaqueRequest, PrefixPart
 
 __all__ = ["DIALECT"]
 
 _DEFAULT_DEADLINE_MS = 30_000
-_MAX_DIGITS = 15  # such a number is exact as a float and has room in 64 bits
 _PROGRAM_ID = re.compile(r"[0-9A-Za-z._~-]{1,100}")
 # Hop-by-hop headers, and those that the product sets itself or does not forward.
 _DROPPED_REQUEST_HEADERS = frozenset(
@@ -78,7 +78,7 @@
     parts = []
     for entry in text.split(","):
         name, _, text = entry.strip().partition(":")
-        tokens = _parse_integer(text, None)
+        tokens = parse_whole_number(text)
         if name and tokens is not None:
             parts.append(PrefixPart(name, tokens))
     return tuple(parts)
@@ -90,11 +90,8 @@
 
 
 def _parse_integer(text: str, default: int | None) -> int | None:
-    """Return a whole number, at most one of `_MAX_DIGITS` nines."""
-    if not (text.isascii() and text.isdigit()):
-        return default
-    digits = text.lstrip("0") or "0"
-    return int(digits if len(digits) <= _MAX_DIGITS else "9" * _MAX_DIGITS)
+    number = parse_whole_number(text)
+    return default if number is None else number
 
 
 def _parse_program_id(text: str) -> str:
@@ -125,8 +122,8 @@
 def _decode_response_head(head: ResponseHead) -> ResponseMetadata:
     headers = head.headers
     load = headers.get("Server-Load", "").split(",")
-    running = _parse_integer(load[0].strip(), None)
-    waiting = _parse_integer(load[1].strip(), None) if len(load) > 1 else None
+    running = parse_whole_number(load[0].strip())
+    waiting = parse_whole_number(load[1].strip()) if len(load) > 1 else None
     has_load = running is not None and waiting is not None
     return ResponseMetadata(
         not_run="Not-Executed" in headers or head.status == 421,
