Clear the crashes beside a run of the request that ends well

Callers saw 503 "quarantined" for ten minutes, at every host and in every program, for a text that many of them send, after three servers that ran it had ended at one moment: 12 of 18 equal first turns were answered whole on the other servers, and then none of 10 was served any more.

Cause: a run that ended well cleared only marks that were counted before it began. Servers that end together take the equal requests on them along, and those on other servers had begun before and end after it; by then all are refused, so that no run follows that could clear the marks.

A request that crashes servers runs whole on none of them. So a whole run clears the marks of all runs that had begun when it ended. A mark holds the time when the run began that it broke off, since crashes are found up to 5 s later, and the last whole runs of requests are remembered for those and for the marks that other hosts announce. `crash counted` says how long ago the run began and the last whole run ended.

test_equal_requests_are_refused_after_their_servers_end_together failed on the former code (4 of 4 rows) and passes. A request that crashes each server is stopped as before (test_request_comes_back_after_three_crashes_and_is_sent).

--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -5,11 +5,11 @@
 announces the crashes that it saw. Those of requests that crashed two servers or more
 are announced by all hosts, so that a host which starts learns of them from any other.
 
-A request that crashes servers never runs whole. So a run that ends well clears the
-marks that came before it began: they were those of servers that ended by themselves.
-All marks are forgotten after their life. Hosts exchange the ages of marks, not times,
-since their clocks differ; a mark that was cleared is announced as such, so that it
-does not come back from a host that still counts it.
+A request that crashes servers never runs whole, on any of them. So a run that ends
+well clears the marks of all runs that had begun by then, also of those beside it: their
+servers ended by themselves. All marks are forgotten after their life. Hosts exchange
+the ages of marks, not times, since their clocks differ; a mark that was cleared is
+announced as such, so that it does not come back from a host that still counts it.
 """
 
 import hashlib
@@ -19,7 +19,7 @@
 
 import attrs
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.programs.opaque_request import OpaqueRequest
@@ -40,6 +40,7 @@
 # Older marks are not announced, so that a late message brings back no forgotten mark.
 _ANNOUNCED_LIFE_MS = MARK_LIFE_MS - 60_000.0
 _MAX_CLEARED = 3  # by fingerprint; a mark that comes back is cleared once more
+_MAX_WHOLE_RUNS = 4_096  # of those that a host forwards in some seconds
 _log = DecisionLog("strikes")
 
 
@@ -68,13 +69,13 @@
 
 @attrs.define(eq=False)
 class _Mark:
-    """One crash: when it was counted, and whether a later run has ended well.
+    """One crash: when the run began that it broke off, and whether it was cleared.
 
     `is_lasting` means that it was counted beside another crash of the request, so that
     it is kept in the store until it is cleared.
     """
 
-    counted_ms: float
+    began_ms: float
     is_cleared: bool = False
     is_lasting: bool = False
 
@@ -94,7 +95,7 @@
     def excess_cleared(self) -> list[bytes]:
         """Return the cleared marks that are too many, which are the oldest."""
         cleared = [name for name, mark in self.marks.items() if mark.is_cleared]
-        cleared.sort(key=lambda name: self.marks[name].counted_ms)
+        cleared.sort(key=lambda name: self.marks[name].began_ms)
         return cleared[:-_MAX_CLEARED]
 
 
@@ -115,6 +116,8 @@
         self.on_change: list[Callable[[str], None]] = []
         self.is_restored = True
         self._crashes: OrderedDict[str, _Crashes] = OrderedDict()
+        # When the last run of a request ended well on this host.
+        self._whole_runs_ms: OrderedDict[str, float] = OrderedDict()
         self._next_older = 0
 
     def count(self, fingerprint: str) -> int:
@@ -124,50 +127,60 @@
             return 0
         oldest_ms = self.clock.now_ms() - MARK_LIFE_MS
         return sum(
-            not mark.is_cleared and mark.counted_ms > oldest_ms
+            not mark.is_cleared and mark.began_ms > oldest_ms
             for mark in crashes.marks.values()
         )
 
     def record_crash(
-        self, fingerprint: str, server: str, started_ms: int, evidence: str
+        self,
+        fingerprint: str,
+        server: str,
+        started_ms: int,
+        began_ms: float,
+        evidence: str,
     ) -> None:
         """Count a server that ended while it ran a request.
 
-        `started_ms` is the wall-clock time of the server's start.
+        `started_ms` is the wall-clock time of the server's start, `began_ms` the
+        monotonic time of this host when the run began.
         """
         mark = _crash_mark(server, started_ms)
-        self._learn(fingerprint, (mark, 0, False), is_own=True)
+        age_ms = round(self.clock.now_ms() - began_ms)
+        self._learn(fingerprint, (mark, age_ms, False), is_own=True)
+        whole_run_ms = self._whole_runs_ms.get(fingerprint)
         _log.write(
             "crash counted",
             evidence,
             server=server,
             fingerprint=fingerprint,
             crashes=self.count(fingerprint),
+            began_ago_ms=age_ms,
+            whole_run_ago_ms=_ago_ms(self.clock, whole_run_ms),
         )
 
-    def record_whole_run(self, fingerprint: str, began_ms: float) -> None:
-        """Clear the crashes that were counted before a run began that ended well.
+    def record_whole_run(self, fingerprint: str) -> None:
+        """Clear the crashes of a request, of which a run has just ended well.
 
-        `began_ms` is a monotonic time of this host.
+        Crashes of runs that have begun by now, and are counted later, are cleared too.
         """
+        self._whole_runs_ms[fingerprint] = self.clock.now_ms()
+        self._whole_runs_ms.move_to_end(fingerprint)
+        if len(self._whole_runs_ms) > _MAX_WHOLE_RUNS:
+            self._whole_runs_ms.popitem(last=False)
         crashes = self._crashes.get(fingerprint)
         if crashes is None:
             return
-        earlier = [
-            mark
-            for mark in crashes.marks.values()
-            if not mark.is_cleared and mark.counted_ms < began_ms
-        ]
-        if not earlier:
+        marks = [mark for mark in crashes.marks.values() if not mark.is_cleared]
+        if not marks:
             return
-        for mark in earlier:
+        for mark in marks:
             mark.is_cleared = True
         self._record_change(fingerprint, crashes, is_own=True)
         _log.write(
             "crashes cleared",
-            "a later run of the request ended well",
+            "a run of the request ended well",
             fingerprint=fingerprint,
-            cleared=len(earlier),
+            cleared=len(marks),
             crashes=self.count(fingerprint),
         )
 
@@ -188,16 +201,20 @@
             return
         crashes = self._crashes.get(fingerprint, _Crashes(now_ms))
         mark = crashes.marks.get(name)
+        began_ms = now_ms - age_ms
+        if not is_cleared and self._has_run_whole_since(fingerprint, began_ms):
+            # Other hosts learn from this one that it was cleared.
+            is_cleared = is_own = True
         if mark is None:
             if not is_cleared and self.count(fingerprint) >= _CRASH_LIMIT:
                 return
-            crashes.marks[name] = _Mark(now_ms - age_ms, is_cleared)
+            crashes.marks[name] = _Mark(began_ms, is_cleared)
             if name in crashes.excess_cleared():
                 del crashes.marks[name]
                 return
             self._record_change(fingerprint, crashes, is_own)
             return
-        mark.counted_ms = min(mark.counted_ms, now_ms - age_ms)
+        mark.began_ms = min(mark.began_ms, began_ms)
         if mark.is_cleared is is_cleared:
             return
         # Otherwise, the other host has yet to learn that the mark was cleared.
@@ -205,6 +222,9 @@
         mark.is_cleared = True
         self._record_change(fingerprint, crashes, is_own)
 
+    def _has_run_whole_since(self, fingerprint: str, began_ms: float) -> bool:
+        return self._whole_runs_ms.get(fingerprint, NEVER_MS) >= began_ms
+
     def _record_change(
         self, fingerprint: str, crashes: _Crashes, is_own: bool = False
     ) -> None:
@@ -262,7 +282,7 @@
     def _rows(self, crashes: _Crashes) -> list[_Row]:
         now_ms = self.clock.now_ms()
         rows = [
-            (name, round(now_ms - mark.counted_ms), mark.is_cleared)
+            (name, round(now_ms - mark.began_ms), mark.is_cleared)
             for name, mark in sorted(crashes.marks.items())
         ]
         return [row for row in rows if row[1] < _ANNOUNCED_LIFE_MS]
@@ -273,7 +293,7 @@
             old = [
                 name
                 for name, mark in crashes.marks.items()
-                if mark.counted_ms <= oldest_ms
+                if mark.began_ms <= oldest_ms
             ]
             if not old:
                 continue
@@ -285,7 +305,7 @@
                 continue
             _log.write(
                 "crashes expired",
-                f"counted {MARK_LIFE_MS} ms ago",
+                f"their runs began {MARK_LIFE_MS} ms ago",
                 fingerprint=fingerprint,
                 expired=expired,
                 crashes=self.count(fingerprint),
@@ -312,6 +332,10 @@
             raise CallRefusedError(refusal)
 
 
+def _ago_ms(clock: Clock, then_ms: float | None) -> int | None:
+    return None if then_ms is None else round(clock.now_ms() - then_ms)
+
+
 def _checked_row(row: object) -> _Row:
     match row:
         case [bytes(mark), int(age_ms), bool(is_cleared)]:
--- a/celerypulley/hosts/crash_detector.py
+++ b/celerypulley/hosts/crash_detector.py
@@ -47,9 +47,12 @@
         self.period_ms = _PERIOD_MS
         self._tasks: set[asyncio.Task] = set()
 
-    def examine(self, fingerprint: str, server: EngineState) -> None:
-        """Find out in a task of its own whether `server` ended during a request."""
-        task = asyncio.create_task(self._examine(fingerprint, server))
+    def examine(self, fingerprint: str, server: EngineState, began_ms: float) -> None:
+        """Find out in a task of its own whether `server` ended during a request.
+
+        `began_ms` is the monotonic time when the server got the request.
+        """
+        task = asyncio.create_task(self._examine(fingerprint, server, began_ms))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -58,11 +61,13 @@
         for task in self._tasks:
             task.cancel()
 
-    async def _examine(self, fingerprint: str, server: EngineState) -> None:
+    async def _examine(
+        self, fingerprint: str, server: EngineState, began_ms: float
+    ) -> None:
         evidence = await self._find_evidence(server)
         if evidence:
             self.crash_counts.record_crash(
-                fingerprint, server.name, server.started_ms, evidence
+                fingerprint, server.name, server.started_ms, began_ms, evidence
             )
 
     async def _find_evidence(self, server: EngineState) -> str:
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -230,13 +230,17 @@
         return nullcontext()
 
     def record_failure(
-        self, admitted: AdmittedRequest, server: EngineState, error: ServerCallError
+        self,
+        admitted: AdmittedRequest,
+        server: EngineState,
+        started_ms: float,
+        error: ServerCallError,
     ) -> None:
         """Record that a server gave no complete response, so that it is avoided."""
         now_ms = self.clock.now_ms()
         if error.sent:
             server.record_lost_response(now_ms)
-            self.crash_detector.examine(admitted.fingerprint, server)
+            self.crash_detector.examine(admitted.fingerprint, server, started_ms)
         else:
             server.record_unreachable(now_ms)
         _log.write(
@@ -263,7 +267,7 @@
         if admitted.attempts.servers[-1:] != [server.name]:
             return
         if server.silent_ms(started_ms, self.clock.now_ms()) >= STALL_TIMEOUT_MS:
-            self.crash_detector.examine(admitted.fingerprint, server)
+            self.crash_detector.examine(admitted.fingerprint, server, started_ms)
 
     def server_error_refusal(
         self, admitted: AdmittedRequest, server: EngineState, head: ResponseHead
--- a/celerypulley/hosts/plain_forwarder.py
+++ b/celerypulley/hosts/plain_forwarder.py
@@ -71,7 +71,7 @@
             return FailedAttempt(context.server_error_refusal(admitted, server, head))
         server.record_success()
         if 200 <= head.status < 300:
-            context.crash_counts.record_whole_run(admitted.fingerprint, started_ms)
+            context.crash_counts.record_whole_run(admitted.fingerprint)
         self._record_pace(admitted.route.name, server, started_ms)
         await sink.respond(head.status, head.reason, metadata.headers, body)
         return None
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -95,7 +95,7 @@
                         ServerAttempt(server, call, send_count >= route.max_attempts)
                     )
         except ServerCallError as error:
-            context.record_failure(admitted, server, error)
+            context.record_failure(admitted, server, started_ms, error)
             failure = context.link_error_refusal(server, error)
             if error.sent and not route.may_run_again:
                 raise CallRefusedError(failure) from error
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -220,7 +220,7 @@
             raise ServerCallError("stream ended within an event", True)
         call.release()
         server.record_success()
-        context.crash_counts.record_whole_run(admitted.fingerprint, started_ms)
+        context.crash_counts.record_whole_run(admitted.fingerprint)
         tokens = (turn.event_count - events_before) * turn.tokens_per_event
         now_ms = context.clock.now_ms()
         server.record_duration(
--- a/celerypulley/stand_ins/opaque_server.py
+++ b/celerypulley/stand_ins/opaque_server.py
@@ -118,7 +118,7 @@
     """One server and the requests that it received.
 
     Each request uses up one of `next_scripts`, or else one of `next_modes`; after
-    these, `mode` applies. Streams have
+    these, `mode` applies. A response begins after `response_delay_s`. Streams have
     `event_count` events, `event_interval_s` apart. `cut_response` is a response, the
     number of its bytes that are sent, and whether a reset follows. `client_disconnects`
     counts connections that end within a request or its response. `added_headers` are
@@ -131,6 +131,7 @@
     next_scripts: list[Script] = attrs.Factory(list)
     event_count: int = _DEFAULT_EVENT_COUNT
     event_interval_s: float = 0.0
+    response_delay_s: float = 0.0
     received: list[ReceivedRequest] = attrs.Factory(list)
     client_disconnects: int = 0
     endless_bytes_sent: int = 0
@@ -214,6 +215,7 @@
             await self._play(self.next_scripts.pop(0), request, writer)
             return True
         mode = self.next_modes.pop(0) if self.next_modes else self.mode
+        await asyncio.sleep(self.response_delay_s)
         return await self._respond(mode, request, writer)
 
     async def _play(
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -227,6 +227,38 @@
         assert counts(fleet.hosts[0]) == {}
 
 
+@pytest.mark.parametrize(
+    ("path", "mode"), [("/turns/x", Mode.STREAM), ("/unsafe/x", Mode.COMPLETE)]
+)
+@pytest.mark.parametrize("ended", [3, 5])
+async def test_equal_requests_are_refused_after_their_servers_end_together(
+    path, mode, ended
+):
+    """Some of them run whole on other servers, and were sent before the crashes."""
+    async with running_fleet(hosts=2, servers=9) as fleet:
+        for server in fleet.servers:
+            server.mode = mode
+            server.response_delay_s = 0.8
+        calls = [
+            asyncio.create_task(
+                fleet.call(path, number % 2, headers={"Token-Usage": "1000,200"})
+            )
+            for number in range(18)
+        ]
+        await wait_until(lambda: all(server.received for server in fleet.servers))
+        await asyncio.sleep(0.4)
+        for server in fleet.servers[:ended]:
+            server.crash()
+        responses = await asyncio.gather(*calls)
+        is_whole = [each.status == 200 and each.complete for each in responses]
+        assert any(is_whole)
+        assert not all(is_whole)
+        await restart_crashed(fleet)
+        await wait_until(lambda: not any(sum(counts(h).values()) for h in fleet.hosts))
+        for number in range(4):
+            assert (await fleet.call(path, host=number % 2)).status == 200
+
+
 async def test_one_crash_counts_for_each_call_that_it_ended():
     async with running_fleet(hosts=2, servers=1) as fleet:
         (server,) = fleet.servers
