Give a request that is refused for its crashes two trial runs

Callers saw 503 "quarantined" for ten minutes, for a request that many of them send, if all of its runs were on three servers that ended together.

Cause: a refusal ends with its marks or by a whole run, and no run follows while all hosts refuse the request.

The host that creates the key of a trial run in the store has it, so hosts need no agreement, and hosts that start after a kill of all have no more of them. One that no server has run is given back. The refusal says in Retry-After when the next one is due.

--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -9,8 +9,9 @@
     OrganisationRule,
 )
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
-from celerypulley.fleet.crash_counts import CrashCounts, request_fingerprint
+from celerypulley.fleet.crash_counts import request_fingerprint
 from celerypulley.fleet.fleet_meter import FleetMeter
+from celerypulley.hosts.crash_trials import CrashTrials
 from celerypulley.hosts.desired_state_cache import DesiredStateCache
 from celerypulley.programs.opaque_request import OpaqueRequest
 
@@ -92,7 +93,7 @@
         self,
         desired_state: DesiredStateCache,
         meter: FleetMeter,
-        crash_counts: CrashCounts,
+        crash_trials: CrashTrials,
         max_state_age_ms: float,
         clock: Clock,
     ) -> None:
@@ -103,7 +104,7 @@
         """
         self.desired_state = desired_state
         self.meter = meter
-        self.crash_counts = crash_counts
+        self.crash_trials = crash_trials
         self.stale_after_ms = max_state_age_ms - _CLOCK_MARGIN_MS
         self.clock = clock
 
@@ -117,7 +118,7 @@
             raise CallRefusedError.of(
                 ErrorKind.CONFIGURATION_STALE, "no desired state received yet"
             )
-        if not self.crash_counts.is_restored:
+        if not self.crash_trials.crash_counts.is_restored:
             raise CallRefusedError.of(
                 ErrorKind.STATE_UNREACHABLE, "crashes of servers not read yet"
             )
@@ -137,7 +138,7 @@
             request, route, organisation, state, deadline_ms, fingerprint
         )
         if not admitted.continues_history:
-            self.crash_counts.check(fingerprint)
+            self.crash_trials.check(fingerprint)
         if organisation is not None:
             await self.meter.acquire(organisation)
         return admitted
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -27,6 +27,7 @@
 from celerypulley.hosts.budget_escrow import BudgetEscrow
 from celerypulley.hosts.crash_detector import CrashDetector
 from celerypulley.hosts.crash_mark_store import CrashMarkStore
+from celerypulley.hosts.crash_trials import CrashTrials
 from celerypulley.hosts.desired_state_cache import DesiredStateCache
 from celerypulley.hosts.forward_context import ForwardContext
 from celerypulley.hosts.forward_metrics import ForwardMetrics
@@ -112,6 +113,7 @@
         self.meter = FleetMeter(settings.quota_window_ms, clock)
         self.crash_counts = CrashCounts(clock)
         self.crash_mark_store = CrashMarkStore(store, self.crash_counts, clock)
+        self.crash_trials = CrashTrials(store, self.crash_counts, clock)
         self.crash_detector = CrashDetector(
             self.links.probe, self.directory.find_listing, self.crash_counts, clock
         )
@@ -201,6 +203,7 @@
             links=self.links,
             dialect=dialect,
             crash_counts=self.crash_counts,
+            crash_trials=self.crash_trials,
             crash_detector=self.crash_detector,
             unreachable_domains=lambda: self.gossip.unreachable_domains(
                 self.members.domains
@@ -214,7 +217,7 @@
         admission = Admission(
             self.desired_state,
             self.meter,
-            self.crash_counts,
+            self.crash_trials,
             max_state_age_ms,
             self.clock,
         )
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -14,6 +14,7 @@
 from celerypulley.fleet.crash_counts import CrashCounts
 from celerypulley.hosts.admission import AdmittedRequest
 from celerypulley.hosts.crash_detector import CrashDetector
+from celerypulley.hosts.crash_trials import CrashTrials
 from celerypulley.hosts.server_directory import ServerDirectory
 from celerypulley.hosts.stall_monitor import STALL_TIMEOUT_MS, StallMonitor
 from celerypulley.links.forward_dialect import Dialect, ForwardedCall, ResponseMetadata
@@ -59,6 +60,7 @@
     links: ServerLinks
     dialect: Dialect
     crash_counts: CrashCounts
+    crash_trials: CrashTrials
     crash_detector: CrashDetector
     unreachable_domains: Callable[[], frozenset[str]]
     clock: Clock
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -70,16 +70,21 @@
     """
     route = admitted.route
     attempts = admitted.attempts
+    trials = context.crash_trials
     avoid: frozenset[str] = frozenset()
     send_count = 0
+    is_trial = False
     failure = Refusal(
         ErrorKind.NO_BACKEND_SERVER, f"no available server of service {service}"
     )
     while send_count < route.max_attempts:
-        quarantined = context.crash_counts.find_refusal(admitted.fingerprint)
+        quarantined = trials.find_refusal(admitted.fingerprint)
         if quarantined is not None:
-            failure = quarantined
-            break
+            if not is_trial and not attempts.may_have_run:
+                is_trial = await trials.claim(admitted.fingerprint)
+            if not is_trial or attempts.may_have_run:
+                failure = quarantined
+                break
         server = context.choose(admitted, service, avoid, chooser)
         if server is None:
             break
@@ -113,6 +118,8 @@
             attempts.not_run_count += 1
         if failed.wrong_server:
             send_count -= 1
+    if is_trial and not attempts.may_have_run:
+        trials.give_back(admitted.fingerprint)
     if attempts.may_have_run:
         failure = Refusal(ErrorKind.BACKEND_SERVER_FAILED, failure.detail)
     raise CallRefusedError(failure)
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -88,7 +88,7 @@
         history = await self._load_history(admitted)
         if admitted.continues_history:
             admitted = admitted.with_history(history)
-            self.context.crash_counts.check(admitted.fingerprint)
+            self.context.crash_trials.check(admitted.fingerprint)
         reservation = await self._reserve_budget(admitted)
         service = pick_service(admitted.route, random.random())
         rule = admitted.state.services.get(service)
--- a/tests/test_crash_mark_store.py
+++ b/tests/test_crash_mark_store.py
@@ -10,6 +10,7 @@
 
 from celerypulley.fleet.crash_counts import CrashCounts
 from celerypulley.hosts.crash_mark_store import CRASH_PREFIX, CrashMarkStore
+from celerypulley.hosts.crash_trials import CrashTrials
 from celerypulley.platform.store import PlatformStore
 from celerypulley.stand_ins.fleet_store import FleetStore, StoreFaults
 from tests.fleet import running_store
@@ -180,3 +181,37 @@
             stores.store.put(f"{CRASH_PREFIX}g/{mark}", b"%d" % now_ms)
         counts = await stores.start_restored_host()
         assert (counts.count("f"), counts.count("g")) == (0, 2)
+
+
+@pytest.mark.parametrize(
+    ("faults", "claims"),
+    [
+        (StoreFaults(), [1, 1, 1]),
+        (StoreFaults(error_status=503), [0, 0, 1]),
+        (StoreFaults(lose_write_responses=1), [0, 1, 1]),
+    ],
+    ids=["sound", "away", "response lost"],
+)
+async def test_trial_run_is_claimed_by_two_hosts_or_lost_with_a_response(
+    faults, claims
+):
+    """Three hosts claim it at once, three times; the store recovers for the third."""
+    async with running_stores() as stores:
+        hosts = []
+        for _ in range(3):
+            counts = await stores.start_restored_host()
+            client = PlatformStore(stores.address, stores.session, 100.0)
+            hosts.append(CrashTrials(client, counts, stores.clock.clock))
+            for start in range(3):
+                counts.record_crash("f", "server", start, stores.clock.now_ms, "")
+        await wait_until(lambda: len(stores.mark_keys()) == 3)
+        stores.clock.advance(5_000.0)
+        stores.store.faults = faults
+        claimed = []
+        for attempt in range(3):
+            if attempt == 2:
+                stores.store.faults = StoreFaults()
+            results = await asyncio.gather(*(host.claim("f") for host in hosts))
+            claimed.append(sum(results) + (claimed[-1] if claimed else 0))
+            stores.clock.advance(1_000.0)
+        assert claimed == claims
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -259,6 +259,83 @@
             assert (await fleet.call(path, host=number % 2)).status == 200
 
 
+async def _end_all_servers(fleet: Fleet, path: str) -> None:
+    """End all servers at once while equal requests run there, and start them again."""
+    for server in fleet.servers:
+        server.mode = Mode.HANG
+    calls = [
+        asyncio.create_task(fleet.call(path, host=number % len(fleet.hosts)))
+        for number in range(4 * len(fleet.servers))
+    ]
+    await wait_until(lambda: all(server.received for server in fleet.servers))
+    for server in fleet.servers:
+        server.crash()
+    await asyncio.gather(*calls)
+    await wait_until(lambda: all(list(counts(h).values()) == [3] for h in fleet.hosts))
+    await restart_crashed(fleet)
+
+
+@pytest.mark.parametrize(
+    ("first_mode", "statuses"),
+    [
+        (Mode.COMPLETE, [503, 503, 200, 200, 200]),
+        (Mode.SHED, [503, 503, 503, 200, 200]),
+    ],
+)
+async def test_common_request_is_refused_for_good_after_all_its_servers_ended(
+    first_mode, statuses
+):
+    """It gets a trial run, which clears it; one that was not run is repeated."""
+    async with running_fleet(hosts=2, servers=3) as fleet:
+        for host in fleet.hosts:
+            host.crash_trials.delays_ms = (1_000.0, 60_000.0)
+        await _end_all_servers(fleet, "/unsafe/x")
+        for server in fleet.servers:
+            server.mode = Mode.COMPLETE
+        seen = []
+        for number in range(5):
+            if number == 2:
+                for server in fleet.servers:
+                    server.next_modes = [first_mode]
+                await asyncio.sleep(1.0)
+            if number == 3:
+                for server in fleet.servers:
+                    server.next_modes = []
+                await asyncio.sleep(1.2)
+            response = await fleet.call("/unsafe/x", host=number % 2)
+            seen.append(response.status)
+            if number < 2:
+                assert float(response.headers["Retry-After"]) <= 1.0
+        assert seen == statuses
+        await wait_until(lambda: not any(sum(counts(h).values()) for h in fleet.hosts))
+
+
+async def test_crashing_request_gets_trial_runs_on_every_host():
+    """All hosts share two, also those that start after a kill of all hosts."""
+    async with running_fleet(hosts=3, servers=3) as fleet:
+
+        async def call_everywhere() -> set[int]:
+            calls = [fleet.call("/safe/x", host=number % 3) for number in range(9)]
+            return {response.status for response in await asyncio.gather(*calls)}
+
+        for host in fleet.hosts:
+            host.crash_trials.delays_ms = (200.0, 500.0)
+        await _end_all_servers(fleet, "/safe/x")
+        for server in fleet.servers:
+            server.mode = Mode.CRASH
+        for _ in range(12):
+            assert await call_everywhere() <= {502, 503}
+            await restart_crashed(fleet)
+            await asyncio.sleep(0.1)
+        assert _total_crashes(fleet) == 5
+        await fleet.replace_all_hosts()
+        for host in fleet.hosts:
+            host.crash_trials.delays_ms = (0.0, 0.0)
+        for _ in range(5):
+            assert await call_everywhere() == {503}
+        assert _total_crashes(fleet) == 5
+
+
 async def test_one_crash_counts_for_each_call_that_it_ended():
     async with running_fleet(hosts=2, servers=1) as fleet:
         (server,) = fleet.servers
