Repeat a page of the comparison of records, not all of it

Callers would see turns lost with the next disk: records kept one copy for long after a storage host had left, if another one failed now and then.

Cause: one failed request ended the whole comparison, which began again at the first key after 0.5 s. With three pages of keys and a host that fails each third request it never ended.

A page whose requests fail is repeated, up to eight times in 4 s; its counts are added once it succeeds. The comparison still fails with a host that responds to probes and to nothing else.

--- a/celerypulley/hosts/copy_restorer.py
+++ b/celerypulley/hosts/copy_restorer.py
@@ -30,6 +30,9 @@
 _MAX_BYTES_PER_S = 1_000_000.0  # half of the slowest link
 _CHECK_PERIOD_S = 0.2
 _RETRY_S = 0.5
+_PAGE_ATTEMPTS = 8  # in 4 s; a host that stops responding is absent by then
+_PAGE_RETRY_S = 0.1
+_MAX_PAGE_RETRY_S = 0.8
 _MAX_COPYING_MS = 3_000.0  # an emptied disk has copied what it needs by then
 _log = DecisionLog("copies")
 
@@ -43,6 +46,13 @@
     sent_bytes: int = 0
     single: int = 0
 
+    def add(self, other: "CopyCounts") -> None:
+        """Add the counts of another part of the records."""
+        self.records += other.records
+        self.sent += other.sent
+        self.sent_bytes += other.sent_bytes
+        self.single += other.single
+
 
 class CopyRestorer(Service):
     """Compare keys with the other storage hosts each time that another set responds.
@@ -132,7 +142,7 @@
         """Send each record that has too few copies to others; return the counts.
 
         `counts_own` tells whether the record here counts as a copy. Raise
-        StorageLinkError if a storage host that responds can't be asked.
+        StorageLinkError if a storage host that responds fails again and again.
         """
         counts = CopyCounts()
         after = ""
@@ -141,11 +151,26 @@
             if not keys:
                 return counts
             after = keys[-1]
-            await self._restore_page(keys, copies, counts_own, counts)
+            counts.add(await self._restore_page(keys, copies, counts_own))
 
     async def _restore_page(
-        self, keys: list[str], copies: int, counts_own: bool, counts: CopyCounts
-    ) -> None:
+        self, keys: list[str], copies: int, counts_own: bool
+    ) -> CopyCounts:
+        """Restore the copies of some records, and repeat that if a request fails."""
+        for attempt in range(_PAGE_ATTEMPTS):
+            try:
+                return await self._try_page(keys, copies, counts_own)
+            except StorageLinkError as error:
+                if attempt == _PAGE_ATTEMPTS - 1:
+                    raise
+                _log.write("page repeated", str(error), first_key=keys[0])
+                pause_s = min(_PAGE_RETRY_S * 2**attempt, _MAX_PAGE_RETRY_S)
+                await asyncio.sleep(pause_s)
+        raise AssertionError("the loop returns or raises")
+
+    async def _try_page(
+        self, keys: list[str], copies: int, counts_own: bool
+    ) -> CopyCounts:
         peers = self.peers.present()
         targets = [each for each in peers if not each.state.is_draining]
         if not counts_own:  # two hosts that leave at once don't rely on each other
@@ -160,7 +185,7 @@
             return len(holders) >= copies and len(held_domains) >= least
 
         holders = await self._find_holders(keys, peers, counts_own, has_enough)
-        counts.records += len(keys)
+        counts = CopyCounts(records=len(keys))
         lacking = []
         for key in keys:
             if has_enough(holders[key]) or key not in self.record_store.records:
@@ -181,6 +206,7 @@
         counts.single += sum(len(holders[key]) < copies for key in lacking)
         for peer in targets:
             await self._send(peer, batches[peer.disk.disk_id], counts)
+        return counts
 
     async def _find_holders(
         self,
--- a/tests/test_copies_of_records.py
+++ b/tests/test_copies_of_records.py
@@ -6,7 +6,11 @@
 import attrs
 import pytest
 
-from celerypulley.links.storage_messages import RecordsNotStored
+from celerypulley.links.storage_messages import (
+    FindMissing,
+    RecordsNotStored,
+    StoreRecords,
+)
 from tests.harness import wait_until
 from tests.test_storage_hosts import StorageFleet, record, running_storage
 
@@ -191,6 +195,37 @@
         assert time.monotonic() - left_s < CATCH_UP_S
 
 
+@pytest.mark.parametrize("request_type", [FindMissing, StoreRecords])
+async def test_comparison_never_ends_with_a_host_that_fails_now_and_then(
+    tmp_path, request_type
+):
+    """The host fails every third request, and there are three pages of keys or more."""
+    async with running_storage(tmp_path) as storage:
+        await wait_for_peers(storage)
+        records = [record(number) for number in range(1, 3_501)]
+        for name in PAIRS[0]:
+            await storage.storage_hosts[name].record_store.write(records)
+        server = storage.storage_hosts["keeper-c"].server
+        handle = server.handle
+        request_count = 0
+
+        async def fail_now_and_then(request: object) -> object:
+            nonlocal request_count
+            request_count += isinstance(request, request_type)
+            if isinstance(request, request_type) and request_count % 3 == 0:
+                return RecordsNotStored("this request fails")
+            return await handle(request)
+
+        server.handle = fail_now_and_then
+        await refuse_connections(storage, "keeper-a")
+        restorer = storage.storage_hosts["keeper-b"].record_service.restorer
+        await wait_until(lambda: storage.holders(3_500) == {"keeper-b", "keeper-c"})
+        await wait_until(restorer.is_current)
+        assert restorer.records_with_one_copy == 0
+        keys = {each.key for each in records}
+        assert set(storage.storage_hosts["keeper-c"].record_store.records) == keys
+
+
 async def test_restart_within_two_seconds_copies_nothing(tmp_path):
     async with running_storage(tmp_path) as storage:
         await wait_for_peers(storage)
