Count crashes of both front ends in one way

Callers of the product's own front end saw 422 "quarantined" for ten minutes for a text that two other callers had sent while engines were lost: also callers of other organisations, for short first messages and, from 200 bytes on, after any history. Nothing cleared it.

Cause: hosts/quarantine.py had a fingerprint and counts of its own: without the organisation, with the history for short messages only, without a clearing; and any lost response before the first token counted as a crash.

That front end now uses CrashCounts, CrashMarkStore, CrashTrials and CrashDetector, as the fleet's does: a request is refused after two crashes as before, an engine has crashed if it resets or refuses a request for its load, a whole run clears the marks on all hosts, and a refused request has two trial runs. Hosts write and watch each mark in the key-value store, since they exchange no gossip. PlatformLink has the transactions that this needs.

--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -22,7 +22,6 @@
 from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
-from celerypulley.programs.opaque_request import OpaqueRequest
 
 __all__ = ["MARK_LIFE_MS", "CrashCounts", "request_fingerprint"]
 
@@ -45,7 +44,7 @@
 
 
 def request_fingerprint(
-    request: OpaqueRequest, organisation: str, history: bytes = b""
+    method: str, path: str, organisation: str, history: bytes, body: bytes
 ) -> str:
     """Return a digest by which a request is recognised when it comes again.
 
@@ -54,11 +53,11 @@
     as its program, its query or the name of the turn that it continues, may differ.
     """
     hasher = hashlib.blake2b(digest_size=8)
-    for part in (request.method, request.path, organisation):
+    for part in (method, path, organisation):
         hasher.update(part.encode())
         hasher.update(b"\0")
     hasher.update(history)
-    hasher.update(request.body)
+    hasher.update(body)
     return hasher.hexdigest()
 
 
@@ -110,9 +109,19 @@
     `is_restored` is False until the marks of the store have been added.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        """Start without crashes."""
+    def __init__(
+        self,
+        clock: Clock,
+        crash_limit: int = _CRASH_LIMIT,
+        lasting_limit: int = _RELAY_LIMIT,
+    ) -> None:
+        """Refuse requests that crashed `crash_limit` servers.
+
+        From `lasting_limit` servers on, the marks of a request are kept in the store.
+        """
         self.clock = clock
+        self.crash_limit = crash_limit
+        self.lasting_limit = lasting_limit
         self.on_change: list[Callable[[str], None]] = []
         self.is_restored = True
         self._crashes: OrderedDict[str, _Crashes] = OrderedDict()
@@ -206,7 +215,7 @@
             # Other hosts learn from this one that it was cleared.
             is_cleared = is_own = True
         if mark is None:
-            if not is_cleared and self.count(fingerprint) >= _CRASH_LIMIT:
+            if not is_cleared and self.count(fingerprint) >= self.crash_limit:
                 return
             crashes.marks[name] = _Mark(began_ms, is_cleared)
             if name in crashes.excess_cleared():
@@ -233,7 +242,7 @@
         for name in crashes.excess_cleared():
             del crashes.marks[name]
         live = [mark for mark in crashes.marks.values() if not mark.is_cleared]
-        if len(live) >= _RELAY_LIMIT:
+        if len(live) >= self.lasting_limit:
             for mark in live:
                 mark.is_lasting = True
         self._crashes[fingerprint] = crashes
@@ -319,7 +328,7 @@
     def find_refusal(self, fingerprint: str) -> Refusal | None:
         """Return the refusal of a request that has crashed too many servers."""
         count = self.count(fingerprint)
-        if count < _CRASH_LIMIT:
+        if count < self.crash_limit:
             return None
         return Refusal(
             ErrorKind.QUARANTINED, f"{count} servers ended during this request"
--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -82,7 +82,7 @@
 
     def with_history(self, history: bytes) -> "AdmittedRequest":
         """Return the same request, recognised also by the history that it continues."""
-        fingerprint = request_fingerprint(self.request, self.organisation_name, history)
+        fingerprint = _fingerprint(self.request, self.organisation_name, history)
         return attrs.evolve(self, fingerprint=fingerprint)
 
 
@@ -130,9 +130,7 @@
         organisation = None
         if state.organisations and not route.is_public:
             organisation = self._authenticate(state, request)
-        fingerprint = request_fingerprint(
-            request, organisation.name if organisation else ""
-        )
+        fingerprint = _fingerprint(request, organisation.name if organisation else "")
         deadline_ms = min(request.deadline_ms, request.received_ms + route.timeout_ms)
         admitted = AdmittedRequest(
             request, route, organisation, state, deadline_ms, fingerprint
@@ -179,3 +177,11 @@
                 f"{detail} as of {age_ms:.0f} ms ago; it may have been added since",
             )
         raise CallRefusedError.of(kind, detail)
+
+
+def _fingerprint(
+    request: OpaqueRequest, organisation: str, history: bytes = b""
+) -> str:
+    return request_fingerprint(
+        request.method, request.path, organisation, history, request.body
+    )
--- a/celerypulley/hosts/backend_servers.py
+++ b/celerypulley/hosts/backend_servers.py
@@ -17,8 +17,10 @@
 from celerypulley.failure_domains.placement import rendezvous
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
 from celerypulley.hosts.peers import Peers
+from celerypulley.hosts.server_directory import Listing
 from celerypulley.links.backend_link import BackendError, BackendLink
 from celerypulley.links.peer_messages import LoadReports
+from celerypulley.links.server_connection import Reachability
 
 __all__ = ["BackendServers"]
 
@@ -90,6 +92,20 @@
             engine.state = ServerState.LEAVING
         self.engines[server.name] = engine
 
+    async def probe(self, address: str) -> Reachability:
+        """Return how an engine answers a request for its load."""
+        try:
+            await self.link.read_json(address, "/load", _READ_TIMEOUT_S)
+        except BackendError as error:
+            is_silent = isinstance(error.__cause__, TimeoutError)
+            return Reachability.SILENT if is_silent else Reachability.REFUSES
+        return Reachability.ACCEPTS
+
+    def find_listing(self, engine: EngineState) -> Listing:
+        """Return whether an engine is still declared."""
+        is_known = self.engines.get(engine.name) is engine
+        return Listing.LISTED if is_known else Listing.REMOVED
+
     def live_plain_servers(self, route: str) -> list[BackendServer]:
         """Return a route's plain servers that accept new work, this domain's first."""
         servers = [
@@ -202,7 +218,9 @@
         except BackendError:
             engine.record_failure(self.clock.now_ms())
             return
-        if engine.consecutive_failures:
+        if engine.consecutive_failures or not engine.started_ms:
+            # Its start isn't known, only when this host first saw it respond again.
+            engine.started_ms = self.clock.wall_ms()
             engine.record_success()
         report = EngineReport(
             requested_ms - float(load.get("age_ms", 0)),
--- a/celerypulley/hosts/crash_detector.py
+++ b/celerypulley/hosts/crash_detector.py
@@ -47,14 +47,18 @@
         self.period_ms = _PERIOD_MS
         self._tasks: set[asyncio.Task] = set()
 
-    def examine(self, fingerprint: str, server: EngineState, began_ms: float) -> None:
+    def examine(
+        self, fingerprint: str, server: EngineState, began_ms: float
+    ) -> asyncio.Task:
         """Find out in a task of its own whether `server` ended during a request.
 
-        `began_ms` is the monotonic time when the server got the request.
+        `began_ms` is the monotonic time when the server got the request. Return the
+        task, which a caller may await.
         """
         task = asyncio.create_task(self._examine(fingerprint, server, began_ms))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def on_stop(self) -> None:
         """End the examinations that are under way."""
--- a/celerypulley/hosts/crash_mark_store.py
+++ b/celerypulley/hosts/crash_mark_store.py
@@ -15,7 +15,6 @@
 from celerypulley.decision_log import DecisionLog
 from celerypulley.fleet.crash_counts import MARK_LIFE_MS, CrashCounts
 from celerypulley.links.key_value import (
-    Item,
     KeyValueStore,
     LeaseExpiredError,
     StoreUnavailableError,
@@ -34,13 +33,18 @@
     """Restore the marks of crashes at the start, and store those that must last."""
 
     def __init__(
-        self, store: KeyValueStore, crash_counts: CrashCounts, clock: Clock
+        self,
+        store: KeyValueStore,
+        crash_counts: CrashCounts,
+        clock: Clock,
+        prefix: str = CRASH_PREFIX,
     ) -> None:
-        """Keep the marks of `crash_counts` in `store`."""
+        """Keep the marks of `crash_counts` in `store`, in keys that begin so."""
         super().__init__()
         self.store = store
         self.crash_counts = crash_counts
         self.clock = clock
+        self.prefix = prefix
         # Waits so many seconds or more before a retry; may be replaced.
         self.wait_to_retry: Callable[[float], Awaitable[None]] = asyncio.sleep
         self._changed: dict[str, None] = {}
@@ -73,25 +77,12 @@
     async def _restore(self) -> None:
         while True:
             try:
-                batch = await self.store.read_prefix(CRASH_PREFIX)
+                batch = await self.store.read_prefix(self.prefix)
                 break
             except StoreUnavailableError:
                 await self.wait_to_retry(_jittered_s(_READ_RETRY_MS))
-        table: dict[str, list] = {}
-        for item in batch.items:
-            try:
-                fingerprint, mark, counted_ms = _decode(item)
-            except ValueError as error:
-                _log.write("invalid entry ignored", f"{item.key}: {error}")
-                continue
-            age_ms = max(0, self.clock.wall_ms() - counted_ms)
-            table.setdefault(fingerprint, []).append((mark, age_ms, False))
-        for fingerprint, rows in table.items():
-            try:
-                self.crash_counts.merge({fingerprint: rows})
-            except ValueError as error:
-                _log.write("invalid entry ignored", f"{fingerprint}: {error}")
-                continue
+        restored = [self.apply(item.key, item.value) for item in batch.items]
+        for fingerprint in dict.fromkeys(filter(None, restored)):
             _log.write(
                 "crashes restored",
                 "read from the store at the start",
@@ -100,6 +91,22 @@
             )
         self.crash_counts.is_restored = True
 
+    def apply(self, key: str, value: bytes | None) -> str:
+        """Add the mark of a key, or clear it if the key has no value any more.
+
+        Return its fingerprint, an empty text if the key or value is invalid.
+        """
+        is_cleared = value is None
+        now_ms = self.clock.wall_ms()
+        try:
+            fingerprint, mark = self._decode_key(key)
+            age_ms = 0 if is_cleared else max(0, now_ms - int(value))
+            self.crash_counts.merge({fingerprint: [(mark, age_ms, is_cleared)]})
+        except ValueError as error:
+            _log.write("invalid entry ignored", f"{key}: {error}")
+            return ""
+        return fingerprint
+
     async def _update(self, fingerprint: str) -> None:
         """Write the marks of a request that must last, and delete those cleared."""
         ages_ms = self.crash_counts.ages_to_store(fingerprint)
@@ -118,11 +125,15 @@
             lease = await self.store.grant_lease(MARK_LIFE_MS) if to_write else 0
             now_ms = self.clock.wall_ms()
             writes = [
-                Write(_key(fingerprint, mark), b"%d" % (now_ms - age_ms), lease=lease)
+                Write(
+                    self._key(fingerprint, mark),
+                    b"%d" % (now_ms - age_ms),
+                    lease=lease,
+                )
                 for mark, age_ms in to_write.items()
             ]
             await self.store.write(
-                writes, [_key(fingerprint, mark) for mark in to_delete]
+                writes, [self._key(fingerprint, mark) for mark in to_delete]
             )
             _log.write(
                 "crashes stored",
@@ -138,15 +149,13 @@
             mark: age_ms is not None for mark, age_ms in ages_ms.items()
         }
 
+    def _key(self, fingerprint: str, mark: bytes) -> str:
+        return f"{self.prefix}{fingerprint}/{mark.hex()}"
 
-def _key(fingerprint: str, mark: bytes) -> str:
-    return f"{CRASH_PREFIX}{fingerprint}/{mark.hex()}"
-
-
-def _decode(item: Item) -> tuple[str, bytes, int]:
-    """Return fingerprint, mark and the wall-clock time at which it was counted."""
-    fingerprint, _, mark = item.key.removeprefix(CRASH_PREFIX).partition("/")
-    return fingerprint, bytes.fromhex(mark), int(item.value or b"")
+    def _decode_key(self, key: str) -> tuple[str, bytes]:
+        """Return fingerprint and mark; raise ValueError if there is none."""
+        fingerprint, _, mark = key.removeprefix(self.prefix).partition("/")
+        return fingerprint, bytes.fromhex(mark)
 
 
 def _jittered_s(pause_ms: float) -> float:
--- a/celerypulley/hosts/crash_trials.py
+++ b/celerypulley/hosts/crash_trials.py
@@ -48,12 +48,20 @@
     """Refuse requests that crashed too many servers, except for their trial runs."""
 
     def __init__(
-        self, store: KeyValueStore, crash_counts: CrashCounts, clock: Clock
+        self,
+        store: KeyValueStore,
+        crash_counts: CrashCounts,
+        clock: Clock,
+        prefix: str = TRIAL_PREFIX,
     ) -> None:
-        """Claim the trial runs of requests that `crash_counts` refuses in `store`."""
+        """Claim trial runs of requests that `crash_counts` refuses.
+
+        The keys in `store` begin with `prefix`.
+        """
         self.store = store
         self.crash_counts = crash_counts
         self.clock = clock
+        self.prefix = prefix
         self.delays_ms = _TRIAL_DELAYS_MS
         self._trials: dict[str, _Trials] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -128,7 +136,7 @@
 
     async def _create_key(self, fingerprint: str, trials: _Trials) -> bool:
         """Return whether this host has created the key of the next trial run."""
-        key = f"{TRIAL_PREFIX}{fingerprint}/{trials.claimed + 1}"
+        key = f"{self.prefix}{fingerprint}/{trials.claimed + 1}"
         lease = await self.store.grant_lease(MARK_LIFE_MS)
         try:
             await self.store.write([Write(key, self._token, 0, lease)])
--- a/celerypulley/hosts/engine_runner.py
+++ b/celerypulley/hosts/engine_runner.py
@@ -18,27 +18,37 @@
 from celerypulley.contracts.declaration import Limits
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal, RunState
+from celerypulley.fleet.crash_counts import request_fingerprint
 from celerypulley.hosts.backend_servers import BackendServers
-from celerypulley.hosts.quarantine import Quarantine
+from celerypulley.hosts.crash_detector import CrashDetector
+from celerypulley.hosts.crash_trials import CrashTrials
 from celerypulley.hosts.retry_budget import RetryBudget
 from celerypulley.links.backend_link import BackendError, BackendLink
 from celerypulley.programs.chat import ChatRequest, CompletionReader
 
-__all__ = ["EngineJob", "EngineRunner"]
+__all__ = ["EngineJob", "EngineRunner", "chat_fingerprint"]
 
 _MAX_ATTEMPTS = 3
 _DEFAULT_EXPECTED_TOKENS = 128
 _SUSPECT_POLL_S = 0.1
+_EXAMINATION_S = 1.0  # a retry waits so long for what an engine's loss was
+_PATH = "/v1/chat/completions"
 _log = DecisionLog("routing")
 
 
+def chat_fingerprint(request: ChatRequest, organisation: str, history: bytes) -> str:
+    """Return the fingerprint of a chat completion that continues `history`."""
+    body = request.model.encode() + b"\0" + request.messages_json
+    return request_fingerprint("POST", _PATH, organisation, history, body)
+
+
 @attrs.frozen
 class EngineJob:
     """A chat completion that is ready to be sent.
 
     `on_events` receives the events of a stream as they arrive; it is None for a
-    response that is returned whole. `fingerprint` identifies the request in the
-    quarantine.
+    response that is returned whole. `fingerprint` identifies the request when
+    it comes again.
     """
 
     program: str
@@ -60,14 +70,17 @@
         self,
         servers: BackendServers,
         link: BackendLink,
-        quarantine: Quarantine,
+        crash_trials: CrashTrials,
+        crash_detector: CrashDetector,
         clock: Clock,
     ) -> None:
         """Send jobs over `link` to the engines of `servers`."""
         self.servers = servers
         self.link = link
         self.clock = clock
-        self.quarantine = quarantine
+        self.crash_trials = crash_trials
+        self.crash_counts = crash_trials.crash_counts
+        self.crash_detector = crash_detector
         self.retry_budget = RetryBudget(clock)
         self._call_numbers = itertools.count()
 
@@ -115,14 +128,22 @@
         avoid: frozenset[str] = frozenset()
         self.retry_budget.record_request()
         for attempt in range(_MAX_ATTEMPTS):
-            self.quarantine.check(job.fingerprint)
-            engine = (await self._choose_or_wait(job, avoid)).engine
+            is_trial = await self._check_crashes(job, is_first=attempt == 0)
+            try:
+                engine = (await self._choose_or_wait(job, avoid)).engine
+            except CallRefusedError:
+                if is_trial:
+                    self.crash_trials.give_back(job.fingerprint)
+                raise
             reader = CompletionReader(job.max_tokens)
+            started_ms = self.clock.now_ms()
             try:
                 await self._run_on_engine(engine, job, reader)
                 return reader
             except (BackendError, ValueError) as error:
-                await self._record_error(engine, job, error, reader)
+                await self._record_error(engine, job, error, reader, started_ms)
+                if is_trial and not getattr(error, "sent", True):
+                    self.crash_trials.give_back(job.fingerprint)
                 may_retry = job.on_events is None or not reader.tokens
                 last = attempt == _MAX_ATTEMPTS - 1
                 if last or not may_retry or not self.retry_budget.try_acquire():
@@ -133,6 +154,18 @@
                 _log.write("retry on another engine", str(error), program=job.program)
         raise AssertionError("the loop returns or raises")
 
+    async def _check_crashes(self, job: EngineJob, is_first: bool) -> bool:
+        """Return whether this is a trial run, which is sent to one engine.
+
+        Raise CallRefusedError if the job crashed too many engines.
+        """
+        refusal = self.crash_trials.find_refusal(job.fingerprint)
+        if refusal is None:
+            return False
+        if is_first and await self.crash_trials.claim(job.fingerprint):
+            return True
+        raise CallRefusedError(refusal)
+
     async def _run_on_engine(
         self, engine: EngineState, job: EngineJob, reader: CompletionReader
     ) -> None:
@@ -141,7 +174,7 @@
             job.program, now_ms
         )
         engine.record_send(now_ms, max(0.0, uncached_tokens))
-        is_suspect = self.quarantine.crash_count(job.fingerprint) > 0
+        is_suspect = self.crash_counts.count(job.fingerprint) > 0
         engine.has_suspect_request = engine.has_suspect_request or is_suspect
         try:
             stream = self.link.stream_chat(
@@ -165,6 +198,7 @@
             if is_suspect:
                 engine.has_suspect_request = False
         engine.record_success()
+        self.crash_counts.record_whole_run(job.fingerprint)
         tokens = job.prompt_tokens + reader.tokens
         if job.program:
             engine.record_cached(job.program, tokens, self.clock.now_ms())
@@ -178,7 +212,7 @@
         polls = int(job.limits.queue_wait_s / _SUSPECT_POLL_S)
         for _ in range(polls):
             choice = self.choose(job, avoid)
-            is_suspect = self.quarantine.crash_count(job.fingerprint) > 0
+            is_suspect = self.crash_counts.count(job.fingerprint) > 0
             if not (is_suspect and choice.engine.has_suspect_request):
                 return choice
             await asyncio.sleep(_SUSPECT_POLL_S)
@@ -193,14 +227,17 @@
         job: EngineJob,
         error: Exception,
         reader: CompletionReader,
+        started_ms: float,
     ) -> None:
         status = getattr(error, "status", None)
-        was_healthy = engine.consecutive_failures == 0
         if status is None or status >= 500:
             engine.record_failure(self.clock.now_ms())
         lost = status is None and getattr(error, "sent", False)
-        if lost and was_healthy and not reader.tokens:
-            await self.quarantine.record_crash(job.fingerprint, engine.name)
+        if lost and not reader.tokens:
+            examination = self.crash_detector.examine(
+                job.fingerprint, engine, started_ms
+            )
+            await asyncio.wait({examination}, timeout=_EXAMINATION_S)
 
 
 def _overloaded_error(job: EngineJob, wait_ms: float) -> CallRefusedError:
--- a/celerypulley/hosts/entry.py
+++ b/celerypulley/hosts/entry.py
@@ -15,7 +15,11 @@
 from celerypulley.hosts.backend_servers import BackendServers
 from celerypulley.hosts.call_runner import CallRunner, call_id
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
-from celerypulley.hosts.engine_runner import EngineJob, EngineRunner
+from celerypulley.hosts.engine_runner import (
+    EngineJob,
+    EngineRunner,
+    chat_fingerprint,
+)
 from celerypulley.hosts.meters import Meters
 from celerypulley.hosts.owner_router import OwnerRouter
 from celerypulley.hosts.peers import Peers
@@ -25,7 +29,6 @@
     require_configuration,
     require_route,
 )
-from celerypulley.hosts.quarantine import fingerprint_of
 from celerypulley.hosts.shards import Shards
 from celerypulley.hosts.turn_runner import TurnRunner
 from celerypulley.links.backend_link import BackendError, BackendLink, PlainResponse
@@ -244,7 +247,7 @@
             max_tokens=max_tokens,
             request_id=message.request_id,
             limits=limits,
-            fingerprint=fingerprint_of(b"", request.messages_json),
+            fingerprint=chat_fingerprint(request, caller.organisation, b""),
             on_events=forward_events if request.stream else None,
         )
         reader = await self.engine_runner.run(job)
--- a/celerypulley/hosts/host.py
+++ b/celerypulley/hosts/host.py
@@ -10,10 +10,14 @@
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.failure_domains.member import Member
+from celerypulley.fleet.crash_counts import CrashCounts
 from celerypulley.hosts.backend_servers import BackendServers
 from celerypulley.hosts.cache_release import CacheRelease
 from celerypulley.hosts.call_runner import CallRunner
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
+from celerypulley.hosts.crash_detector import CrashDetector
+from celerypulley.hosts.crash_mark_store import CrashMarkStore
+from celerypulley.hosts.crash_trials import CrashTrials
 from celerypulley.hosts.engine_runner import EngineRunner
 from celerypulley.hosts.entry import Entry
 from celerypulley.hosts.host_lease import HostLease
@@ -26,7 +30,6 @@
 from celerypulley.hosts.program_locks import ProgramLocks
 from celerypulley.hosts.program_manager import ProgramManager
 from celerypulley.hosts.promise_renewer import PromiseRenewer
-from celerypulley.hosts.quarantine import Quarantine
 from celerypulley.hosts.record_committer import RecordCommitter
 from celerypulley.hosts.running_turns import RunningTurns
 from celerypulley.hosts.shard_controller import ShardController
@@ -47,6 +50,9 @@
 __all__ = ["Host"]
 
 _INCARNATION_BYTES = 4
+_CRASH_LIMIT = 2
+_CRASH_PREFIX = "celerypulley/crashes/"
+_TRIAL_PREFIX = "celerypulley/crash-trials/"
 _HAND_OVER_ATTEMPTS = 50
 _HAND_OVER_PAUSE_S = 0.2
 _log = DecisionLog("host")
@@ -133,9 +139,13 @@
             self.clock,
         )
         release = CacheRelease(self.servers, self.backend_link)
-        quarantine = Quarantine(self.platform, self.view, self.clock)
+        self._make_crash_counting()
         self.engine_runner = EngineRunner(
-            self.servers, self.backend_link, quarantine, self.clock
+            self.servers,
+            self.backend_link,
+            self.crash_trials,
+            self.crash_detector,
+            self.clock,
         )
         self.turn_runner = TurnRunner(
             self.shards,
@@ -174,6 +184,25 @@
             self.clock,
         )
 
+    def _make_crash_counting(self) -> None:
+        """Count the crashes of all hosts, which exchange them through the store."""
+        self.crash_counts = CrashCounts(self.clock, _CRASH_LIMIT, lasting_limit=1)
+        self.crash_mark_store = CrashMarkStore(
+            self.platform, self.crash_counts, self.clock, _CRASH_PREFIX
+        )
+        self.view.listeners[_CRASH_PREFIX] = lambda item: self.crash_mark_store.apply(
+            item.key, item.value
+        )
+        self.crash_trials = CrashTrials(
+            self.platform, self.crash_counts, self.clock, _TRIAL_PREFIX
+        )
+        self.crash_detector = CrashDetector(
+            self.servers.probe,
+            self.servers.find_listing,
+            self.crash_counts,
+            self.clock,
+        )
+
     def _make_servers(self) -> None:
         settings = self.settings
         entry = Entry(
@@ -231,6 +260,8 @@
             self.peers,
             self.view,
             self.lease,
+            self.crash_mark_store,
+            self.crash_detector,
             self.configuration,
             self.shards,
             self.promise_renewer,
--- a/celerypulley/hosts/host_lease.py
+++ b/celerypulley/hosts/host_lease.py
@@ -26,7 +26,7 @@
         self.platform = platform
         self.member = member
         self.ttl_ms = ttl_ms
-        self._lease_id: str | None = None
+        self._lease_id: int | None = None
         self._written_member: Member | None = None
         self._random = random.Random()
 
--- a/celerypulley/hosts/platform_view.py
+++ b/celerypulley/hosts/platform_view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from mode import Service
 
@@ -22,10 +23,9 @@
 )
 from celerypulley.programs.identifier import ShardId
 
-__all__ = ["CONFIGURATION_HEAD_KEY", "QUARANTINE_PREFIX", "PlatformView"]
+__all__ = ["CONFIGURATION_HEAD_KEY", "PlatformView"]
 
 CONFIGURATION_HEAD_KEY = "celerypulley/configuration/head"
-QUARANTINE_PREFIX = "celerypulley/quarantine/"
 _WATCHED_PREFIX = "celerypulley/"
 _RETRY_MIN_S = 0.2
 _RETRY_MAX_S = 3.0
@@ -52,7 +52,8 @@
         self.missing_since_ms: dict[str, float] = {}
         self.entries: dict[ShardId, ShardEntry] = {}
         self.configuration_head: KeyValue | None = None
-        self.quarantine: dict[str, KeyValue] = {}
+        # Called with the items whose keys begin so.
+        self.listeners: dict[str, Callable[[KeyValue], object]] = {}
         self.confirmed_ms = NEVER_MS
         self.connected_since_ms: float | None = None
         self.changed = asyncio.Event()
@@ -172,9 +173,10 @@
                 self.entries[shard] = ShardEntry.decode(item.value, item.revision)
                 self.changed_shards.add(shard)
             return
-        if item.key.startswith(QUARANTINE_PREFIX):
-            self.quarantine[item.key.removeprefix(QUARANTINE_PREFIX)] = item
-            return
+        for prefix, listener in self.listeners.items():
+            if item.key.startswith(prefix):
+                listener(item)
+                return
         if item.key != CONFIGURATION_HEAD_KEY or item.value is None:
             return
         if (
--- a/celerypulley/hosts/turn_runner.py
+++ b/celerypulley/hosts/turn_runner.py
@@ -10,7 +10,11 @@
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
-from celerypulley.hosts.engine_runner import EngineJob, EngineRunner
+from celerypulley.hosts.engine_runner import (
+    EngineJob,
+    EngineRunner,
+    chat_fingerprint,
+)
 from celerypulley.hosts.program_locks import ProgramLocks
 from celerypulley.hosts.program_rules import (
     check_receipt,
@@ -19,7 +23,6 @@
     require_configuration,
     require_route,
 )
-from celerypulley.hosts.quarantine import fingerprint_of
 from celerypulley.hosts.record_committer import RecordCommitter
 from celerypulley.hosts.shard_owner import ShardOwner
 from celerypulley.hosts.shards import Shards
@@ -180,7 +183,7 @@
             max_tokens=reserved_tokens,
             request_id=message.request_id,
             limits=configuration.organisation_limits(program.organisation),
-            fingerprint=fingerprint_of(history, request.messages_json),
+            fingerprint=chat_fingerprint(request, program.organisation, history),
             on_events=None,
         )
 
--- a/celerypulley/links/platform_link.py
+++ b/celerypulley/links/platform_link.py
@@ -12,6 +12,12 @@
 import orjson
 
 from celerypulley.links.cuts import CutTable
+from celerypulley.links.key_value import (
+    ConditionFailedError,
+    Item,
+    StoreUnavailableError,
+    Write,
+)
 
 __all__ = [
     "KeyValue",
@@ -27,7 +33,7 @@
 _CUT_NAME = "platform"
 
 
-class PlatformUnavailableError(Exception):
+class PlatformUnavailableError(StoreUnavailableError):
     """The key-value store did not respond; a write may have taken effect."""
 
 
@@ -71,6 +77,23 @@
     return KeyValue(key, value, int(item.get("mod_revision", 0)))
 
 
+def _encode_put(write: Write) -> dict:
+    put = {"key": _to_base64(write.key), "value": _to_base64(write.value)}
+    if write.lease:
+        put["lease"] = str(write.lease)
+    return put
+
+
+def _decode_failure(response: dict) -> dict[str, Item]:
+    """Return the keys of a transaction whose comparison failed, as they are now."""
+    items = {}
+    for each in response.get("responses", []):
+        for found in each["response_range"].get("kvs", []):
+            known = _decode_key_value(found)
+            items[known.key] = Item(known.key, known.value, known.revision)
+    return items
+
+
 class PlatformLink:
     """Client of the key-value store.
 
@@ -112,40 +135,70 @@
         return bool(response.get("kvs"))
 
     async def write_if(
-        self, key: str, value: bytes, revision: int, lease_id: str | None = None
+        self, key: str, value: bytes, revision: int, lease: int = 0
     ) -> bool:
         """Write `key` if it is still at `revision` (0: it does not exist).
 
         Return whether the write took effect. After PlatformUnavailableError the
         caller must read the key back, since the write may have taken effect.
         """
-        put = {"key": _to_base64(key), "value": _to_base64(value)}
-        if lease_id is not None:
-            put["lease"] = lease_id
-        compare = {
-            "key": _to_base64(key),
-            "target": "MOD",
-            "result": "EQUAL",
-            "mod_revision": str(revision),
+        try:
+            await self.write([Write(key, value, revision, lease)])
+        except ConditionFailedError:
+            return False
+        return True
+
+    async def write(self, writes: list[Write], deletes: list[str] | None = None) -> int:
+        """Apply all writes and deletes or none, and return the revision.
+
+        Raise ConditionFailedError if none was applied.
+        """
+        expected = {
+            each.key: each.expected_revision
+            for each in writes
+            if each.expected_revision is not None
+        }
+        compare = [
+            {
+                "key": _to_base64(key),
+                "target": "MOD",
+                "result": "EQUAL",
+                "mod_revision": str(revision),
+            }
+            for key, revision in expected.items()
+        ]
+        body = {
+            "compare": compare,
+            "success": [
+                *({"request_put": _encode_put(each)} for each in writes),
+                *(
+                    {"request_delete_range": {"key": _to_base64(key)}}
+                    for key in deletes or ()
+                ),
+            ],
+            "failure": [
+                {"request_range": {"key": _to_base64(key)}} for key in expected
+            ],
         }
-        body = {"compare": [compare], "success": [{"request_put": put}]}
         response = await self._post("/v3/kv/txn", body)
-        return bool(response.get("succeeded", False))
+        if not response.get("succeeded", False):
+            raise ConditionFailedError(_decode_failure(response))
+        return int(response["header"]["revision"])
 
-    async def grant_lease(self, ttl_ms: int) -> str:
-        """Return the identifier of a new lease."""
+    async def grant_lease(self, ttl_ms: int) -> int:
+        """Return the number of a new lease."""
         body = {"TTL": str(max(1, ttl_ms // 1000))}
         response = await self._post("/v3/lease/grant", body)
-        return str(response["ID"])
+        return int(response["ID"])
 
-    async def renew_lease(self, lease_id: str) -> bool:
+    async def renew_lease(self, lease: int) -> bool:
         """Return whether the lease is still alive and has been renewed."""
-        response = await self._post("/v3/lease/keepalive", {"ID": lease_id})
+        response = await self._post("/v3/lease/keepalive", {"ID": str(lease)})
         return int(response.get("result", {}).get("TTL", 0)) > 0
 
-    async def revoke_lease(self, lease_id: str) -> None:
+    async def revoke_lease(self, lease: int) -> None:
         """End a lease and remove the keys attached to it."""
-        await self._post("/v3/lease/revoke", {"ID": lease_id})
+        await self._post("/v3/lease/revoke", {"ID": str(lease)})
 
     async def watch(self, prefix: str, revision: int) -> AsyncIterator[list[KeyValue]]:
         """Yield changes below `prefix` from `revision` on, in batches.
--- a/celerypulley/stand_ins/kv.py
+++ b/celerypulley/stand_ins/kv.py
@@ -201,7 +201,10 @@
         )
 
     async def txn(self, request: web.Request) -> web.Response:
-        """Handle a transaction of revision comparisons and puts."""
+        """Handle a transaction of revision comparisons, puts and deletions.
+
+        Where a comparison fails, its operations are ranges of one key each.
+        """
         await self._apply_faults()
         self.writes += 1
         body = orjson.loads(await request.read())
@@ -209,8 +212,12 @@
             current = self.store.items.get(_decode_text(compare["key"]))
             revision = current.mod_revision if current else 0
             if revision != int(compare["mod_revision"]):
-                return _json_response({"header": self._header(), "succeeded": False})
+                return self._failed_txn(body.get("failure", []))
         for operation in body["success"]:
+            if "request_delete_range" in operation:
+                key = _decode_text(operation["request_delete_range"]["key"])
+                self.store.delete(key)
+                continue
             put = operation["request_put"]
             lease_id = put.get("lease")
             if lease_id is not None and lease_id not in self.store.leases:
@@ -221,6 +228,18 @@
         self._maybe_drop_connection(request)
         return _json_response({"header": self._header(), "succeeded": True})
 
+    def _failed_txn(self, operations: list[dict]) -> web.Response:
+        responses = []
+        for operation in operations:
+            pairs = self.store.range(
+                _decode_text(operation["request_range"]["key"]), None
+            )
+            items = [self._kv(key, stored) for key, stored in pairs]
+            responses.append({"response_range": {"kvs": items}})
+        return _json_response(
+            {"header": self._header(), "succeeded": False, "responses": responses}
+        )
+
     async def grant(self, request: web.Request) -> web.Response:
         """Handle a lease grant."""
         await self._apply_faults()
