After reading the change: names, a dead path, Retry-After in whole seconds

Refusals of requests that crashed servers say in whole seconds when the next trial run is due, since Retry-After has no fractions in HTTP. CrashCounts.check had no caller but tests. The restorer pauses, as its neighbours do.

--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -21,7 +21,7 @@
 
 from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
-from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
+from celerypulley.errors import ErrorKind, Refusal
 
 __all__ = ["MARK_LIFE_MS", "CrashCounts", "request_fingerprint"]
 
@@ -334,12 +334,6 @@
             ErrorKind.QUARANTINED, f"{count} servers ended during this request"
         )
 
-    def check(self, fingerprint: str) -> None:
-        """Raise CallRefusedError if a request has crashed too many servers."""
-        refusal = self.find_refusal(fingerprint)
-        if refusal is not None:
-            raise CallRefusedError(refusal)
-
 
 def _ago_ms(clock: Clock, then_ms: float | None) -> int | None:
     return None if then_ms is None else round(clock.now_ms() - then_ms)
--- a/celerypulley/hosts/backend_servers.py
+++ b/celerypulley/hosts/backend_servers.py
@@ -218,10 +218,7 @@
         except BackendError:
             engine.record_failure(self.clock.now_ms())
             return
-        if engine.consecutive_failures or not engine.started_ms:
-            # Its start isn't known, only when this host first saw it respond again.
-            engine.started_ms = self.clock.wall_ms()
-            engine.record_success()
+        self._record_response(engine)
         report = EngineReport(
             requested_ms - float(load.get("age_ms", 0)),
             int(load["running"]),
@@ -233,6 +230,15 @@
         engine.apply_report(report)
         self._apply_cache_events(engine, events)
 
+    def _record_response(self, engine: EngineState) -> None:
+        """Record that an engine responds; if it did not before, it may have restarted.
+
+        Engines don't tell when they started.
+        """
+        if engine.consecutive_failures or not engine.started_ms:
+            engine.started_ms = self.clock.wall_ms()
+            engine.record_success()
+
     def _apply_cache_events(self, engine: EngineState, events: dict) -> None:
         self._last_event[engine.name] = int(events["last"])
         for _, kind, program, tokens in events["events"]:
--- a/celerypulley/hosts/copy_restorer.py
+++ b/celerypulley/hosts/copy_restorer.py
@@ -84,7 +84,7 @@
         self.covered: set[str] = set()
         self._restored_for: frozenset | None = None
         # Waits so many seconds after a request; may be replaced.
-        self.rest: Callable[[float], Awaitable[None]] = asyncio.sleep
+        self.pause: Callable[[float], Awaitable[None]] = asyncio.sleep
 
     @Service.task
     async def _restore(self) -> None:
@@ -253,14 +253,14 @@
     async def _request(
         self, peer: StoragePeer, request: object, size_bytes: int
     ) -> object:
-        """Return the reply to a request, after a rest as long as that took.
+        """Return the reply to a request, after a pause as long as that took.
 
         So copying takes half of a slow link, and `_MAX_BYTES_PER_S` of a fast one.
         """
         started_ms = self.clock.now_ms()
         reply = await peer.link.request(request, _REQUEST_TIMEOUT_MS)
         took_s = (self.clock.now_ms() - started_ms) / 1000
-        await self.rest(max(took_s, size_bytes / _MAX_BYTES_PER_S))
+        await self.pause(max(took_s, size_bytes / _MAX_BYTES_PER_S))
         return reply
 
     def compared_with(self) -> int:
--- a/celerypulley/hosts/crash_trials.py
+++ b/celerypulley/hosts/crash_trials.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 import secrets
 
 import attrs
@@ -26,8 +27,8 @@
 __all__ = ["TRIAL_PREFIX", "CrashTrials"]
 
 TRIAL_PREFIX = "crash-trials/"
-# Servers that ended are back after some seconds. A request that crashed one more is
-# likely to be the cause.
+# Servers that ended are back after some seconds. Once a trial run has ended one more,
+# the request is likely to be the cause.
 _TRIAL_DELAYS_MS = (5_000.0, 60_000.0)
 _RETRY_MS = 1_000.0
 _TOKEN_BYTES = 6
@@ -91,7 +92,7 @@
         if refusal is None or trials is None or self._is_used_up(trials):
             return refusal
         wait_ms = max(_RETRY_MS, trials.due_ms - self.clock.now_ms())
-        return attrs.evolve(refusal, retry_after_s=round(wait_ms / 1000, 1))
+        return attrs.evolve(refusal, retry_after_s=math.ceil(wait_ms / 1000))
 
     def _is_due(self, fingerprint: str) -> bool:
         trials = self._trials.get(fingerprint)
--- a/tests/test_copies_of_records.py
+++ b/tests/test_copies_of_records.py
@@ -196,7 +196,7 @@
 
 
 async def test_copies_of_two_busy_minutes_take_longer_than_catching_up(tmp_path):
-    """A host is absent 2.5 s after its last reply; the rests are what copying adds."""
+    """A host is absent 2.5 s after its last reply; the pauses are what copying adds."""
     async with running_storage(tmp_path) as storage:
         await wait_for_peers(storage)
         records = [
@@ -208,16 +208,16 @@
                 host = storage.storage_hosts[name]
                 await host.record_store.write(records[number::3])
         restorer = storage.storage_hosts["keeper-b"].record_service.restorer
-        rests_s = []
+        pauses_s = []
 
-        async def record_rest(rest_s: float) -> None:
-            rests_s.append(rest_s)
+        async def record_pause(pause_s: float) -> None:
+            pauses_s.append(pause_s)
 
-        restorer.rest = record_rest
+        restorer.pause = record_pause
         await refuse_connections(storage, "keeper-a")
         copied = storage.storage_hosts["keeper-c"].record_store.records
         await wait_until(lambda: len(copied) == len(records))
-        assert sum(rests_s) < CATCH_UP_S - 2.5
+        assert sum(pauses_s) < CATCH_UP_S - 2.5
 
 
 @pytest.mark.parametrize("request_type", [FindMissing, StoreRecords])
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from celerypulley.errors import CallRefusedError
 from celerypulley.fleet.crash_counts import CrashCounts
 from tests.harness import ManualClock
 
@@ -13,11 +12,7 @@
 
 
 def _is_refused(counts: CrashCounts, fingerprint: str = "f") -> bool:
-    try:
-        counts.check(fingerprint)
-    except CallRefusedError:
-        return True
-    return False
+    return counts.find_refusal(fingerprint) is not None
 
 
 def _announce(hosts: list[CrashCounts], clock: ManualClock, messages: int = 1) -> None:
