Reserve the port that a test has chosen until it listens

A run of the tests beside others once failed with EADDRINUSE: free_port tried a port and closed it, so that another process could choose it before it was used. A process now keeps a socket bound to the port at an address that nothing listens on. test_two_runs_choose_the_same_port failed before.

--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+from collections import deque
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -34,6 +35,8 @@
 _POLL_INTERVAL_S = 0.1
 _FIRST_PORT = 12_000
 _LAST_PORT = 32_000
+_RESERVATION_IP = "127.255.255.254"
+_MAX_RESERVATIONS = 512  # more than one test uses
 _ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -118,17 +121,26 @@
 
 
 _CANDIDATE_PORTS = _candidate_ports()
+# Bound to the last ports of this process, at an address that nothing listens on.
+_reservations: deque[socket.socket] = deque(maxlen=_MAX_RESERVATIONS)
 
 
 def free_port() -> int:
-    """Return a free port outside the ephemeral range of outgoing connections."""
+    """Return a free port outside the ephemeral range of outgoing connections.
+
+    Other processes don't choose it while this one holds its reservation.
+    """
     for port in _CANDIDATE_PORTS:
-        with socket.socket() as probe:
-            try:
+        reservation = socket.socket()
+        try:
+            reservation.bind((_RESERVATION_IP, port))
+            with socket.socket() as probe:
                 probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return port
     raise AssertionError("the candidate ports are endless")
 
 
