--- a/celerypulley/contracts/desired_state.py
+++ b/celerypulley/contracts/desired_state.py
@@ -60,10 +60,12 @@
     """The settings of one service.
 
     `tokens_per_event` is the number of budget tokens for each event of a stream.
+    `memory_tokens` is the memory of one of its engines, 0 if unknown.
     """
 
     name: str
     tokens_per_event: int = 1
+    memory_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/celerypulley/fleet_settings.py
+++ b/celerypulley/fleet_settings.py
@@ -20,7 +20,8 @@
     are enforced over windows of `quota_window_ms`. A server that leaves goes on for
     `server_drain_ms`. `data_dir` is the disk of a
     storage host; `tolerated_disk_losses` disks may be lost at once. `is_first_start`
-    is set if no disk of the fleet has ever been written.
+    is set if no disk of the fleet has ever been written. If `schedules_turns` is set,
+    turns wait for a free slot of an engine, and programs that do not fit are refused.
     """
 
     host_id: str
@@ -40,3 +41,4 @@
     is_first_start: bool = False
     has_storage_hosts: bool = False
     tolerated_disk_losses: int = 1
+    schedules_turns: bool = False
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -38,6 +38,7 @@
 from celerypulley.hosts.storage_host_pool import StorageHostPool
 from celerypulley.hosts.stream_forwarder import StreamForwarder
 from celerypulley.hosts.turn_archive import TurnArchive
+from celerypulley.hosts.turn_scheduler import TurnScheduler
 from celerypulley.links.forward_dialect import Dialect
 from celerypulley.links.forward_server import ForwardServer, ForwardSink
 from celerypulley.links.key_value import KeyValueStore
@@ -174,6 +175,16 @@
                 clock,
             )
         self.archive = TurnArchive(store, pool, clock)
+        self.turn_scheduler: TurnScheduler | None = None
+        if settings.schedules_turns:
+            self.turn_scheduler = TurnScheduler(
+                settings.domain,
+                self.directory,
+                self.datagrams,
+                self.gossip,
+                lambda: self.desired_state.state,
+                clock,
+            )
         self.forwarder = self._make_forwarder(schema.dialect)
         self.server = ForwardServer(
             settings.caller_address,
@@ -225,6 +236,7 @@
             context,
             self.archive,
             BudgetCoordinator(self.escrow, self.datagrams, self.gossip),
+            self.turn_scheduler,
         )
         return Forwarder(
             admission, PlainForwarder(context), streams, self.metrics, self.clock
@@ -252,6 +264,13 @@
         if pool is not None:
             gauges["disks_known"] = lambda: len(self.disk_list.disks)
             gauges["disks_unresponsive"] = pool.count_unresponsive
+        scheduler = self.turn_scheduler
+        if scheduler is not None:
+            gauges["turns_waiting"] = scheduler.waiting_count
+            gauges["turns_refused"] = scheduler.refused_count
+            gauges["turn_slots_expired"] = scheduler.expired_count
+            gauges["turn_slots_unanswered"] = lambda: scheduler.unanswered
+            gauges["turn_slots_spilled"] = lambda: scheduler.spilled
         gauges["budget_tokens_overcommitted"] = lambda: self.escrow.overcommitted_tokens
 
     def _count_leaving(self, source: str) -> int:
@@ -261,6 +280,8 @@
         """Start all services; the server for callers comes last."""
         if self.archive.pool is not None:
             await self.add_runtime_dependency(self.disk_list.follower)
+        if self.turn_scheduler is not None:
+            await self.add_runtime_dependency(self.turn_scheduler)
         for service in (
             self.metrics_server,
             self.readiness_server,
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -111,18 +111,43 @@
             return None
         server = self.directory.servers.get(choice.engine.name)
         if server is not None:
-            _log.write(
-                f"server {server.name}",
+            self._log_server(
+                admitted,
+                server,
                 choice.reason,
-                request=admitted.request.request_id,
-                load=server.sequence_count(call.now_ms),
-                load_age_ms=_age_ms(call.now_ms, server.report.taken_ms),
                 cost_ms=round(choice.estimate_ms, 1),
                 avoided=len(avoid),
-                **self._crash_fields(admitted),
             )
         return server
 
+    def log_slot(
+        self, admitted: AdmittedRequest, server: EngineState, reason: str
+    ) -> None:
+        """Log the server of a slot that was assigned to a request."""
+        self.directory.record_choice(
+            next(iter(server.models)), admitted.request.request_id
+        )
+        waited_ms = self.clock.now_ms() - admitted.request.received_ms
+        self._log_server(admitted, server, reason, waited_ms=round(waited_ms, 1))
+
+    def _log_server(
+        self,
+        admitted: AdmittedRequest,
+        server: EngineState,
+        reason: str,
+        **fields: object,
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        _log.write(
+            f"server {server.name}",
+            reason,
+            request=admitted.request.request_id,
+            load=server.sequence_count(now_ms),
+            load_age_ms=_age_ms(now_ms, server.report.taken_ms),
+            **fields,
+            **self._crash_fields(admitted),
+        )
+
     def _crash_fields(self, admitted: AdmittedRequest) -> dict[str, object]:
         """Return the log fields of a request that has crashed servers."""
         crashes = self.crash_counts.count(admitted.fingerprint)
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -9,11 +9,21 @@
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.hosts.admission import AdmittedRequest
 from celerypulley.hosts.forward_context import Chooser, ForwardContext
+from celerypulley.hosts.turn_scheduler import TurnSlot
 from celerypulley.links.forward_dialect import ResponseMetadata
 from celerypulley.links.response_parser import ResponseHead
 from celerypulley.links.server_connection import ServerCall, ServerCallError
+from celerypulley.turn_scheduling.turn_dispatcher import SlotOutcome
 
-__all__ = ["FailedAttempt", "ServerAttempt", "not_run_attempt", "try_servers"]
+__all__ = [
+    "FailedAttempt",
+    "ServerAttempt",
+    "SlotSource",
+    "not_run_attempt",
+    "try_servers",
+]
+
+SlotSource = Callable[[frozenset[str]], Awaitable[TurnSlot | None]]
 
 _SHED_RETRY_S = 0.1  # about the duration of a turn on an engine, which frees a slot
 
@@ -61,12 +71,15 @@
     chooser: Chooser,
     run_attempt: Callable[[ServerAttempt], Awaitable[FailedAttempt | None]],
     prefill_tokens: Callable[[EngineState], float] = lambda _server: 0.0,
+    acquire_slot: SlotSource | None = None,
 ) -> str:
     """Return the name of the server whose response `run_attempt` forwarded.
 
-    `prefill_tokens(server)` returns the tokens that the server has to prefill. Raise
-    CallRefusedError where all attempts failed; its refusal has the run state "not run"
-    only if every server that was sent the request reported that it did not run it.
+    `prefill_tokens(server)` returns the tokens that the server has to prefill.
+    `acquire_slot(excluded)` returns a slot of a server that is not excluded, or None if
+    `chooser` has to choose. Raise CallRefusedError where all attempts failed; its
+    refusal has the run state "not run" only if every server that was sent the request
+    reported that it did not run it.
     """
     route = admitted.route
     attempts = admitted.attempts
@@ -85,11 +98,23 @@
             if not is_trial or attempts.may_have_run:
                 failure = quarantined
                 break
-        server = context.choose(admitted, service, avoid, chooser)
+        slot = None
+        if acquire_slot is not None:
+            try:
+                slot = await acquire_slot(avoid)
+            except CallRefusedError as error:
+                failure = error.refusal
+                break
+        if slot is not None:
+            server = slot.server
+            context.log_slot(admitted, server, slot.reason)
+        else:
+            server = context.choose(admitted, service, avoid, chooser)
         if server is None:
             break
         avoid = avoid | {server.name}
         call = None
+        outcome = SlotOutcome.NOT_RUN
         started_ms = context.clock.now_ms()
         try:
             with context.count_in_flight(server, prefill_tokens(server)):
@@ -99,7 +124,10 @@
                     failed = await run_attempt(
                         ServerAttempt(server, call, send_count >= route.max_attempts)
                     )
+            if failed is None:
+                outcome = SlotOutcome.COMPLETE
         except ServerCallError as error:
+            outcome = SlotOutcome.FAILED
             context.record_failure(admitted, server, started_ms, error)
             failure = context.link_error_refusal(server, error)
             if error.sent and not route.may_run_again:
@@ -111,6 +139,8 @@
         finally:
             if call is not None and not call.is_released:
                 call.abort()
+            if slot is not None:
+                slot.end(outcome)
         if failed is None:
             return server.name
         failure = failed.refusal
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -27,10 +27,12 @@
 from celerypulley.hosts.server_attempts import (
     FailedAttempt,
     ServerAttempt,
+    SlotSource,
     not_run_attempt,
     try_servers,
 )
 from celerypulley.hosts.turn_archive import CompletedTurn, TurnArchive
+from celerypulley.hosts.turn_scheduler import TurnScheduler, TurnSlot
 from celerypulley.links.forward_server import ForwardSink
 from celerypulley.links.key_value import StoreUnavailableError
 from celerypulley.links.server_connection import ServerCall, ServerCallError
@@ -76,12 +78,20 @@
     """Run streams on model engines and forward their events as they arrive."""
 
     def __init__(
-        self, context: ForwardContext, archive: TurnArchive, budgets: BudgetCoordinator
+        self,
+        context: ForwardContext,
+        archive: TurnArchive,
+        budgets: BudgetCoordinator,
+        scheduler: TurnScheduler | None = None,
     ) -> None:
-        """Store histories in `archive` and reserve tokens through `budgets`."""
+        """Store histories in `archive` and reserve tokens through `budgets`.
+
+        With a `scheduler`, turns wait for a free slot of an engine.
+        """
         self.context = context
         self.archive = archive
         self.budgets = budgets
+        self.scheduler = scheduler
 
     async def run(self, admitted: AdmittedRequest, sink: ForwardSink) -> str:
         """Forward a stream; return the server's name or raise CallRefusedError."""
@@ -171,8 +181,23 @@
             _choose,
             run_attempt,
             prefill_tokens,
+            self._slot_source(turn),
         )
 
+    def _slot_source(self, turn: _Turn) -> SlotSource | None:
+        """Return what assigns engine slots to a turn, None without a scheduler."""
+        scheduler = self.scheduler
+        if scheduler is None or not turn.admitted.route.is_turn:
+            return None
+
+        async def acquire_slot(excluded: frozenset[str]) -> TurnSlot | None:
+            call = attrs.evolve(
+                self.context.engine_call(turn.admitted), model=turn.service
+            )
+            return await scheduler.acquire(turn.admitted, call, excluded)
+
+        return acquire_slot
+
     async def _attempt(
         self, turn: _Turn, server: EngineState, call: ServerCall, sink: ForwardSink
     ) -> FailedAttempt | None:
--- a/celerypulley/platform/desired_state.py
+++ b/celerypulley/platform/desired_state.py
@@ -82,6 +82,7 @@
     return ServiceRule(
         name=row["name"],
         tokens_per_event=int(engine.get("chunkTokens") or 1),
+        memory_tokens=max(0, int(engine.get("kvCapacity") or 0)),
     )
 
 
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -39,7 +39,8 @@
     headers = request.headers
     prompt_tokens, max_tokens = _parse_pair(headers.get("Token-Usage", ""))
     wait_ms = _parse_integer(headers.get("Deadline-Ms", ""), _DEFAULT_DEADLINE_MS)
-    program_wait_ms = _parse_integer(headers.get("Program-Deadline-Ms", ""), 0)
+    # 0 where the program's target has passed.
+    program_wait_ms = _parse_integer(headers.get("Program-Deadline-Ms", ""), None)
     return OpaqueRequest(
         request_id=headers.get("Request-Id", ""),
         method=request.method,
@@ -56,7 +57,9 @@
         expected_tokens=_parse_integer(headers.get("Length-Hint", ""), 0),
         prefix_parts=_parse_prefix(headers.get("Prefix-Hash", "")),
         program=_parse_program_id(headers.get("Program-Id", "")),
-        program_deadline_ms=now_ms + program_wait_ms if program_wait_ms else 0.0,
+        program_deadline_ms=0.0
+        if program_wait_ms is None
+        else now_ms + program_wait_ms,
         token_budget=_parse_integer(headers.get("Token-Budget", ""), None),
         previous_turn=headers.get("Previous-Turn", ""),
     )
--- a/celerypulley/platform/settings_file.py
+++ b/celerypulley/platform/settings_file.py
@@ -10,6 +10,7 @@
 
 # The customary port of metrics exporters; deploy/system.toml names the same one.
 _METRICS_PORT = 9464
+_PRESSURE_CONTRACT = "pressure"  # callers compete for too few engine slots
 SETTINGS_VARIABLE = "CELERYPULLEY_CONFIG"
 
 
@@ -41,6 +42,7 @@
         tolerated_disk_losses=int(_parse_number(values, "faultTolerance.machines", 1)),
         server_drain_ms=_parse_number(values, "bounds.drainMs", 2_000.0),
         quota_window_ms=_parse_number(values, "bounds.quotaWindowS", 5.0) * 1000,
+        schedules_turns=_PRESSURE_CONTRACT in values.get("contracts", "").split(","),
     )
 
 
--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -60,6 +60,15 @@
     ),
     Rule("celerypulley.links", ("celerypulley.fleet", _PLATFORM_PACKAGE)),
     Rule("celerypulley.backend_servers", (_PLATFORM_PACKAGE,)),
+    Rule(
+        "celerypulley.turn_scheduling",
+        (
+            *_ENCODING_LIBRARIES,
+            *_UPPER_LAYERS,
+            "celerypulley.links",
+            _PLATFORM_PACKAGE,
+        ),
+    ),
     Rule("celerypulley.contracts", (_PLATFORM_PACKAGE,)),
     Rule("celerypulley.programs", (_PLATFORM_PACKAGE,)),
     Rule("celerypulley", ("dataclasses", "argparse", "tests", "tools")),
