Keep requests out of evacuated failure domains and inside their home regions

A watch alone proves little, so the poll that confirms the desired state reads evacuations, too, and hosts that ask a peer get them with their revisions. The exclusion holds for last-resort choices and until the moment of the send. Turns that may not leave a region are kept in the store, since storage hosts copy records to each other whatever their regions.

--- a/celerypulley/contracts/desired_state.py
+++ b/celerypulley/contracts/desired_state.py
@@ -28,6 +28,8 @@
     streams can continue on another server after the last forwarded event. Where
     `prepends_history` is set, the earlier turns of a chain are prepended to the
     request. `retention_ms` is above zero where the requests are turns of programs.
+    `home_regions` are the regions that requests and their data may not leave, none if
+    they may go anywhere.
     """
 
     name: str
@@ -43,6 +45,7 @@
     max_attempts: int = 1
     priority: int = 0
     is_public: bool = False
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def may_run_again(self) -> bool:
@@ -70,13 +73,17 @@
 
 @attrs.frozen(kw_only=True)
 class OrganisationRule:
-    """One organisation: its keys, priority and rate. A rate of 0 means no limit."""
+    """One organisation: its keys, priority and rate. A rate of 0 means no limit.
+
+    `home_regions` are as in `ForwardRoute`.
+    """
 
     name: str
     keys: tuple[str, ...] = attrs.field(default=(), repr=False)
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
+    home_regions: frozenset[str] = frozenset()
 
 
 @attrs.frozen(kw_only=True)
--- a/celerypulley/fleet/confirmations.py
+++ b/celerypulley/fleet/confirmations.py
@@ -4,11 +4,15 @@
 it. An answer has the version that the source confirmed and the age of its confirmation.
 To the asker this age is what the answer says plus the time since it sent the request,
 so that it is never too low, whatever the clocks and however late the answer.
+
+Where failure domains can be evacuated, an answer also has the evacuated ones, with the
+revisions that order them.
 """
 
 import math
 from collections.abc import Callable
 
+from celerypulley.contracts.evacuations import Evacuations
 from celerypulley.decision_log import DecisionLog
 from celerypulley.failure_domains.placement import rendezvous
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
@@ -31,7 +35,8 @@
 class Confirmations:
     """Ask the source of this host's domain, and answer the hosts that ask this one.
 
-    The answer is the version in force and the age of its confirmation in ms.
+    The answer is the version in force and the age of its confirmation in ms, and with
+    `evacuations` their revisions by domain and the revision of the read they are from.
     """
 
     def __init__(
@@ -40,12 +45,17 @@
         gossip: FleetGossip,
         read_version: Callable[[], int],
         read_age_ms: Callable[[], float],
+        evacuations: Evacuations | None = None,
     ) -> None:
-        """Answer with `read_version()` and `read_age_ms()`."""
+        """Answer with `read_version()`, `read_age_ms()` and `evacuations`.
+
+        With `evacuations`, an answer without them confirms nothing.
+        """
         self.datagrams = datagrams
         self.gossip = gossip
         self.read_version = read_version
         self.read_age_ms = read_age_ms
+        self.evacuations = evacuations
         datagrams.handlers[_KIND] = self._handle_request
 
     def source(self) -> str:
@@ -78,14 +88,34 @@
         if source == self.datagrams.host:
             return None
         try:
-            version, age_ms = await self.datagrams.request(source, _KIND, [])
+            version, age_ms, *marks = await self.datagrams.request(source, _KIND, [])
         except (NoReplyError, ValueError, TypeError) as error:
             _log.write("not confirmed", repr(error), peer=source)
             return None
         if not isinstance(age_ms, int) or not 0 <= age_ms <= _MAX_SOURCE_AGE_MS:
             return None
-        return age_ms if version == self.read_version() else None
+        if version != self.read_version():
+            return None
+        return age_ms if self._apply_marks(marks, source) else None
+
+    def _apply_marks(self, marks: list, source: str) -> bool:
+        """Apply the source's evacuations; return False if it answered otherwise."""
+        if self.evacuations is None:
+            return not marks
+        try:
+            revisions, as_of_revision = marks
+            self.evacuations.apply_read(dict(revisions), int(as_of_revision))
+        except (ValueError, TypeError) as error:
+            _log.write("evacuations not confirmed", repr(error), peer=source)
+            return False
+        return True
 
     async def _handle_request(self, _sender: str, _payload: list) -> list:
         age_ms = self.read_age_ms()
-        return [self.read_version(), math.ceil(age_ms) if math.isfinite(age_ms) else -1]
+        answer = [
+            self.read_version(),
+            math.ceil(age_ms) if math.isfinite(age_ms) else -1,
+        ]
+        if self.evacuations is not None:
+            answer += [self.evacuations.revisions(), self.evacuations.as_of_revision]
+        return answer
--- a/celerypulley/fleet_settings.py
+++ b/celerypulley/fleet_settings.py
@@ -22,6 +22,8 @@
     storage host; `tolerated_disk_losses` disks may be lost at once. `is_first_start`
     is set if no disk of the fleet has ever been written. If `schedules_turns` is set,
     turns wait for a free slot of an engine, and programs that do not fit are refused.
+    If `evacuates_domains` is set, operators can mark failure domains whose servers get
+    no requests. `region_of_domain` has the regions of all failure domains.
     """
 
     host_id: str
@@ -42,3 +44,6 @@
     has_storage_hosts: bool = False
     tolerated_disk_losses: int = 1
     schedules_turns: bool = False
+    evacuates_domains: bool = False
+    region: str = ""
+    region_of_domain: dict[str, str] = attrs.Factory(dict)
--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -8,6 +8,7 @@
     ForwardRoute,
     OrganisationRule,
 )
+from celerypulley.contracts.home_regions import HomeRegions
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.fleet.crash_counts import request_fingerprint
 from celerypulley.fleet.fleet_meter import FleetMeter
@@ -75,6 +76,15 @@
         """Return the organisation's name, empty on a public route."""
         return self.organisation.name if self.organisation else ""
 
+    @property
+    def home_regions(self) -> HomeRegions:
+        """Return the regions that the request and its data may not leave."""
+        organisation = self.organisation
+        return HomeRegions.of(
+            self.route.home_regions,
+            organisation.home_regions if organisation else frozenset(),
+        )
+
     @property
     def continues_history(self) -> bool:
         """Return whether servers get the history of an earlier turn before the body."""
--- a/celerypulley/hosts/desired_state_cache.py
+++ b/celerypulley/hosts/desired_state_cache.py
@@ -1,12 +1,13 @@
-"""The desired state in force on this host, and its age."""
+"""The desired state in force on this host, evacuated domains, and their age."""
 
 from collections.abc import Callable
 
 from celerypulley.clock import Clock
 from celerypulley.contracts.desired_state import DesiredState
+from celerypulley.contracts.evacuations import Evacuations
 from celerypulley.decision_log import DecisionLog
 from celerypulley.links.key_poller import KeyPoller
-from celerypulley.links.key_value import Item, KeyValueStore
+from celerypulley.links.key_value import Item, KeyValueStore, WatchBatch
 from celerypulley.links.prefix_follower import PrefixFollower
 
 __all__ = ["DesiredStateCache"]
@@ -18,7 +19,8 @@
 class DesiredStateCache:
     """Follow the desired state in the store; older versions are ignored.
 
-    The functions in `on_change` are called with each new version.
+    The functions in `on_change` are called with each new version. `evacuations` are the
+    failure domains that the operator has marked to get no requests.
     """
 
     def __init__(
@@ -28,10 +30,17 @@
         key: str,
         decode: Callable[[bytes], DesiredState],
         clock: Clock,
+        evacuation_prefix: str = "",
     ) -> None:
-        """Follow `key`, which begins with `prefix`."""
+        """Follow `key`, which begins with `prefix`.
+
+        Keys that begin with `evacuation_prefix`, which begins with `prefix`, end with
+        the name of an evacuated domain. Without it no domain is evacuated.
+        """
         self.key = key
         self.decode = decode
+        self.evacuation_prefix = evacuation_prefix
+        self.evacuations = Evacuations()
         self.state: DesiredState | None = None
         self.on_change: list[Callable[[DesiredState], None]] = []
         self.follower = PrefixFollower(
@@ -43,7 +52,14 @@
             self._on_snapshot,
             self._on_item,
         )
-        self.confirmer = KeyPoller(store, key, clock, self._on_item)
+        self.confirmer = KeyPoller(
+            store,
+            key,
+            clock,
+            self._on_item,
+            prefix,
+            self._on_read if evacuation_prefix else None,
+        )
 
     @property
     def version(self) -> int:
@@ -58,7 +74,24 @@
         for item in items:
             self._on_item(item)
 
+    def _on_read(self, batch: WatchBatch) -> None:
+        """Apply a read of all keys, which shows also which domains aren't evacuated."""
+        prefix = self.evacuation_prefix
+        marks = {
+            item.key.removeprefix(prefix): item.revision
+            for item in batch.items
+            if item.key.startswith(prefix)
+        }
+        self.evacuations.apply_read(marks, batch.revision)
+        self._on_snapshot(batch.items)
+
     def _on_item(self, item: Item) -> None:
+        prefix = self.evacuation_prefix
+        if prefix and item.key.startswith(prefix):
+            domain = item.key.removeprefix(prefix)
+            is_evacuated = item.value is not None
+            self.evacuations.apply_event(domain, item.revision, is_evacuated)
+            return
         if item.key != self.key or item.value is None:
             return
         try:
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -70,6 +70,7 @@
     server_prefix: str
     decode_server: Callable[[str, bytes], ServerEntry]
     dialect: Dialect
+    evacuation_prefix: str = ""
 
 
 class FleetHost(Service):
@@ -101,6 +102,7 @@
             schema.desired_state_key,
             schema.decode_desired_state,
             clock,
+            schema.evacuation_prefix if settings.evacuates_domains else "",
         )
         self.directory = ServerDirectory(
             store,
@@ -110,6 +112,7 @@
             settings.domain,
             settings.server_drain_ms,
             clock,
+            self.desired_state.evacuations,
         )
         self.meter = FleetMeter(settings.quota_window_ms, clock)
         self.crash_counts = CrashCounts(clock)
@@ -142,6 +145,7 @@
             self.gossip,
             lambda: self.desired_state.version,
             self.desired_state.age_ms,
+            self.desired_state.evacuations if settings.evacuates_domains else None,
         )
         confirmer = self.desired_state.confirmer
         confirmer.ask_peer = confirmations.ask
@@ -221,6 +225,7 @@
             ),
             clock=self.clock,
             stall_monitor=self.stall_monitor,
+            region_of_domain=self.settings.region_of_domain,
         )
         max_state_age_ms = self.settings.max_state_age_ms
         if not self.settings.refuse_stale_state:
@@ -246,6 +251,9 @@
         gauges = self.metrics.gauges
         gauges["desired_state_version"] = lambda: self.desired_state.version
         gauges["desired_state_age_ms"] = lambda: self.desired_state.age_ms()
+        gauges["domains_evacuated"] = lambda: len(
+            self.desired_state.evacuations.domains
+        )
         gauges["servers_known"] = lambda: len(self.directory.servers)
         for source in self.directory.count_leaving():
             gauges[f"servers_leaving_by_{source}"] = partial(
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -1,6 +1,6 @@
 """Steps that forwarding to model engines and to plain services share."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import AbstractContextManager, contextmanager, nullcontext
 
 import attrs
@@ -53,7 +53,7 @@
     """What this host needs to forward a request.
 
     `unreachable_domains()` returns the failure domains from which no host is
-    reachable.
+    reachable. `region_of_domain` has the regions of all failure domains.
     """
 
     directory: ServerDirectory
@@ -65,6 +65,7 @@
     unreachable_domains: Callable[[], frozenset[str]]
     clock: Clock
     stall_monitor: StallMonitor
+    region_of_domain: Mapping[str, str] = attrs.Factory(dict)
 
     def engine_call(self, admitted: AdmittedRequest) -> EngineCall:
         """Return the properties of a request that routing depends on."""
@@ -93,7 +94,9 @@
         Servers that failed recently are chosen only as a last resort.
         """
         call = attrs.evolve(self.engine_call(admitted), model=service)
-        servers = self._exclude_unreachable(self.directory.of_service(service))
+        servers = self._exclude_unreachable(
+            self._within_home(admitted, self.directory.of_service(service))
+        )
         choice = chooser(call, servers, avoid)
         if choice is None:
             candidates = [attrs.evolve(each) for each in servers]
@@ -104,7 +107,7 @@
             draining = self.directory.draining_of_service(
                 service, admitted.request.received_ms
             )
-            choice = chooser(call, draining, avoid)
+            choice = chooser(call, self._within_home(admitted, draining), avoid)
         else:
             self.directory.record_choice(service, admitted.request.request_id)
         if choice is None:
@@ -148,6 +151,17 @@
             **self._crash_fields(admitted),
         )
 
+    def _within_home(
+        self, admitted: AdmittedRequest, servers: list[EngineState]
+    ) -> list[EngineState]:
+        """Return the servers in the regions that a request may not leave."""
+        home = admitted.home_regions
+        if not home.is_restricted:
+            return servers
+        return [
+            each for each in servers if home.allows(each.domain, self.region_of_domain)
+        ]
+
     def _crash_fields(self, admitted: AdmittedRequest) -> dict[str, object]:
         """Return the log fields of a request that has crashed servers."""
         crashes = self.crash_counts.count(admitted.fingerprint)
@@ -194,8 +208,11 @@
         """Send the request, with `body` in place of the caller's if it is given.
 
         Raise CallRefusedError where the deadline has passed and ServerCallError
-        where the request cannot be written.
+        where the request cannot be written, or where the server's domain has been
+        evacuated since it was chosen.
         """
+        if self.directory.is_evacuated(server):
+            raise ServerCallError("its failure domain was evacuated", False)
         request = admitted.request
         forwarded = ForwardedCall(
             server=server.name,
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -14,6 +14,7 @@
 )
 from celerypulley.backend_servers.server_entry import ServerEntry
 from celerypulley.clock import Clock
+from celerypulley.contracts.evacuations import Evacuations
 from celerypulley.decision_log import DecisionLog
 from celerypulley.fleet.fleet_gossip import PeerCounts
 from celerypulley.links.key_value import Item, KeyValueStore
@@ -56,12 +57,15 @@
         domain: str,
         drain_ms: float,
         clock: Clock,
+        evacuations: Evacuations | None = None,
     ) -> None:
         """Follow the entries below `prefix`, decoded by `decode(key, value)`.
 
         `domain` is the failure domain of this host. A server goes on for at least
-        `drain_ms` after it has announced that it leaves.
+        `drain_ms` after it has announced that it leaves. Servers of domains in
+        `evacuations` accept no requests.
         """
+        self.evacuations = evacuations or Evacuations()
         self.decode = decode
         self.links = links
         self.domain = domain
@@ -135,9 +139,15 @@
         return [
             server
             for server in self.servers.values()
-            if service in server.models and server.state is ServerState.LIVE
+            if service in server.models
+            and server.state is ServerState.LIVE
+            and not self.is_evacuated(server)
         ]
 
+    def is_evacuated(self, server: EngineState) -> bool:
+        """Return whether the operator has evacuated the failure domain of a server."""
+        return server.domain in self.evacuations.domains
+
     def record_announcement(self, server: EngineState, leaving: bool | None) -> None:
         """Record whether a server's response says that the server leaves.
 
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -189,6 +189,8 @@
         scheduler = self.scheduler
         if scheduler is None or not turn.admitted.route.is_turn:
             return None
+        if turn.admitted.home_regions.is_restricted:
+            return None
 
         async def acquire_slot(excluded: frozenset[str]) -> TurnSlot | None:
             call = attrs.evolve(
@@ -272,6 +274,14 @@
         for part in turn.admitted.request.prefix_parts:
             server.record_cached(part.name, part.tokens, now_ms)
 
+    def _may_use_storage_hosts(self, admitted: AdmittedRequest) -> bool:
+        """Return whether a turn may lie on the disk of any storage host.
+
+        Storage hosts copy records to each other, whatever their regions.
+        """
+        regions = self.context.region_of_domain
+        return admitted.home_regions.allows_all(regions, regions)
+
     async def _archive_turn(self, turn: _Turn) -> None:
         """Save the turn before the response ends, within the caller's deadline.
 
@@ -291,6 +301,7 @@
                 output,
                 turn.body + output,
                 route.retention_ms,
+                self._may_use_storage_hosts(turn.admitted),
             )
         )
 
--- a/celerypulley/hosts/turn_archive.py
+++ b/celerypulley/hosts/turn_archive.py
@@ -36,7 +36,8 @@
     """A turn that an engine has completed.
 
     `history` includes `input` and `output`. The turn must be available for
-    `retention_ms` after it is saved.
+    `retention_ms` after it is saved. Without `may_use_storage_hosts` only the store
+    keeps it.
     """
 
     organisation: str
@@ -46,6 +47,7 @@
     output: bytes = attrs.field(repr=False)
     history: bytes = attrs.field(repr=False)
     retention_ms: float
+    may_use_storage_hosts: bool = True
 
 
 class TurnArchive:
@@ -156,7 +158,7 @@
         self._cache_history(key, turn.history)
 
     async def _make_durable(self, record: TurnRecord, turn: CompletedTurn) -> None:
-        if self.pool is None:
+        if self.pool is None or not turn.may_use_storage_hosts:
             await self._write_store(record, turn)
             return
         storage_write = asyncio.create_task(self.pool.write(record))
--- a/celerypulley/links/key_poller.py
+++ b/celerypulley/links/key_poller.py
@@ -1,4 +1,4 @@
-"""Poll one key, so that the age of its cached value is known.
+"""Poll one key, or the keys of a prefix, so that the age of cached state is known.
 
 A watch reports changes sooner, but a response without changes proves little: a store
 that drops its history reports no changes to watches for a while.
@@ -14,7 +14,12 @@
 from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.elapsed_time import elapsed_ms
-from celerypulley.links.key_value import Item, KeyValueStore, StoreUnavailableError
+from celerypulley.links.key_value import (
+    Item,
+    KeyValueStore,
+    StoreUnavailableError,
+    WatchBatch,
+)
 
 __all__ = ["POLL_INTERVAL_MS", "RETRY_DELAY_MS", "KeyPoller"]
 
@@ -26,7 +31,7 @@
 
 
 class KeyPoller(Service):
-    """Pass each item read to a handler, and track the age of the last read."""
+    """Pass what is read to a handler, and track the age of the last read."""
 
     def __init__(
         self,
@@ -34,10 +39,13 @@
         key: str,
         clock: Clock,
         on_item: Callable[[Item], None],
+        prefix: str = "",
+        on_read: Callable[[WatchBatch], None] | None = None,
     ) -> None:
         """Poll `key` and pass its item to `on_item`.
 
-        A read that finds no such key counts as a confirmation, without an item.
+        With `on_read` all keys that begin with `prefix` are read instead, and each read
+        is passed to it. A read that finds no such key counts as a confirmation.
 
         `ask_peer`, `pause_ms` and `retry_ms` may be replaced before the start.
         `ask_peer()` returns how long ago, in ms, a peer confirmed the state of this
@@ -49,6 +57,8 @@
         self.key = key
         self.clock = clock
         self.on_item = on_item
+        self.prefix = prefix
+        self.on_read = on_read
         self.ask_peer: Callable[[], Awaitable[float | None]] = _ask_nobody
         self.pause_ms: Callable[[], float] = lambda: POLL_INTERVAL_MS
         self.retry_ms: Callable[[], float] = lambda: RETRY_DELAY_MS
@@ -82,16 +92,22 @@
             requested_ms = self.clock.now_ms()
             try:
                 async with asyncio.timeout(_READ_TIMEOUT_S):
-                    item = await self.store.read(self.key)
+                    await self._read()
             except (StoreUnavailableError, TimeoutError) as error:
                 self._record_failure(repr(error))
                 await asyncio.sleep(self.retry_ms() * random.uniform(0.5, 1.5) / 1000)
                 continue
-            if item is not None:
-                self.on_item(item)
             self._record_success(requested_ms)
             await self._pause()
 
+    async def _read(self) -> None:
+        if self.on_read is not None:
+            self.on_read(await self.store.read_prefix(self.prefix))
+            return
+        item = await self.store.read(self.key)
+        if item is not None:
+            self.on_item(item)
+
     async def wait_to_retry(self, delay_s: float) -> None:
         """Wait for `delay_s`, and while the store is known to be unavailable.
 
--- a/celerypulley/platform/desired_state.py
+++ b/celerypulley/platform/desired_state.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "DESIRED_STATE_KEY",
+    "EVACUATION_PREFIX",
     "OPERATOR_PREFIX",
     "SERVER_PREFIX",
     "decode_desired_state",
@@ -26,6 +27,7 @@
 
 OPERATOR_PREFIX = "op/"
 DESIRED_STATE_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 SERVER_PREFIX = "servers/"
 _SERVER_STATES = ("ready", "draining")
 _SERVER_NAME = re.compile(r"[!-~]{1,200}")  # it is written into headers of requests
@@ -71,9 +73,19 @@
         max_attempts=max(1, int(row.get("attempts") or 1)),
         priority=int(row.get("priority") or 0),
         is_public=bool(row.get("public")),
+        home_regions=_decode_regions(row),
     )
 
 
+def _decode_regions(row: dict) -> frozenset[str]:
+    regions = row.get("regionsAllowed") or []
+    if not isinstance(regions, list) or not all(
+        isinstance(each, str) for each in regions
+    ):
+        raise TypeError(f"regionsAllowed of {row['name']} is no list of names")
+    return frozenset(regions)
+
+
 def _decode_service(row: dict) -> ServiceRule:
     # Despite its name, this field is an object that describes a model engine.
     engine = row.get("engineId")
@@ -94,6 +106,7 @@
         priority=None if priority is None else int(priority),
         rate_per_s=float(row.get("ratePerS") or 0),
         burst=float(row.get("burst") or 0),
+        home_regions=_decode_regions(row),
     )
 
 
--- a/celerypulley/platform/roles.py
+++ b/celerypulley/platform/roles.py
@@ -17,6 +17,7 @@
 from celerypulley.log_stream import LogStream
 from celerypulley.platform.desired_state import (
     DESIRED_STATE_KEY,
+    EVACUATION_PREFIX,
     OPERATOR_PREFIX,
     SERVER_PREFIX,
     decode_desired_state,
@@ -39,6 +40,7 @@
     SERVER_PREFIX,
     decode_server,
     DIALECT,
+    EVACUATION_PREFIX,
 )
 _log = DecisionLog("process")
 
--- a/celerypulley/platform/settings_file.py
+++ b/celerypulley/platform/settings_file.py
@@ -10,6 +10,7 @@
 
 # The customary port of metrics exporters; deploy/system.toml names the same one.
 _METRICS_PORT = 9464
+_REGION_PREFIX = "zones."
 _PRESSURE_CONTRACT = "pressure"  # callers compete for too few engine slots
 SETTINGS_VARIABLE = "CELERYPULLEY_CONFIG"
 
@@ -42,6 +43,13 @@
         tolerated_disk_losses=int(_parse_number(values, "faultTolerance.machines", 1)),
         server_drain_ms=_parse_number(values, "bounds.drainMs", 2_000.0),
         quota_window_ms=_parse_number(values, "bounds.quotaWindowS", 5.0) * 1000,
+        evacuates_domains="bounds.evacuateMs" in values,
+        region=values.get("region", ""),
+        region_of_domain={
+            name.removeprefix(_REGION_PREFIX): region
+            for name, region in values.items()
+            if name.startswith(_REGION_PREFIX)
+        },
         schedules_turns=_PRESSURE_CONTRACT in values.get("contracts", "").split(","),
     )
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -103,13 +103,16 @@
     session: aiohttp.ClientSession
     request_count: int = 0
     host_sessions: list[aiohttp.ClientSession] = attrs.Factory(list)
+    settings: dict = attrs.Factory(dict)
 
     async def start_host(self) -> None:
         """Start one more host, under the name of the next number."""
         session = aiohttp.ClientSession()
         self.host_sessions.append(session)
         client = PlatformStore(self.store_address, session, 500.0)
-        settings = make_settings(f"host-{len(self.hosts)}", self.store_address)
+        settings = make_settings(
+            f"host-{len(self.hosts)}", self.store_address, **self.settings
+        )
         host = FleetHost(settings, client, PLATFORM_SCHEMA, run_clock())
         self.hosts.append(host)
         await host.start()
@@ -211,14 +214,17 @@
 
 @asynccontextmanager
 async def running_fleet(
-    hosts: int = 1, servers: int = 1, state: dict | None = None
+    hosts: int = 1, servers: int = 1, state: dict | None = None, **settings: object
 ) -> AsyncIterator[Fleet]:
-    """Run hosts and servers; yield once all hosts know all members and servers."""
+    """Run hosts and servers; yield once all hosts know all members and servers.
+
+    `settings` replace fields of the hosts' settings.
+    """
     async with running_store() as (store, store_address):
         session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(force_close=True)
         )
-        fleet = Fleet(store, store_address, [], [], session)
+        fleet = Fleet(store, store_address, [], [], session, settings=settings)
         fleet.put_state(state or desired_state())
         for number in range(servers):
             server = OpaqueServer(f"server-{number}")
