--- a/celerypulley/turn_scheduling/engine_slots.py
+++ b/celerypulley/turn_scheduling/engine_slots.py
@@ -12,6 +12,7 @@
 from celerypulley.backend_servers.engine_state import EngineState
 from celerypulley.backend_servers.routing import (
     EngineCall,
+    cached_tokens,
     expected_finish_ms,
     shared_cost_ms,
     usable_engines,
@@ -118,12 +119,19 @@
         return {name: len(each.assignments) for name, each in self._engines.items()}
 
     def assign(
-        self, turn: Turn, domain: str, now_ms: float, must_fit: bool = True
+        self,
+        turn: Turn,
+        domain: str,
+        now_ms: float,
+        must_fit: bool = True,
+        min_cached_fraction: float = 0.0,
     ) -> Assignment | None:
         """Assign the engine with the lowest cost, or return None if none has room.
 
-        Without `must_fit` a full engine is assigned too; it queues the turn.
+        Without `must_fit` a full engine is assigned too; it queues the turn. Engines
+        that have cached less than `min_cached_fraction` of the prompt are left out.
         """
+        min_cached_tokens = turn.prompt_tokens * min_cached_fraction
         call = _engine_call(turn, domain, now_ms)
         usable = usable_engines(
             call,
@@ -136,6 +144,8 @@
             engine = self._engines[state.name]
             if must_fit and not engine.has_room(turn, state.report.memory_tokens):
                 continue
+            if min_cached_tokens and cached_tokens(call, state) < min_cached_tokens:
+                continue
             cost_ms = shared_cost_ms(call, state)
             if cost_ms >= best_cost_ms:
                 continue
--- a/celerypulley/turn_scheduling/turn_dispatcher.py
+++ b/celerypulley/turn_scheduling/turn_dispatcher.py
@@ -8,7 +8,7 @@
 import enum
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -16,8 +16,10 @@
 from celerypulley.turn_scheduling.engine_slots import Assignment, EngineSlots
 from celerypulley.turn_scheduling.turn_order import (
     Turn,
+    TurnRank,
     WaitLimits,
     order_key,
+    turn_rank,
     wait_limit_ms,
 )
 
@@ -27,6 +29,9 @@
 _MIN_RATE_PER_S = 1.0  # first turns that get an engine, for a forecast without samples
 _TYPICAL_RUN_MS = 250.0  # of a turn, until turns have been measured
 _RUN_GAIN = 0.05
+# Two of the six slots of an engine become free in this time.
+_CACHE_WAIT_MS = 80.0
+_CACHED_FRACTION = 0.5
 _OVERLOAD_AFTER_MS = 1_000.0
 _MIN_RETRY_S = 0.1
 _MAX_RETRY_S = 1.0  # callers wait no longer than a third of their deadline, 3 s
@@ -179,10 +184,19 @@
         return under_way_ms + ahead / rate_per_s * 1000
 
     def decide(self, now_ms: float) -> list[Decision]:
-        """Return what becomes of waiting turns now; they wait no longer."""
+        """Return what becomes of waiting turns now; they wait no longer.
+
+        A free slot goes to the first turn in order, except that for some time a program
+        under way waits for an engine that has its history cached: to read it again
+        delays all other turns on the engine, too.
+        """
         self._expire(now_ms)
-        decisions: list[Decision] = []
-        for turn in self._in_order(now_ms):
+        ranks = {
+            identity: turn_rank(turn, now_ms, self.limits, self._run_ms)
+            for identity, turn in self.waiting.items()
+        }
+        decisions = self._assign_to_caches(ranks, now_ms)
+        for turn in self._in_order(ranks, now_ms):
             decision = self._decide_one(turn, now_ms)
             if decision is None:
                 continue
@@ -190,6 +204,35 @@
             decisions.append(decision)
         return decisions
 
+    def _assign_to_caches(
+        self, ranks: Mapping[tuple[str, int], TurnRank], now_ms: float
+    ) -> list[Decision]:
+        """Assign slots to programs under way, most of them where their history is.
+
+        Those that have waited for their engine long enough come first, with any engine.
+        """
+        under_way = [
+            turn
+            for identity, turn in self.waiting.items()
+            if ranks[identity] is TurnRank.UNDER_WAY
+        ]
+        under_way.sort(key=lambda turn: now_ms - turn.submitted_ms < _CACHE_WAIT_MS)
+        decisions: list[Decision] = []
+        for turn in under_way:
+            is_choosy = now_ms - turn.submitted_ms < _CACHE_WAIT_MS
+            assignment = self.slots.assign(
+                turn,
+                self.domain,
+                now_ms,
+                min_cached_fraction=_CACHED_FRACTION if is_choosy else 0.0,
+            )
+            if assignment is None:
+                continue
+            self._record_start(turn, now_ms)
+            del self.waiting[turn.identity]
+            decisions.append(Decision(turn, assignment))
+        return decisions
+
     def next_due_ms(self) -> float:
         """Return when the wait of a turn ends without a slot, inf if none waits."""
         due_ms = math.inf
@@ -219,21 +262,17 @@
         self._record_start(turn, now_ms)
         return Decision(turn, assignment)
 
-    def _in_order(self, now_ms: float) -> list[Turn]:
+    def _in_order(
+        self, ranks: Mapping[tuple[str, int], TurnRank], now_ms: float
+    ) -> list[Turn]:
         if not any(turn.is_first for turn in self.waiting.values()):
             self._overloaded_since_ms = math.inf
         newest_first = now_ms - self._overloaded_since_ms > _OVERLOAD_AFTER_MS
 
         def key(turn: Turn) -> tuple:
             load = self._loads.get(turn.organisation)
-            return order_key(
-                turn,
-                now_ms,
-                self.limits,
-                self._run_ms,
-                load.current(now_ms) if load else 0.0,
-                newest_first,
-            )
+            load_now = load.current(now_ms) if load else 0.0
+            return order_key(turn, ranks[turn.identity], load_now, newest_first)
 
         return sorted(self.waiting.values(), key=key)
 
--- a/tests/test_turn_scheduling.py
+++ b/tests/test_turn_scheduling.py
@@ -19,6 +19,7 @@
     Turn,
     WaitLimits,
     order_key,
+    turn_rank,
     wait_limit_ms,
 )
 
@@ -81,7 +82,8 @@
 
     def key(turn: Turn) -> tuple:
         load = loads[turn.organisation]
-        return order_key(turn, NOW_MS, WaitLimits(), RUN_MS, load, False)
+        rank = turn_rank(turn, NOW_MS, WaitLimits(), RUN_MS)
+        return order_key(turn, rank, load, False)
 
     assert key(make_turn(1, **earlier)) < key(make_turn(2, **later))
 
