--- a/celerypulley/turn_scheduling/turn_dispatcher.py
+++ b/celerypulley/turn_scheduling/turn_dispatcher.py
@@ -14,6 +14,7 @@
 
 from celerypulley.backend_servers.engine_state import EngineState
 from celerypulley.turn_scheduling.engine_slots import Assignment, EngineSlots
+from celerypulley.turn_scheduling.program_load import ProgramLoad
 from celerypulley.turn_scheduling.turn_order import (
     Turn,
     TurnRank,
@@ -110,6 +111,7 @@
         self._first_turns = _DecayingCount()
         self._loads: dict[str, _DecayingCount] = {}
         self._programs: dict[str, float] = {}
+        self._load = ProgramLoad()
         self._run_ms = _TYPICAL_RUN_MS
         self._overloaded_since_ms = math.inf
         self._next_return_ms = -math.inf
@@ -125,7 +127,8 @@
     def try_assign(self, turn: Turn, now_ms: float) -> Assignment | None:
         """Assign an engine at once if one has room and no turn waits."""
         self._expire(now_ms)
-        if self.waiting:
+        self._observe_load(now_ms)
+        if self.waiting or not self._allows(turn, now_ms):
             return None
         assignment = self.slots.assign(turn, self.domain, now_ms)
         if assignment is not None:
@@ -160,6 +163,7 @@
         assignment = self.slots.release(identity)
         if assignment is None:
             return
+        self._load.record_turn(assignment.turn.program, now_ms)
         if outcome is SlotOutcome.COMPLETE:
             took_ms = now_ms - assignment.assigned_ms
             self._run_ms += (took_ms - self._run_ms) * _RUN_GAIN
@@ -191,6 +195,7 @@
         delays all other turns on the engine, too.
         """
         self._expire(now_ms)
+        self._observe_load(now_ms)
         ranks = {
             identity: turn_rank(turn, now_ms, self.limits, self._run_ms)
             for identity, turn in self.waiting.items()
@@ -242,7 +247,9 @@
         return due_ms
 
     def _decide_one(self, turn: Turn, now_ms: float) -> Decision | None:
-        assignment = self.slots.assign(turn, self.domain, now_ms)
+        assignment = None
+        if self._allows(turn, now_ms):
+            assignment = self.slots.assign(turn, self.domain, now_ms)
         if assignment is not None:
             self._record_start(turn, now_ms)
             return Decision(turn, assignment)
@@ -281,6 +288,7 @@
         load.add(now_ms)
         if turn.is_first:
             self._first_turns.add(now_ms)
+        self._load.record_turn(turn.program, now_ms)
         if turn.program:
             self._programs.pop(turn.program, None)
             self._programs[turn.program] = now_ms
@@ -309,5 +317,13 @@
         retry_after_s = max(_MIN_RETRY_S, (return_ms - now_ms) / 1000)
         return TurnRefusal(detail, round(retry_after_s, 2))
 
+    def _allows(self, turn: Turn, now_ms: float) -> bool:
+        """Return whether a turn may run as far as programs under way are concerned."""
+        return not turn.is_first or self._load.allows_another(self.slots.total, now_ms)
+
+    def _observe_load(self, now_ms: float) -> None:
+        waiting = sum(not turn.is_first for turn in self.waiting.values())
+        self._load.observe(sum(self.slots.occupied().values()) + waiting, now_ms)
+
     def _expire(self, now_ms: float) -> None:
         self.expired_count += self.slots.expire(now_ms)
--- a/tests/test_turn_scheduling.py
+++ b/tests/test_turn_scheduling.py
@@ -174,22 +174,30 @@
 @attrs.define(eq=False)
 class _Program:
     started_ms: float
-    turns_left: int = 4
+    turns: int
+    pause_ms: float
+    turns_done: int = 0
     ended_ms: float = math.inf
 
+    @property
+    def target_ms(self) -> float:
+        idle_ms = self.turns * (RUN_MS + self.pause_ms)
+        return self.started_ms + 1.2 * idle_ms + 200
+
     @property
     def is_in_time(self) -> bool:
-        return self.ended_ms <= self.started_ms + _TARGET_MS
+        return self.ended_ms <= self.target_ms
 
 
 _ENGINES = 4
-_THINK_MS = 60.0
-_TARGET_MS = 1.2 * 4 * (RUN_MS + _THINK_MS) + 200
+# Turns of a program and the pause between them: two short programs for a long one.
+_KINDS = ((4, 60.0), (4, 60.0), (11, 250.0))
 _RETRIES = 3
 _BURST_MS = (4_000.0, 16_000.0)
 _END_MS = 40_000.0
 # Programs a second that the slots can run, and the load as a fraction of that.
-_CAPACITY_PER_S = _ENGINES * SLOTS / RUN_MS * 1000 / 4
+_TURNS_PER_PROGRAM = sum(turns for turns, _ in _KINDS) / len(_KINDS)
+_CAPACITY_PER_S = _ENGINES * SLOTS / RUN_MS * 1000 / _TURNS_PER_PROGRAM
 _CALM_LOAD, _BURST_LOAD = 0.6, 2.0
 
 
@@ -207,7 +215,7 @@
     def run(self, begin_turn: Callable[[float, _Program, int], None]) -> None:
         at_ms = 0.0
         while at_ms < _END_MS:
-            program = _Program(at_ms)
+            program = _Program(at_ms, *_KINDS[len(self.programs) % len(_KINDS)])
             self.programs.append(program)
             self.at(at_ms, begin_turn, program, 0)
             in_burst = _BURST_MS[0] <= at_ms < _BURST_MS[1]
@@ -218,9 +226,9 @@
             action(at_ms, *arguments)
 
     def end_turn(self, now_ms: float, program: _Program, begin_turn: Callable) -> None:
-        program.turns_left -= 1
-        if program.turns_left:
-            self.at(now_ms + _THINK_MS, begin_turn, program, 0)
+        program.turns_done += 1
+        if program.turns_done < program.turns:
+            self.at(now_ms + program.pause_ms, begin_turn, program, 0)
         else:
             program.ended_ms = now_ms
 
@@ -257,14 +265,16 @@
     dispatcher = TurnDispatcher("a", draw=lambda: 0.5)
     dispatcher.update_engines([make_engine(f"e{n}") for n in range(_ENGINES)], 0)
     waiting: dict[tuple[str, int], tuple[_Program, int]] = {}
+    due: list[float] = []
 
     def begin_turn(now_ms: float, program: _Program, tries: int) -> None:
         turn = make_turn(
             next(replay.numbers),
-            is_first=program.turns_left == 4,
+            program=f"{program.started_ms}",
+            is_first=program.turns_done == 0,
             submitted_ms=now_ms,
             deadline_ms=now_ms + 3_000,
-            target_ms=program.started_ms + _TARGET_MS,
+            target_ms=program.target_ms,
         )
         if dispatcher.try_assign(turn, now_ms) is not None:
             start(now_ms, turn, program)
@@ -274,7 +284,7 @@
             refuse(now_ms, refusal.retry_after_s, program, tries)
             return
         waiting[turn.identity] = program, tries
-        replay.at(dispatcher.next_due_ms(), decide)
+        decide(now_ms)
 
     def start(now_ms: float, turn: Turn, program: _Program) -> None:
         replay.at(now_ms + RUN_MS, end_turn, turn, program)
@@ -296,6 +306,13 @@
                 start(now_ms, decision.turn, program)
             else:
                 refuse(now_ms, retry_after_s, program, tries)
+        if waiting and not due:
+            due.append(max(now_ms + 1.0, dispatcher.next_due_ms()))
+            replay.at(due[0], decide_due)
+
+    def decide_due(now_ms: float) -> None:
+        due.clear()
+        decide(now_ms)
 
     replay.run(begin_turn)
     return replay
