Watch servers for longer while a peer confirms that no change is missed

Calls to the store are the largest price on grown deployments; 61 of about 100 calls of a host were watches of servers: 36 at the start, one for each server that registered, and one every two seconds afterwards. A large fleet reads changes of servers together, and the answers that confirm the desired state carry the revision of the last change, by which a host notices a silent watch.

--- a/celerypulley/fleet/confirmations.py
+++ b/celerypulley/fleet/confirmations.py
@@ -5,8 +5,9 @@
 To the asker this age is what the answer says plus the time since it sent the request,
 so that it is never too low, whatever the clocks and however late the answer.
 
-Where failure domains can be evacuated, an answer also has the evacuated ones, with the
-revisions that order them.
+An answer also has details by name: the revision of the last change of a server that the
+source knows, by which the asker checks its own watch, and where failure domains can be
+evacuated, the evacuated ones with the revisions that order them.
 """
 
 import math
@@ -18,10 +19,13 @@
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
 from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.links.key_poller import POLL_INTERVAL_MS, RETRY_DELAY_MS
+from celerypulley.links.prefix_follower import PrefixFollower
 
 __all__ = ["Confirmations"]
 
 _KIND = "confirmation"
+_SERVERS = "servers"
+_EVACUATIONS = "evacuations"
 _SOURCE_KEY = "desired state"
 # Both pauses together stay below the age at which unknown routes get no 404, 2 s.
 _SOURCE_PAUSE_MS = 600.0
@@ -35,8 +39,7 @@
 class Confirmations:
     """Ask the source of this host's domain, and answer the hosts that ask this one.
 
-    The answer is the version in force and the age of its confirmation in ms, and with
-    `evacuations` their revisions by domain and the revision of the read they are from.
+    The answer is the version in force, the age of its confirmation in ms, and details.
     """
 
     def __init__(
@@ -46,16 +49,19 @@
         read_version: Callable[[], int],
         read_age_ms: Callable[[], float],
         evacuations: Evacuations | None = None,
+        servers: PrefixFollower | None = None,
     ) -> None:
-        """Answer with `read_version()`, `read_age_ms()` and `evacuations`.
+        """Answer with `read_version()`, `read_age_ms()`, `evacuations` and `servers`.
 
-        With `evacuations`, an answer without them confirms nothing.
+        With `evacuations`, an answer without them confirms nothing. `servers` follows
+        the entries of servers.
         """
         self.datagrams = datagrams
         self.gossip = gossip
         self.read_version = read_version
         self.read_age_ms = read_age_ms
         self.evacuations = evacuations
+        self.servers = servers
         datagrams.handlers[_KIND] = self._handle_request
 
     def source(self) -> str:
@@ -88,7 +94,8 @@
         if source == self.datagrams.host:
             return None
         try:
-            version, age_ms, *marks = await self.datagrams.request(source, _KIND, [])
+            version, age_ms, *rest = await self.datagrams.request(source, _KIND, [])
+            details = dict(*rest)
         except (NoReplyError, ValueError, TypeError) as error:
             _log.write("not confirmed", repr(error), peer=source)
             return None
@@ -96,26 +103,28 @@
             return None
         if version != self.read_version():
             return None
-        return age_ms if self._apply_marks(marks, source) else None
+        return age_ms if self._apply(details, source) else None
 
-    def _apply_marks(self, marks: list, source: str) -> bool:
-        """Apply the source's evacuations; return False if it answered otherwise."""
-        if self.evacuations is None:
-            return not marks
+    def _apply(self, details: dict, source: str) -> bool:
+        """Apply the details of an answer; return False if evacuations are missing."""
         try:
-            revisions, as_of_revision = marks
-            self.evacuations.apply_read(dict(revisions), int(as_of_revision))
-        except (ValueError, TypeError) as error:
-            _log.write("evacuations not confirmed", repr(error), peer=source)
+            if self.servers is not None and _SERVERS in details:
+                self.servers.check(int(details[_SERVERS]))
+            if self.evacuations is not None:
+                revisions, as_of_revision = details[_EVACUATIONS]
+                self.evacuations.apply_read(dict(revisions), int(as_of_revision))
+        except (KeyError, ValueError, TypeError) as error:
+            _log.write("not confirmed", f"details: {error!r}", peer=source)
             return False
         return True
 
     async def _handle_request(self, _sender: str, _payload: list) -> list:
         age_ms = self.read_age_ms()
-        answer = [
-            self.read_version(),
-            math.ceil(age_ms) if math.isfinite(age_ms) else -1,
-        ]
+        details: dict[str, object] = {}
+        if self.servers is not None:
+            details[_SERVERS] = self.servers.last_change_revision
         if self.evacuations is not None:
-            answer += [self.evacuations.revisions(), self.evacuations.as_of_revision]
-        return answer
+            marks = self.evacuations
+            details[_EVACUATIONS] = [marks.revisions(), marks.as_of_revision]
+        age_ms = math.ceil(age_ms) if math.isfinite(age_ms) else -1
+        return [self.read_version(), age_ms, details]
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -55,6 +55,7 @@
 _LEAVE_BALANCER_MS = 2_500.0
 _STOP_MARGIN_MS = 1_000.0  # between the last response and SIGKILL
 _LAST_RESPONSE_MS = 250.0  # from the last response to the abort of connections
+_LARGE_FLEET_READ_PAUSE_MS = 500.0  # a sixth of the time in which a server is left
 _READINESS_PERIOD_S = 0.25  # the gossip period
 _SUMMARY_PERIOD_S = 10.0
 _log = DecisionLog("host")
@@ -146,8 +147,11 @@
             lambda: self.desired_state.version,
             self.desired_state.age_ms,
             self.desired_state.evacuations if settings.evacuates_domains else None,
+            self.directory.follower,
         )
         confirmer = self.desired_state.confirmer
+        self.directory.store_observers.append(confirmer)
+        self.directory.follower.read_pause_ms = self._read_pause_ms
         confirmer.ask_peer = confirmations.ask
         confirmer.pause_ms = confirmations.pause_ms
         confirmer.retry_ms = confirmations.retry_ms
@@ -314,6 +318,13 @@
             store=self.settings.store_address,
         )
 
+    def _read_pause_ms(self) -> float:
+        """Return the time in which changes of a large fleet are read together.
+
+        While it starts, each of its servers is a change of its own.
+        """
+        return _LARGE_FLEET_READ_PAUSE_MS if self.gossip.has_relays() else 0.0
+
     def _body_limit(self) -> int:
         limits = (
             self.desired_state.state.limits
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -17,6 +17,7 @@
 from celerypulley.contracts.evacuations import Evacuations
 from celerypulley.decision_log import DecisionLog
 from celerypulley.fleet.fleet_gossip import PeerCounts
+from celerypulley.links.key_poller import KeyPoller
 from celerypulley.links.key_value import Item, KeyValueStore
 from celerypulley.links.prefix_follower import PrefixFollower
 from celerypulley.links.server_connection import ServerLinks
@@ -86,6 +87,8 @@
             self._on_snapshot,
             self._on_item,
         )
+        # Long watches notice an outage of the store late, so others may be added.
+        self.store_observers: list[PrefixFollower | KeyPoller] = [self.follower]
 
     def on_peer_counts(self, peer: PeerCounts, previous: PeerCounts | None) -> None:
         """Update the calls that another host has in flight, and servers that leave."""
@@ -276,8 +279,10 @@
         if entry is None:
             return
         now_ms = self.clock.now_ms()
-        grace_until_ms = self.follower.recovered_ms + _EXPIRY_GRACE_MS
-        if self.follower.is_store_unavailable:
+        grace_until_ms = _EXPIRY_GRACE_MS + max(
+            each.recovered_ms for each in self.store_observers
+        )
+        if any(each.is_store_unavailable for each in self.store_observers):
             grace_until_ms = now_ms + _EXPIRY_GRACE_MS
         if now_ms < grace_until_ms and not entry.leaving:
             self._expired_until_ms[key] = grace_until_ms
--- a/celerypulley/links/prefix_follower.py
+++ b/celerypulley/links/prefix_follower.py
@@ -1,7 +1,8 @@
 """Follow a prefix of the key-value store: read a snapshot, then watch for changes.
 
 Each response to a watch proves what was current when the watch was sent, so short
-waits limit the age of a host's cached state.
+waits limit the age of a host's cached state. Waits may be long while a peer tells which
+change it saw last: a watch that misses changes is then noticed without a call.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
     Item,
     KeyValueStore,
     StoreUnavailableError,
+    WatchBatch,
 )
 
 __all__ = ["PrefixFollower"]
@@ -25,11 +27,18 @@
 _RETRY_DELAY_MS = 100.0  # a store that responds in 4 ms is back before the next attempt
 _MAX_RETRY_DELAY_MS = 250.0  # a twentieth of the shortest revocation limit, 5 s
 _OUTAGE_AFTER_MS = 1_000.0  # time without a confirmation that counts as an outage
+_CHECKED_WAIT_MS = 20_000  # at most 30 s are allowed
+_CHECK_TTL_MS = 4_000.0  # a peer is asked every second
+_TRUST_PERIOD_S = 0.5
+_BEHIND_LIMIT_MS = 1_000.0  # after a change reached a peer it reaches this host, too
 _PROBE_WAIT_MS = 1  # the shortest watch; it returns as soon as the store is back
 
 
 class PrefixFollower(Service):
-    """Pass the items of a prefix to handlers, and track the age of their state."""
+    """Pass the items of a prefix to handlers, and track the age of their state.
+
+    `last_change_revision` is the revision of the last change that was seen.
+    """
 
     def __init__(
         self,
@@ -61,6 +70,9 @@
         self.wait_to_retry: Callable[[float], Awaitable[None]] = asyncio.sleep
         self.confirmed_ms = NEVER_MS
         self.recovered_ms = NEVER_MS
+        self.last_change_revision = 0
+        self._checked_ms = NEVER_MS
+        self._behind_since_ms: float | None = None
         self._revision: int | None = None
         self._has_failed = False
         self.is_store_unavailable = False
@@ -70,6 +82,47 @@
         """Return the time in ms since the store confirmed the handlers' state."""
         return elapsed_ms(self.confirmed_ms, self.clock.now_ms(), "followed prefix")
 
+    def check(self, peer_revision: int) -> None:
+        """Compare the last change that a peer knows with what is known here.
+
+        A watch that stays behind is sent again.
+        """
+        now_ms = self.clock.now_ms()
+        self._checked_ms = now_ms
+        if self._revision is not None and peer_revision <= self._revision:
+            self._behind_since_ms = None
+        elif self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+
+    def _is_trusted(self) -> bool:
+        """Return whether a peer confirms that the watch misses no changes."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self._checked_ms > _CHECK_TTL_MS:
+            return False
+        behind_since_ms = self._behind_since_ms
+        return behind_since_ms is None or now_ms - behind_since_ms < _BEHIND_LIMIT_MS
+
+    async def _watch_while_trusted(self, revision: int) -> WatchBatch | None:
+        """Return the response to a long watch, None if it is not trusted any more."""
+        watch = asyncio.create_task(
+            self.store.watch(self.prefix, revision, _CHECKED_WAIT_MS)
+        )
+        try:
+            while self._is_trusted():
+                await asyncio.wait([watch], timeout=_TRUST_PERIOD_S)
+                if watch.done():
+                    return watch.result()
+        finally:
+            watch.cancel()
+        self._behind_since_ms = None
+        self._log.write(
+            "watch sent again",
+            "no peer confirms that it misses no changes",
+            follower=self.name,
+            revision=revision,
+        )
+        return None
+
     @Service.task
     async def _follow(self) -> None:
         pause_ms = _RETRY_DELAY_MS
@@ -102,12 +155,20 @@
             batch = await self.store.read_prefix(self.prefix)
             self.on_snapshot(batch.items)
             self._revision = batch.revision
+            self._record_changes(batch)
             return requested_ms
         # After a failure, a long watch would confirm the recovery only at its end.
         wait_ms = _PROBE_WAIT_MS if self._has_failed else self.wait_ms
-        batch = await self.store.watch(self.prefix, self._revision, wait_ms)
+        if self._is_trusted() and not self._has_failed:
+            wait_ms = _CHECKED_WAIT_MS
+            batch = await self._watch_while_trusted(self._revision)
+            if batch is None:
+                return self.confirmed_ms
+        else:
+            batch = await self.store.watch(self.prefix, self._revision, wait_ms)
         for item in batch.items:
             self.on_change(item)
+        self._record_changes(batch)
         self._revision = max(self._revision, batch.revision)
         waited_ms = self.clock.now_ms() - requested_ms
         # A response without changes after the whole wait was made at its end.
@@ -115,6 +176,10 @@
             return requested_ms + wait_ms
         return requested_ms
 
+    def _record_changes(self, batch: WatchBatch) -> None:
+        newest = max((item.revision for item in batch.items), default=0)
+        self.last_change_revision = max(self.last_change_revision, newest)
+
     def _record_failure(self, reason: str) -> None:
         if self.is_store_unavailable or self.age_ms() < _OUTAGE_AFTER_MS:
             return
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -10,7 +10,8 @@
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
 from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.links.key_poller import KeyPoller
-from celerypulley.links.key_value import Item
+from celerypulley.links.key_value import Item, WatchBatch
+from celerypulley.links.prefix_follower import PrefixFollower
 from tests.harness import run_clock
 
 VERSION = 7
@@ -127,3 +128,60 @@
     await poller.stop()
     assert store.reads == 0
     assert 700.0 <= age_ms < math.inf
+
+
+@attrs.define(eq=False)
+class _WatchedStore:
+    """A store whose watches end when they are released; it counts them."""
+
+    waits_ms: list[int] = attrs.Factory(list)
+    is_released: asyncio.Event = attrs.Factory(asyncio.Event)
+
+    async def read_prefix(self, _prefix: str) -> WatchBatch:
+        return WatchBatch((), 5)
+
+    async def watch(self, _prefix: str, after: int, wait_ms: int) -> WatchBatch:
+        self.waits_ms.append(wait_ms)
+        await self.is_released.wait()
+        return WatchBatch((), after)
+
+
+@pytest.mark.parametrize(
+    ("peer_revisions", "is_sent_again"),
+    [
+        pytest.param([5, 5, 5], False, id="peer knows no more"),
+        pytest.param([5, 4, 5], False, id="peer knows less"),
+        pytest.param([5, 9, 9, 9, 9], True, id="changes are missing"),
+    ],
+)
+async def test_long_watch_is_sent_again_if_it_misses_changes(
+    peer_revisions, is_sent_again
+):
+    """Guards against a long watch on a connection that has gone silent."""
+    store = _WatchedStore()
+    follower = PrefixFollower(
+        "servers", store, "", 50, run_clock(), lambda _items: None, lambda _item: None
+    )
+    follower.check(0)
+    await follower.start()
+    for revision in peer_revisions:
+        follower.check(revision)
+        await asyncio.sleep(0.6)
+    waits_ms = list(store.waits_ms)
+    store.is_released.set()
+    await follower.stop()
+    assert waits_ms[0] > 1_000
+    assert (len(waits_ms) > 1) == is_sent_again
+
+
+async def test_watch_without_a_peer_is_short():
+    """Guards against a long watch that nobody checks."""
+    store = _WatchedStore()
+    follower = PrefixFollower(
+        "servers", store, "", 50, run_clock(), lambda _items: None, lambda _item: None
+    )
+    await follower.start()
+    await asyncio.sleep(0.05)
+    store.is_released.set()
+    await follower.stop()
+    assert store.waits_ms[0] == 50
