--- a/celerypulley/turn_scheduling/program_load.py
+++ b/celerypulley/turn_scheduling/program_load.py
@@ -2,7 +2,8 @@
 
 Load pattern: a burst of programs begins while slots are free, and their later turns
 exceed the slots seconds afterwards. So what counts for a new program is not the slots
-that are free now but those that the programs under way will need.
+that are free now but those that the programs under way will need. The most urgent programs
+may take every free slot; the others leave room for them.
 """
 
 import math
@@ -12,7 +13,8 @@
 # A program without a turn for this long has ended, or pauses longer than most.
 _ACTIVE_MS = 1_000.0
 _HALF_LIFE_MS = 2_000.0
-_TARGET_UTILISATION = 0.95  # above it the waits of turns grow steeply
+_LESS_URGENT_UTILISATION = 0.8  # the slots that less urgent programs may need together
+_PRIORITY_TTL_MS = 10_000.0  # a priority without turns for this long counts no more
 
 
 class ProgramLoad:
@@ -22,6 +24,7 @@
         """Start without programs."""
         self.slots_per_program = 0.0
         self._last_turn_ms: dict[str, float] = {}
+        self._priority_seen_ms: dict[int, float] = {}
         self._updated_ms = -math.inf
 
     def record_turn(self, program: str, now_ms: float) -> None:
@@ -49,8 +52,14 @@
         self.slots_per_program += (sample - self.slots_per_program) * weight
         self._updated_ms = now_ms
 
-    def allows_another(self, total_slots: int, now_ms: float) -> bool:
-        """Return whether the slots suffice for one more program."""
-        programs = self.count(now_ms)
-        needed_slots = (programs + 1) * self.slots_per_program
-        return needed_slots <= total_slots * _TARGET_UTILISATION
+    def allows_another(self, priority: int, total_slots: int, now_ms: float) -> bool:
+        """Return whether the slots suffice for one more program of a priority."""
+        self._priority_seen_ms[priority] = now_ms
+        more_urgent = any(
+            each < priority and now_ms - seen_ms < _PRIORITY_TTL_MS
+            for each, seen_ms in self._priority_seen_ms.items()
+        )
+        if not more_urgent:
+            return True
+        needed_slots = (self.count(now_ms) + 1) * self.slots_per_program
+        return needed_slots <= total_slots * _LESS_URGENT_UTILISATION
--- a/celerypulley/turn_scheduling/turn_dispatcher.py
+++ b/celerypulley/turn_scheduling/turn_dispatcher.py
@@ -319,7 +319,9 @@
 
     def _allows(self, turn: Turn, now_ms: float) -> bool:
         """Return whether a turn may run as far as programs under way are concerned."""
-        return not turn.is_first or self._load.allows_another(self.slots.total, now_ms)
+        if not turn.is_first:
+            return True
+        return self._load.allows_another(turn.priority, self.slots.total, now_ms)
 
     def _observe_load(self, now_ms: float) -> None:
         waiting = sum(not turn.is_first for turn in self.waiting.values())
