--- a/celerypulley/turn_scheduling/program_load.py
+++ b/celerypulley/turn_scheduling/program_load.py
@@ -2,8 +2,8 @@
 
 Load pattern: a burst of programs begins while slots are free, and their later turns
 exceed the slots seconds afterwards. So what counts for a new program is not the slots
-that are free now but those that the programs under way will need. The most urgent programs
-may take every free slot; the others leave room for them.
+that are free now but those that the programs under way will need. The most urgent ones may
+take every free slot; the others leave room for them.
 """
 
 import math
--- a/celerypulley/turn_scheduling/turn_dispatcher.py
+++ b/celerypulley/turn_scheduling/turn_dispatcher.py
@@ -8,7 +8,7 @@
 import enum
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import attrs
 
@@ -17,17 +17,17 @@
 from celerypulley.turn_scheduling.program_load import ProgramLoad
 from celerypulley.turn_scheduling.turn_order import (
     Turn,
-    TurnRank,
     WaitLimits,
+    is_late,
     order_key,
-    turn_rank,
     wait_limit_ms,
 )
 
 __all__ = ["Decision", "SlotOutcome", "TurnDispatcher", "TurnRefusal"]
 
 _RATE_HALF_LIFE_MS = 1_000.0
-_MIN_RATE_PER_S = 1.0  # first turns that get an engine, for a forecast without samples
+# The fraction of the slots that first turns get at least, for a forecast without samples.
+_MIN_FIRST_FRACTION = 0.1
 _TYPICAL_RUN_MS = 250.0  # of a turn, until turns have been measured
 _RUN_GAIN = 0.05
 # Two of the six slots of an engine become free in this time.
@@ -108,7 +108,7 @@
         self.waiting: dict[tuple[str, int], Turn] = {}
         self.refused_count = 0
         self.expired_count = 0
-        self._first_turns = _DecayingCount()
+        self._first_turns: dict[int, _DecayingCount] = {}
         self._loads: dict[str, _DecayingCount] = {}
         self._programs: dict[str, float] = {}
         self._load = ProgramLoad()
@@ -177,15 +177,18 @@
         Turns of programs under way take the next slots that become free. First turns
         follow at the rate at which they have recently got engines.
         """
-        under_way = sum(not each.is_first for each in self.waiting.values())
-        ahead = sum(
-            each.is_first and each.priority <= turn.priority
-            for each in self.waiting.values()
+        ahead = [
+            each for each in self.waiting.values() if each.priority <= turn.priority
+        ]
+        first_ahead = sum(each.is_first for each in ahead)
+        slots_per_s = max(1, self.slots.total) / self._run_ms * 1000
+        recent = self._first_turns.get(turn.priority)
+        first_per_s = max(
+            slots_per_s * _MIN_FIRST_FRACTION,
+            recent.rate_per_s(now_ms) if recent else 0.0,
         )
-        total_slots = max(1, self.slots.total)
-        under_way_ms = under_way / total_slots * self._run_ms
-        rate_per_s = max(_MIN_RATE_PER_S, self._first_turns.rate_per_s(now_ms))
-        return under_way_ms + ahead / rate_per_s * 1000
+        under_way_ms = (len(ahead) - first_ahead) / slots_per_s * 1000
+        return under_way_ms + first_ahead / first_per_s * 1000
 
     def decide(self, now_ms: float) -> list[Decision]:
         """Return what becomes of waiting turns now; they wait no longer.
@@ -196,46 +199,24 @@
         """
         self._expire(now_ms)
         self._observe_load(now_ms)
-        ranks = {
-            identity: turn_rank(turn, now_ms, self.limits, self._run_ms)
-            for identity, turn in self.waiting.items()
-        }
-        decisions = self._assign_to_caches(ranks, now_ms)
-        for turn in self._in_order(ranks, now_ms):
-            decision = self._decide_one(turn, now_ms)
-            if decision is None:
-                continue
-            del self.waiting[turn.identity]
-            decisions.append(decision)
-        return decisions
-
-    def _assign_to_caches(
-        self, ranks: Mapping[tuple[str, int], TurnRank], now_ms: float
-    ) -> list[Decision]:
-        """Assign slots to programs under way, most of them where their history is.
-
-        Those that have waited for their engine long enough come first, with any engine.
-        """
-        under_way = [
-            turn
-            for identity, turn in self.waiting.items()
-            if ranks[identity] is TurnRank.UNDER_WAY
-        ]
-        under_way.sort(key=lambda turn: now_ms - turn.submitted_ms < _CACHE_WAIT_MS)
         decisions: list[Decision] = []
-        for turn in under_way:
-            is_choosy = now_ms - turn.submitted_ms < _CACHE_WAIT_MS
-            assignment = self.slots.assign(
-                turn,
-                self.domain,
-                now_ms,
-                min_cached_fraction=_CACHED_FRACTION if is_choosy else 0.0,
+        choosy: list[Turn] = []
+        for turn in self._in_order(now_ms):
+            waited_ms = now_ms - turn.submitted_ms
+            is_choosy = not turn.is_first and waited_ms < _CACHE_WAIT_MS
+            decision = self._decide_one(
+                turn, now_ms, _CACHED_FRACTION if is_choosy else 0.0
             )
-            if assignment is None:
-                continue
-            self._record_start(turn, now_ms)
-            del self.waiting[turn.identity]
-            decisions.append(Decision(turn, assignment))
+            if decision is not None:
+                decisions.append(decision)
+            elif is_choosy:
+                choosy.append(turn)
+        for turn in choosy:
+            decision = self._decide_one(turn, now_ms)
+            if decision is not None:
+                decisions.append(decision)
+        for decision in decisions:
+            del self.waiting[decision.turn.identity]
         return decisions
 
     def next_due_ms(self) -> float:
@@ -246,10 +227,17 @@
             due_ms = min(due_ms, turn.submitted_ms + limit_ms)
         return due_ms
 
-    def _decide_one(self, turn: Turn, now_ms: float) -> Decision | None:
+    def _decide_one(
+        self, turn: Turn, now_ms: float, min_cached_fraction: float = 0.0
+    ) -> Decision | None:
         assignment = None
         if self._allows(turn, now_ms):
-            assignment = self.slots.assign(turn, self.domain, now_ms)
+            assignment = self.slots.assign(
+                turn,
+                self.domain,
+                now_ms,
+                min_cached_fraction=min_cached_fraction,
+            )
         if assignment is not None:
             self._record_start(turn, now_ms)
             return Decision(turn, assignment)
@@ -269,17 +257,19 @@
         self._record_start(turn, now_ms)
         return Decision(turn, assignment)
 
-    def _in_order(
-        self, ranks: Mapping[tuple[str, int], TurnRank], now_ms: float
-    ) -> list[Turn]:
+    def _in_order(self, now_ms: float) -> list[Turn]:
         if not any(turn.is_first for turn in self.waiting.values()):
             self._overloaded_since_ms = math.inf
         newest_first = now_ms - self._overloaded_since_ms > _OVERLOAD_AFTER_MS
 
         def key(turn: Turn) -> tuple:
             load = self._loads.get(turn.organisation)
-            load_now = load.current(now_ms) if load else 0.0
-            return order_key(turn, ranks[turn.identity], load_now, newest_first)
+            return order_key(
+                turn,
+                is_late(turn, now_ms, self.limits, self._run_ms),
+                load.current(now_ms) if load else 0.0,
+                newest_first,
+            )
 
         return sorted(self.waiting.values(), key=key)
 
@@ -287,7 +277,8 @@
         load = self._loads.setdefault(turn.organisation, _DecayingCount())
         load.add(now_ms)
         if turn.is_first:
-            self._first_turns.add(now_ms)
+            recent = self._first_turns.setdefault(turn.priority, _DecayingCount())
+            recent.add(now_ms)
         self._load.record_turn(turn.program, now_ms)
         if turn.program:
             self._programs.pop(turn.program, None)
@@ -306,8 +297,8 @@
         engines. Where that exceeds what callers wait for, they are spread by chance.
         """
         self.refused_count += 1
-        rate_per_s = max(_MIN_RATE_PER_S, self._first_turns.rate_per_s(now_ms))
-        spacing_ms = 1000 / rate_per_s
+        rate_per_s = sum(each.rate_per_s(now_ms) for each in self._first_turns.values())
+        spacing_ms = 1000 / max(1.0, rate_per_s)
         return_ms = max(now_ms + wait_ms, self._next_return_ms + spacing_ms)
         latest_ms = now_ms + _MAX_RETRY_S * 1000
         if return_ms > latest_ms:
--- a/celerypulley/turn_scheduling/turn_order.py
+++ b/celerypulley/turn_scheduling/turn_order.py
@@ -4,21 +4,13 @@
 pace, and what doesn't fit is kept out at its first turn, where nothing is lost yet.
 """
 
-import enum
 import math
 
 import attrs
 
 from celerypulley.programs.opaque_request import PrefixPart
 
-__all__ = [
-    "Turn",
-    "TurnRank",
-    "WaitLimits",
-    "order_key",
-    "turn_rank",
-    "wait_limit_ms",
-]
+__all__ = ["Turn", "WaitLimits", "is_late", "order_key", "wait_limit_ms"]
 
 # A program's target leaves about a quarter of it for waiting (site sheets: 1.2 to 1.4
 # times the time on idle engines, and a constant); its later turns need the rest.
@@ -81,47 +73,36 @@
     return min(max(_MIN_FIRST_TURN_WAIT_MS, affordable_ms), remaining_ms)
 
 
-class TurnRank(enum.IntEnum):
-    """What decides first in which order turns run, lowest first."""
-
-    UNDER_WAY = 0
-    FIRST = 1
-    LATE_UNDER_WAY = 2
-    LATE_FIRST = 3
-
-
-def turn_rank(
+def is_late(
     turn: Turn, now_ms: float, limits: WaitLimits, expected_run_ms: float
-) -> TurnRank:
-    """Return the rank of a waiting turn.
+) -> bool:
+    """Return whether a waiting turn gives way to all that can meet their target.
 
-    Programs under way come before new ones, and those that can still meet their target
-    before all that can't. A late one that is under way is promoted once it has waited
-    for half of its limit.
+    A program under way that can't any more has its turn once it has waited for half of
+    the limit, so that it ends before it expires.
     """
-    is_late = now_ms + expected_run_ms > turn.target_ms
+    if now_ms + expected_run_ms <= turn.target_ms:
+        return False
     if turn.is_first:
-        return TurnRank.LATE_FIRST if is_late else TurnRank.FIRST
+        return True
     waited_ms = now_ms - turn.submitted_ms
-    promoted_after_ms = wait_limit_ms(turn, limits) * _PROMOTED_AFTER_FRACTION
-    if is_late and waited_ms < promoted_after_ms:
-        return TurnRank.LATE_UNDER_WAY
-    return TurnRank.UNDER_WAY
+    return waited_ms < wait_limit_ms(turn, limits) * _PROMOTED_AFTER_FRACTION
 
 
 def order_key(
-    turn: Turn, rank: TurnRank, organisation_load: float, newest_first: bool
+    turn: Turn, gives_way: bool, organisation_load: float, newest_first: bool
 ) -> tuple:
     """Return the sort key of a waiting turn; the lowest runs next.
 
-    Within a rank the priority decides, then the least time left to the target of a
-    program under way. Among new programs the organisation with the least
-    `organisation_load`, its recent share of the engines, comes first. With
-    `newest_first` the last new program that came is the next: those before it have lost
-    their time already.
+    Those that give way as late come last. The priority decides first, since operators
+    set it; within one, programs under way come before new ones. Then follow the least
+    time left of a program under way, and among new ones the organisation with the least
+    `organisation_load`, its recent share of the engines. With `newest_first` the last
+    new program that came is the next: those before it have lost their time already.
     """
+    order = (gives_way, turn.priority, turn.is_first)
     if not turn.is_first:
-        return (rank, turn.priority, turn.target_ms, turn.submitted_ms)
+        return (*order, turn.target_ms, turn.submitted_ms)
     age = -turn.submitted_ms if newest_first else turn.submitted_ms
     load_level = int(math.log2(1.0 + organisation_load))
-    return (rank, turn.priority, load_level, age)
+    return (*order, load_level, age)
