Drop the bound on programs under way

Cause: long programs of a low priority that are admitted before a burst keep the slots that urgent ones need.

--- a/celerypulley/turn_scheduling/turn_dispatcher.py
+++ b/celerypulley/turn_scheduling/turn_dispatcher.py
@@ -14,7 +14,6 @@
 
 from celerypulley.backend_servers.engine_state import EngineState
 from celerypulley.turn_scheduling.engine_slots import Assignment, EngineSlots
-from celerypulley.turn_scheduling.program_load import ProgramLoad
 from celerypulley.turn_scheduling.turn_order import (
     Turn,
     WaitLimits,
@@ -26,7 +25,7 @@
 __all__ = ["Decision", "SlotOutcome", "TurnDispatcher", "TurnRefusal"]
 
 _RATE_HALF_LIFE_MS = 1_000.0
-# The fraction of the slots that first turns get at least, for a forecast without samples.
+# The fraction of the slots that a forecast without samples assumes for first turns.
 _MIN_FIRST_FRACTION = 0.1
 _TYPICAL_RUN_MS = 250.0  # of a turn, until turns have been measured
 _RUN_GAIN = 0.05
@@ -111,7 +110,6 @@
         self._first_turns: dict[int, _DecayingCount] = {}
         self._loads: dict[str, _DecayingCount] = {}
         self._programs: dict[str, float] = {}
-        self._load = ProgramLoad()
         self._run_ms = _TYPICAL_RUN_MS
         self._overloaded_since_ms = math.inf
         self._next_return_ms = -math.inf
@@ -127,8 +125,7 @@
     def try_assign(self, turn: Turn, now_ms: float) -> Assignment | None:
         """Assign an engine at once if one has room and no turn waits."""
         self._expire(now_ms)
-        self._observe_load(now_ms)
-        if self.waiting or not self._allows(turn, now_ms):
+        if self.waiting:
             return None
         assignment = self.slots.assign(turn, self.domain, now_ms)
         if assignment is not None:
@@ -163,7 +160,6 @@
         assignment = self.slots.release(identity)
         if assignment is None:
             return
-        self._load.record_turn(assignment.turn.program, now_ms)
         if outcome is SlotOutcome.COMPLETE:
             took_ms = now_ms - assignment.assigned_ms
             self._run_ms += (took_ms - self._run_ms) * _RUN_GAIN
@@ -198,7 +194,6 @@
         delays all other turns on the engine, too.
         """
         self._expire(now_ms)
-        self._observe_load(now_ms)
         decisions: list[Decision] = []
         choosy: list[Turn] = []
         for turn in self._in_order(now_ms):
@@ -230,14 +225,9 @@
     def _decide_one(
         self, turn: Turn, now_ms: float, min_cached_fraction: float = 0.0
     ) -> Decision | None:
-        assignment = None
-        if self._allows(turn, now_ms):
-            assignment = self.slots.assign(
-                turn,
-                self.domain,
-                now_ms,
-                min_cached_fraction=min_cached_fraction,
-            )
+        assignment = self.slots.assign(
+            turn, self.domain, now_ms, min_cached_fraction=min_cached_fraction
+        )
         if assignment is not None:
             self._record_start(turn, now_ms)
             return Decision(turn, assignment)
@@ -279,7 +269,6 @@
         if turn.is_first:
             recent = self._first_turns.setdefault(turn.priority, _DecayingCount())
             recent.add(now_ms)
-        self._load.record_turn(turn.program, now_ms)
         if turn.program:
             self._programs.pop(turn.program, None)
             self._programs[turn.program] = now_ms
@@ -308,15 +297,5 @@
         retry_after_s = max(_MIN_RETRY_S, (return_ms - now_ms) / 1000)
         return TurnRefusal(detail, round(retry_after_s, 2))
 
-    def _allows(self, turn: Turn, now_ms: float) -> bool:
-        """Return whether a turn may run as far as programs under way are concerned."""
-        if not turn.is_first:
-            return True
-        return self._load.allows_another(turn.priority, self.slots.total, now_ms)
-
-    def _observe_load(self, now_ms: float) -> None:
-        waiting = sum(not turn.is_first for turn in self.waiting.values())
-        self._load.observe(sum(self.slots.occupied().values()) + waiting, now_ms)
-
     def _expire(self, now_ms: float) -> None:
         self.expired_count += self.slots.expire(now_ms)
