Mend what the review of slots, evacuations and watches found

A caller that left while its turn waited was served all the same; cancelled turns and releases that overtook their requests left slots occupied; first turns waited for longer than the reply to their request is awaited; engines that shed attracted turns; error responses taught a false pace; malformed datagrams ended the service; an older read of a peer brought an ended evacuation back.

--- a/celerypulley/contracts/evacuations.py
+++ b/celerypulley/contracts/evacuations.py
@@ -46,7 +46,8 @@
     def apply_event(self, domain: str, revision: int, is_evacuated: bool) -> None:
         """Apply a change of one domain."""
         known = self._marks.get(domain)
-        if known is not None and known.revision >= revision:
+        known_revision = known.revision if known is not None else self.as_of_revision
+        if revision <= known_revision:
             return
         self._marks[domain] = _Mark(revision, is_evacuated)
         if is_evacuated == (domain in self._domains):
--- a/celerypulley/fleet/confirmations.py
+++ b/celerypulley/fleet/confirmations.py
@@ -33,6 +33,7 @@
 _ASK_RETRY_MS = 500.0  # the source notices sooner that the store is back
 # A source whose confirmation is older has lost the store, which others may reach.
 _MAX_SOURCE_AGE_MS = 1_000
+_INVALID_DETAILS = (AttributeError, LookupError, ValueError, TypeError, OverflowError)
 _log = DecisionLog("confirmations")
 
 
@@ -99,11 +100,12 @@
         except (NoReplyError, ValueError, TypeError) as error:
             _log.write("not confirmed", repr(error), peer=source)
             return None
-        if not isinstance(age_ms, int) or not 0 <= age_ms <= _MAX_SOURCE_AGE_MS:
+        # Revisions order the details, however old the answer is otherwise.
+        if not self._apply(details, source):
             return None
-        if version != self.read_version():
+        if not isinstance(age_ms, int) or not 0 <= age_ms <= _MAX_SOURCE_AGE_MS:
             return None
-        return age_ms if self._apply(details, source) else None
+        return age_ms if version == self.read_version() else None
 
     def _apply(self, details: dict, source: str) -> bool:
         """Apply the details of an answer; return False if evacuations are missing."""
@@ -111,9 +113,10 @@
             if self.servers is not None and _SERVERS in details:
                 self.servers.check(int(details[_SERVERS]))
             if self.evacuations is not None:
-                revisions, as_of_revision = details[_EVACUATIONS]
-                self.evacuations.apply_read(dict(revisions), int(as_of_revision))
-        except (KeyError, ValueError, TypeError) as error:
+                marks, as_of_revision = details[_EVACUATIONS]
+                revisions = {str(name): int(each) for name, each in marks.items()}
+                self.evacuations.apply_read(revisions, int(as_of_revision))
+        except _INVALID_DETAILS as error:
             _log.write("not confirmed", f"details: {error!r}", peer=source)
             return False
         return True
--- a/celerypulley/fleet_settings.py
+++ b/celerypulley/fleet_settings.py
@@ -45,5 +45,4 @@
     tolerated_disk_losses: int = 1
     schedules_turns: bool = False
     evacuates_domains: bool = False
-    region: str = ""
     region_of_domain: dict[str, str] = attrs.Factory(dict)
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -41,7 +41,9 @@
 from celerypulley.hosts.turn_scheduler import TurnScheduler
 from celerypulley.links.forward_dialect import Dialect
 from celerypulley.links.forward_server import ForwardServer, ForwardSink
+from celerypulley.links.key_poller import KeyPoller
 from celerypulley.links.key_value import KeyValueStore
+from celerypulley.links.prefix_follower import PrefixFollower
 from celerypulley.links.probe_server import ProbeServer
 from celerypulley.links.server_connection import ServerLinks
 from celerypulley.programs.opaque_request import OpaqueRequest
@@ -150,7 +152,7 @@
             self.directory.follower,
         )
         confirmer = self.desired_state.confirmer
-        self.directory.store_observers.append(confirmer)
+        self.directory.store_observers = self._store_observers
         self.directory.follower.read_pause_ms = self._read_pause_ms
         confirmer.ask_peer = confirmations.ask
         confirmer.pause_ms = confirmations.pause_ms
@@ -318,6 +320,13 @@
             store=self.settings.store_address,
         )
 
+    def _store_observers(self) -> list[PrefixFollower | KeyPoller]:
+        """Return what notices an outage of the store; large fleets watch for longer."""
+        observers: list[PrefixFollower | KeyPoller] = [self.directory.follower]
+        if self.gossip.has_relays():
+            observers.append(self.desired_state.confirmer)
+        return observers
+
     def _read_pause_ms(self) -> float:
         """Return the time in which changes of a large fleet are read together.
 
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -23,8 +23,9 @@
     "try_servers",
 ]
 
-SlotSource = Callable[[frozenset[str]], Awaitable[TurnSlot | None]]
+SlotSource = Callable[[frozenset[str], bool], Awaitable[TurnSlot | None]]
 
+_SUCCESS = 200  # other statuses say nothing of how long turns take
 _SHED_RETRY_S = 0.1  # about the duration of a turn on an engine, which frees a slot
 
 
@@ -76,10 +77,10 @@
     """Return the name of the server whose response `run_attempt` forwarded.
 
     `prefill_tokens(server)` returns the tokens that the server has to prefill.
-    `acquire_slot(excluded)` returns a slot of a server that is not excluded, or None if
-    `chooser` has to choose. Raise CallRefusedError where all attempts failed; its
-    refusal has the run state "not run" only if every server that was sent the request
-    reported that it did not run it.
+    `acquire_slot(excluded, was_shed)` returns a slot of a server that is not excluded,
+    or None if `chooser` has to choose. Raise CallRefusedError where all attempts
+    failed; its refusal has the run state "not run" only if every server that was sent
+    the request reported that it did not run it.
     """
     route = admitted.route
     attempts = admitted.attempts
@@ -87,6 +88,7 @@
     avoid: frozenset[str] = frozenset()
     send_count = 0
     is_trial = False
+    was_shed = False
     failure = Refusal(
         ErrorKind.NO_BACKEND_SERVER, f"no available server of service {service}"
     )
@@ -101,7 +103,7 @@
         slot = None
         if acquire_slot is not None:
             try:
-                slot = await acquire_slot(avoid)
+                slot = await acquire_slot(avoid, was_shed)
             except CallRefusedError as error:
                 failure = error.refusal
                 break
@@ -114,7 +116,7 @@
             break
         avoid = avoid | {server.name}
         call = None
-        outcome = SlotOutcome.NOT_RUN
+        outcome = SlotOutcome.UNKNOWN
         started_ms = context.clock.now_ms()
         try:
             with context.count_in_flight(server, prefill_tokens(server)):
@@ -124,7 +126,10 @@
                     failed = await run_attempt(
                         ServerAttempt(server, call, send_count >= route.max_attempts)
                     )
-            if failed is None:
+            was_shed = failed is not None and failed.not_run and not failed.wrong_server
+            if was_shed:
+                outcome = SlotOutcome.SHED
+            elif failed is None and call.status == _SUCCESS:
                 outcome = SlotOutcome.COMPLETE
         except ServerCallError as error:
             outcome = SlotOutcome.FAILED
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -87,8 +87,10 @@
             self._on_snapshot,
             self._on_item,
         )
-        # Long watches notice an outage of the store late, so others may be added.
-        self.store_observers: list[PrefixFollower | KeyPoller] = [self.follower]
+        # Returns what notices an outage of the store; a long watch does so late.
+        self.store_observers: Callable[[], list[PrefixFollower | KeyPoller]] = lambda: [
+            self.follower
+        ]
 
     def on_peer_counts(self, peer: PeerCounts, previous: PeerCounts | None) -> None:
         """Update the calls that another host has in flight, and servers that leave."""
@@ -279,10 +281,9 @@
         if entry is None:
             return
         now_ms = self.clock.now_ms()
-        grace_until_ms = _EXPIRY_GRACE_MS + max(
-            each.recovered_ms for each in self.store_observers
-        )
-        if any(each.is_store_unavailable for each in self.store_observers):
+        observers = self.store_observers()
+        grace_until_ms = _EXPIRY_GRACE_MS + max(each.recovered_ms for each in observers)
+        if any(each.is_store_unavailable for each in observers):
             grace_until_ms = now_ms + _EXPIRY_GRACE_MS
         if now_ms < grace_until_ms and not entry.leaving:
             self._expired_until_ms[key] = grace_until_ms
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -192,11 +192,13 @@
         if turn.admitted.home_regions.is_restricted:
             return None
 
-        async def acquire_slot(excluded: frozenset[str]) -> TurnSlot | None:
+        async def acquire_slot(
+            excluded: frozenset[str], was_shed: bool
+        ) -> TurnSlot | None:
             call = attrs.evolve(
                 self.context.engine_call(turn.admitted), model=turn.service
             )
-            return await scheduler.acquire(turn.admitted, call, excluded)
+            return await scheduler.acquire(turn.admitted, call, excluded, was_shed)
 
         return acquire_slot
 
--- a/celerypulley/hosts/turn_scheduler.py
+++ b/celerypulley/hosts/turn_scheduler.py
@@ -7,9 +7,12 @@
 
 import asyncio
 import math
+from collections import OrderedDict
 from collections.abc import Callable
+from contextlib import suppress
 
 import attrs
+from attrs.validators import instance_of
 from mode import Service
 
 from celerypulley.backend_servers.engine_state import EngineState
@@ -24,14 +27,13 @@
 from celerypulley.hosts.admission import AdmittedRequest
 from celerypulley.hosts.retry_budget import RetryBudget
 from celerypulley.hosts.server_directory import ServerDirectory
-from celerypulley.programs.opaque_request import PrefixPart
 from celerypulley.turn_scheduling.engine_slots import Assignment
+from celerypulley.turn_scheduling.slot_request import SlotRequest, first_parts
 from celerypulley.turn_scheduling.turn_dispatcher import (
     SlotOutcome,
     TurnDispatcher,
     TurnRefusal,
 )
-from celerypulley.turn_scheduling.turn_order import Turn
 
 __all__ = ["TurnScheduler", "TurnSlot"]
 
@@ -46,9 +48,13 @@
 _REPLY_TIMEOUT_S = 0.09
 _SILENT_BACKOFF_MS = 1_000.0  # the host that does not reply is asked again after this
 _FULL_FOR_MS = 100.0  # a domain without a free slot is not asked for one meanwhile
-_MAX_PARTS = 48  # a request stays below the size of one packet
 _UPDATE_PERIOD_MS = 25.0
 _IDLE_WAIT_S = 1.0
+_MAX_LOGGED_CHARS = 200
+_MAX_WAITING = 1_000  # turns that wait at one host, several seconds of work
+# A host that wakes from a freeze may read a release before the request that it ends.
+_RELEASED_FOR_MS = 2_000.0
+_MAX_RELEASED = 10_000
 _log = DecisionLog("turns")
 
 
@@ -65,14 +71,14 @@
 class _Answer:
     """The answer to a request for a slot: a kind, and what belongs to it."""
 
-    kind: str
-    server: str = ""
-    detail: str = ""
-    retry_after_s: float = 0.0
+    kind: str = attrs.field(validator=instance_of(str))
+    server: str = attrs.field(default="", validator=instance_of(str))
+    detail: str = attrs.field(default="", validator=instance_of(str))
+    retry_after_s: float = attrs.field(default=0.0, validator=instance_of((int, float)))
 
 
 class TurnScheduler(Service):
-    """Ask for slots, and assign those of this host's domain if it is its turn to.
+    """Ask for slots, and assign those of this host's domain where it is responsible.
 
     `unanswered` counts requests for a slot without a reply, `spilled` slots in other
     failure domains.
@@ -102,6 +108,7 @@
         self._dispatchers: dict[str, TurnDispatcher] = {}
         self._updated_ms: dict[str, float] = {}
         self._decided: dict[tuple[str, int], asyncio.Future] = {}
+        self._released_ms: OrderedDict[tuple[str, int], float] = OrderedDict()
         self._silent_until_ms: dict[str, float] = {}
         self._full_until_ms: dict[tuple[str, str], float] = {}
         self._has_changed = asyncio.Event()
@@ -121,38 +128,44 @@
         return sum(each.expired_count for each in self._dispatchers.values())
 
     async def acquire(
-        self, admitted: AdmittedRequest, call: EngineCall, excluded: frozenset[str]
+        self,
+        admitted: AdmittedRequest,
+        call: EngineCall,
+        excluded: frozenset[str],
+        was_shed: bool,
     ) -> TurnSlot | None:
         """Return a slot for a turn, None if this host has to choose an engine itself.
 
-        Raise CallRefusedError if the turn does not fit. A further attempt of a turn
-        needs a part of the retry budget.
+        Raise CallRefusedError if the turn does not fit. A turn that `was_shed` by a
+        full engine needs a part of the retry budget.
         """
-        if excluded and not self.retry_budget.try_acquire():
+        if was_shed and not self.retry_budget.try_acquire():
             raise CallRefusedError.of(
                 ErrorKind.OVERLOADED, "no further attempt: the retry budget is spent"
             )
         if not excluded:
             self.retry_budget.record_request()
         self._last_number += 1
-        request = _encode(self._last_number, admitted, call, excluded)
+        try:
+            request = _make_request(self._last_number, admitted, call, excluded)
+        except ValueError as error:
+            _log.write("no slot requested", str(error)[:_MAX_LOGGED_CHARS])
+            return None
         full_domain = ""
         for domain in self._domains_to_ask():
-            if self._is_full(domain, call.model) and domain != self.domain:
+            if domain != self.domain and self._is_full(domain, call.model):
                 continue
-            answer = await self._ask(domain, request, may_wait=False)
-            if answer is None:
-                continue
-            if answer.kind == _FULL:
-                full_domain = full_domain or domain
-                continue
-            slot = self._slot(answer, domain, request)
+            slot, kind = await self._try_domain(domain, request, may_wait=False)
             if slot is not None:
                 return slot
+            if kind == _FULL:
+                full_domain = full_domain or domain
+            elif not kind and domain == self.domain:
+                return None
         if not full_domain:
             return None
-        answer = await self._ask(full_domain, request, may_wait=True)
-        return self._slot(answer, full_domain, request) if answer else None
+        slot, _ = await self._try_domain(full_domain, request, may_wait=True)
+        return slot
 
     def _domains_to_ask(self) -> list[str]:
         """Return this host's domain, then the others, in another order each time."""
@@ -164,8 +177,20 @@
         until_ms = self._full_until_ms.get((domain, service), NEVER_MS)
         return self.clock.now_ms() < until_ms
 
-    def _slot(self, answer: _Answer, domain: str, request: list) -> TurnSlot | None:
-        """Return the slot of an answer, None if it has none that can be used."""
+    async def _try_domain(
+        self, domain: str, request: SlotRequest, may_wait: bool
+    ) -> tuple[TurnSlot | None, str]:
+        """Return a slot in a domain if there is one, and the kind of the answer.
+
+        The kind is empty if no host answered. Raise CallRefusedError for a refusal.
+        """
+        host = self._assigning_host(domain)
+        answer = await self._ask(host, request, may_wait) if host else None
+        if answer is None:
+            return None, ""
+        if answer.kind in (_FULL, _NO_ENGINE):
+            until_ms = self.clock.now_ms() + _FULL_FOR_MS
+            self._full_until_ms[domain, request.service] = until_ms
         if answer.kind == _REFUSED:
             raise CallRefusedError(
                 Refusal(
@@ -175,18 +200,22 @@
                 )
             )
         if answer.kind != _ASSIGNED:
-            return None
-        host = self._assigning_host(domain)
-        number, service = request[0], request[1]
-        server = self.directory.servers.get(answer.server)
-        if server is None or server not in self.directory.of_service(service):
-            self._send_release(host, number, SlotOutcome.NOT_RUN)
+            return None, answer.kind
+        return self._slot(answer.server, host, domain, request), answer.kind
+
+    def _slot(
+        self, name: str, host: str, domain: str, request: SlotRequest
+    ) -> TurnSlot | None:
+        """Return the slot that `host` assigned, None if its server can't be used."""
+        server = self.directory.servers.get(name)
+        if server is None or server not in self.directory.of_service(request.service):
+            self._send_release(host, request.number, SlotOutcome.UNKNOWN)
             return None
         if domain != self.domain:
             self.spilled += 1
 
         def end(outcome: SlotOutcome) -> None:
-            self._send_release(host, number, outcome)
+            self._send_release(host, request.number, outcome)
 
         return TurnSlot(server, end, f"a slot assigned by {host}")
 
@@ -199,47 +228,35 @@
         ]
         return rendezvous(f"turns of {domain}", hosts)
 
-    async def _ask(self, domain: str, request: list, may_wait: bool) -> _Answer | None:
-        """Return the answer of the host that assigns slots, None without a reply."""
-        host = self._assigning_host(domain)
-        if host is None:
-            return None
-        if host == self.datagrams.host:
-            answer = await self._assign(self._own_name(), request, may_wait)
-            return self._record_answer(domain, request, answer)
-        now_ms = self.clock.now_ms()
-        if now_ms < self._silent_until_ms.get(host, NEVER_MS):
+    async def _ask(
+        self, host: str, request: SlotRequest, may_wait: bool
+    ) -> _Answer | None:
+        """Return the answer of a host that assigns slots, None without a valid one.
+
+        A turn whose caller leaves meanwhile gives back what it may have been assigned.
+        """
+        if self.clock.now_ms() < self._silent_until_ms.get(host, NEVER_MS):
             return None
-        payload = [self.datagrams.instance_id, may_wait, *request]
-        timeout_s = None if may_wait else _REPLY_TIMEOUT_S
         try:
-            async with asyncio.timeout(timeout_s):
-                reply = await self.datagrams.request(host, _ASSIGN, payload)
+            if host == self.datagrams.host:
+                return await self._assign(self._own_name(), request, may_wait)
+            payload = [self.datagrams.instance_id, may_wait, *request.pack()]
+            async with asyncio.timeout(None if may_wait else _REPLY_TIMEOUT_S):
+                return _Answer(*await self.datagrams.request(host, _ASSIGN, payload))
         except asyncio.CancelledError:
-            self._send_release(host, request[0], SlotOutcome.NOT_RUN)
+            self._send_release(host, request.number, SlotOutcome.UNKNOWN)
             raise
-        except (NoReplyError, TimeoutError) as error:
+        except (NoReplyError, TimeoutError, TypeError) as error:
             self.unanswered += 1
             self._silent_until_ms[host] = self.clock.now_ms() + _SILENT_BACKOFF_MS
-            self._send_release(host, request[0], SlotOutcome.NOT_RUN)
+            self._send_release(host, request.number, SlotOutcome.UNKNOWN)
             _log.write("no slot assigned", f"no reply: {error!r}", peer=host)
             return None
-        return self._record_answer(domain, request, _Answer(*reply))
-
-    def _record_answer(self, domain: str, request: list, answer: _Answer) -> _Answer:
-        if answer.kind in (_FULL, _NO_ENGINE):
-            until_ms = self.clock.now_ms() + _FULL_FOR_MS
-            self._full_until_ms[domain, request[1]] = until_ms
-        return answer
 
     def _own_name(self) -> str:
         return f"{self.datagrams.host}/{self.datagrams.instance_id}"
 
-    def _send_release(
-        self, host: str | None, number: int, outcome: SlotOutcome
-    ) -> None:
-        if host is None:
-            return
+    def _send_release(self, host: str, number: int, outcome: SlotOutcome) -> None:
         if host == self.datagrams.host:
             self._release((self._own_name(), number), outcome)
             return
@@ -247,35 +264,47 @@
         self.datagrams.send(host, _RELEASE, payload)
 
     async def _handle_assign(self, sender: str, payload: list) -> list:
-        instance_id, may_wait, *request = payload
-        answer = await self._assign(f"{sender}/{instance_id}", request, may_wait)
+        instance_id, may_wait, *fields = payload
+        request = SlotRequest.unpack(fields)
+        answer = await self._assign(f"{sender}/{instance_id}", request, bool(may_wait))
         return list(attrs.astuple(answer))
 
     def _handle_release(self, sender: str, payload: list) -> None:
         instance_id, number, outcome = payload
-        self._release((f"{sender}/{instance_id}", number), SlotOutcome(outcome))
+        self._release((f"{sender}/{instance_id}", int(number)), SlotOutcome(outcome))
 
     def _release(self, identity: tuple[str, int], outcome: SlotOutcome) -> None:
+        """End the wait of a turn or free its slot, also if its request comes later."""
         now_ms = self.clock.now_ms()
         for dispatcher in self._dispatchers.values():
             dispatcher.withdraw(identity)
             dispatcher.release(identity, now_ms, outcome)
         decided = self._decided.pop(identity, None)
-        if decided is not None:
-            decided.cancel()
+        if decided is not None and not decided.done():
+            decided.set_result(_Answer(_NO_ENGINE))
+        self._released_ms[identity] = now_ms
+        while self._released_ms:
+            oldest = next(iter(self._released_ms))
+            is_recent = now_ms - self._released_ms[oldest] < _RELEASED_FOR_MS
+            if is_recent and len(self._released_ms) <= _MAX_RELEASED:
+                break
+            del self._released_ms[oldest]
         self._has_changed.set()
 
-    async def _assign(self, name: str, request: list, may_wait: bool) -> _Answer:
+    async def _assign(self, name: str, request: SlotRequest, may_wait: bool) -> _Answer:
         """Assign a slot to a turn, after a wait if it may wait."""
         now_ms = self.clock.now_ms()
-        dispatcher = self._dispatcher(request[1], now_ms)
-        if not dispatcher.slots.total:
+        dispatcher = self._dispatcher(request.service, now_ms)
+        if dispatcher is None or (name, request.number) in self._released_ms:
+            return _Answer(_NO_ENGINE)
+        is_known = dispatcher.knows_program(request.program)
+        turn = request.turn(name, is_known, now_ms)
+        if not dispatcher.slots.is_usable(turn, self.domain, now_ms):
             return _Answer(_NO_ENGINE)
-        turn = _decode(name, request, now_ms, dispatcher.knows_program)
         assignment = dispatcher.try_assign(turn, now_ms)
         if assignment is not None:
             return _Answer(_ASSIGNED, assignment.server)
-        if not may_wait:
+        if not may_wait or len(dispatcher.waiting) >= _MAX_WAITING:
             return _Answer(_FULL)
         refusal = dispatcher.submit(turn, now_ms)
         if refusal is not None:
@@ -285,29 +314,31 @@
         self._has_changed.set()
         try:
             return await decided
-        except asyncio.CancelledError:
-            dispatcher.withdraw(turn.identity)
-            if decided.cancelled():
-                return _Answer(_NO_ENGINE)
-            raise
         finally:
+            dispatcher.withdraw(turn.identity)
             self._decided.pop(turn.identity, None)
 
-    def _dispatcher(self, service: str, now_ms: float) -> TurnDispatcher:
-        """Return the dispatcher of a service, with its engines brought up to date."""
+    def _dispatcher(self, service: str, now_ms: float) -> TurnDispatcher | None:
+        """Return the dispatcher of a service with its engines brought up to date.
+
+        None for a service that the desired state doesn't have.
+        """
+        state = self.read_state()
+        rule = state.services.get(service) if state is not None else None
+        if rule is None:
+            self._dispatchers.pop(service, None)
+            return None
         dispatcher = self._dispatchers.get(service)
         if dispatcher is None:
             dispatcher = self._dispatchers[service] = TurnDispatcher(self.domain)
         if now_ms - self._updated_ms.get(service, NEVER_MS) >= _UPDATE_PERIOD_MS:
             self._updated_ms[service] = now_ms
-            state = self.read_state()
-            rule = state.services.get(service) if state is not None else None
             servers = [
                 each
                 for each in self.directory.of_service(service)
                 if each.domain == self.domain
             ]
-            dispatcher.update_engines(servers, rule.memory_tokens if rule else 0)
+            dispatcher.update_engines(servers, rule.memory_tokens)
         return dispatcher
 
     @Service.task
@@ -318,11 +349,9 @@
                 default=math.inf,
             )
             wait_s = min(_IDLE_WAIT_S, max(0.0, due_ms - self.clock.now_ms()) / 1000)
-            try:
+            with suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._has_changed.wait()
-            except TimeoutError:
-                pass
             self._has_changed.clear()
             self._decide_all()
 
@@ -330,7 +359,7 @@
         now_ms = self.clock.now_ms()
         for service in list(self._dispatchers):
             dispatcher = self._dispatcher(service, now_ms)
-            if not dispatcher.waiting:
+            if dispatcher is None or not dispatcher.waiting:
                 continue
             for decision in dispatcher.decide(now_ms):
                 decided = self._decided.get(decision.turn.identity)
@@ -344,9 +373,9 @@
     return _Answer(_ASSIGNED, outcome.server)
 
 
-def _encode(
+def _make_request(
     number: int, admitted: AdmittedRequest, call: EngineCall, excluded: frozenset[str]
-) -> list:
+) -> SlotRequest:
     request = admitted.request
     priority = admitted.route.priority
     organisation = admitted.organisation
@@ -355,51 +384,17 @@
     target_ms = None
     if request.program_deadline_ms:
         target_ms = round(request.program_deadline_ms - call.now_ms)
-    return [
-        number,
-        call.model,
-        admitted.organisation_name,
-        request.program,
-        bool(request.previous_turn),
-        priority,
-        call.prompt_tokens,
-        call.expected_tokens,
-        [[part.name, part.tokens] for part in call.prefix_parts[:_MAX_PARTS]],
-        round(admitted.deadline_ms - call.now_ms),
-        target_ms,
-        sorted(excluded),
-    ]
-
-
-def _decode(
-    name: str, request: list, now_ms: float, knows_program: Callable[[str], bool]
-) -> Turn:
-    (
-        number,
-        service,
-        organisation,
-        program,
-        continues_turn,
-        priority,
-        prompt_tokens,
-        expected_tokens,
-        parts,
-        remaining_ms,
-        target_ms,
-        excluded,
-    ) = request
-    return Turn(
-        identity=(name, number),
-        service=service,
-        organisation=organisation,
-        program=program,
-        is_first=not continues_turn and not knows_program(program),
+    return SlotRequest(
+        number=number,
+        service=call.model,
+        organisation=admitted.organisation_name,
+        program=request.program,
+        continues_turn=bool(request.previous_turn),
         priority=priority,
-        prompt_tokens=prompt_tokens,
-        expected_tokens=expected_tokens,
-        prefix_parts=tuple(PrefixPart(*part) for part in parts),
-        submitted_ms=now_ms,
-        deadline_ms=now_ms + remaining_ms,
-        target_ms=math.inf if target_ms is None else now_ms + target_ms,
-        excluded_servers=frozenset(excluded),
+        prompt_tokens=call.prompt_tokens,
+        expected_tokens=call.expected_tokens,
+        parts=first_parts(call.prefix_parts),
+        remaining_ms=round(admitted.deadline_ms - call.now_ms),
+        target_ms=target_ms,
+        excluded=sorted(excluded),
     )
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -199,6 +199,12 @@
             identity, self.requests_before > 0, self._log_discarded
         )
 
+    @property
+    def status(self) -> int:
+        """Return the status of the response, 0 before its head."""
+        head = self._response.head
+        return head.status if head is not None else 0
+
     def _log_discarded(self, status: int, mismatch: str) -> None:
         _log.write(
             "response discarded",
--- a/celerypulley/platform/desired_state.py
+++ b/celerypulley/platform/desired_state.py
@@ -78,7 +78,9 @@
 
 
 def _decode_regions(row: dict) -> frozenset[str]:
-    regions = row.get("regionsAllowed") or []
+    regions = row.get("regionsAllowed")
+    if regions is None:
+        return frozenset()
     if not isinstance(regions, list) or not all(
         isinstance(each, str) for each in regions
     ):
@@ -94,10 +96,15 @@
     return ServiceRule(
         name=row["name"],
         tokens_per_event=int(engine.get("chunkTokens") or 1),
-        memory_tokens=max(0, int(engine.get("kvCapacity") or 0)),
+        memory_tokens=_decode_memory_tokens(engine.get("kvCapacity")),
     )
 
 
+def _decode_memory_tokens(value: object) -> int:
+    """Return the memory of an engine, 0 for what is no number: it only limits turns."""
+    return max(0, int(value)) if _is_number(value) else 0
+
+
 def _decode_organisation(row: dict) -> OrganisationRule:
     priority = row.get("priority")
     return OrganisationRule(
--- a/celerypulley/turn_scheduling/engine_slots.py
+++ b/celerypulley/turn_scheduling/engine_slots.py
@@ -5,7 +5,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 import attrs
 
@@ -25,6 +25,8 @@
 _EXPIRY_FACTOR = 3.0
 _MIN_EXPIRY_MS = 600.0
 _PACE_GAIN = 0.25
+_SHED_BACKOFF_MS = 100.0  # a slot of a full engine becomes free within 40 ms
+_MAX_PREFIXES = 2_000  # of an engine whose memory is unknown
 _MEMORY_FRACTION = 0.9  # the rest is for outputs above the expected length
 
 
@@ -75,8 +77,12 @@
             known = self.state.cache_entries.get(part.name)
             self.prefix_tokens += part.tokens - (known[0] if known else 0)
             self.state.record_cached(part.name, part.tokens, now_ms)
-        while memory_tokens and self.prefix_tokens > memory_tokens:
-            _, (tokens, _) = self.state.cache_entries.popitem(last=False)
+        entries = self.state.cache_entries
+        while entries:
+            is_full = memory_tokens and self.prefix_tokens > memory_tokens
+            if not is_full and len(entries) <= _MAX_PREFIXES:
+                return
+            _, (tokens, _) = entries.popitem(last=False)
             self.prefix_tokens -= tokens
 
 
@@ -114,9 +120,13 @@
         """Return the number of slots of all engines."""
         return sum(each.state.traits.batch_limit for each in self._engines.values())
 
-    def occupied(self) -> Mapping[str, int]:
-        """Return the number of occupied slots by engine."""
-        return {name: len(each.assignments) for name, each in self._engines.items()}
+    def is_usable(self, turn: Turn, domain: str, now_ms: float) -> bool:
+        """Return whether an engine accepts the turn, now or once it has room."""
+        return bool(self._usable(_engine_call(turn, domain, now_ms), turn))
+
+    def _usable(self, call: EngineCall, turn: Turn) -> list[EngineState]:
+        states = [each.state for each in self._engines.values()]
+        return usable_engines(call, states, turn.excluded_servers)
 
     def assign(
         self,
@@ -133,14 +143,9 @@
         """
         min_cached_tokens = turn.prompt_tokens * min_cached_fraction
         call = _engine_call(turn, domain, now_ms)
-        usable = usable_engines(
-            call,
-            [each.state for each in self._engines.values()],
-            turn.excluded_servers,
-        )
         best: _Engine | None = None
         best_cost_ms = float("inf")
-        for state in usable:
+        for state in self._usable(call, turn):
             engine = self._engines[state.name]
             if must_fit and not engine.has_room(turn, state.report.memory_tokens):
                 continue
@@ -161,17 +166,12 @@
         assignment = Assignment(
             turn, engine.state.name, call.now_ms, expected_ms, expires_ms
         )
+        self._servers[turn.identity] = engine.state.name
         engine.assignments[turn.identity] = assignment
         engine.state.in_flight = len(engine.assignments)
         engine.record_prefixes(turn, call.now_ms, engine.state.report.memory_tokens)
-        self._servers[turn.identity] = engine.state.name
         return assignment
 
-    def find(self, identity: tuple[str, int]) -> Assignment | None:
-        """Return the assignment of a turn, if it has one."""
-        engine = self._engines.get(self._servers.get(identity, ""))
-        return engine.assignments.get(identity) if engine is not None else None
-
     def release(self, identity: tuple[str, int]) -> Assignment | None:
         """Free the slot of a turn; return its assignment, None if it has none."""
         engine = self._engines.get(self._servers.pop(identity, ""))
@@ -187,6 +187,15 @@
         if engine is not None:
             engine.state.record_unreachable(now_ms)
 
+    def record_shed(self, server: str, now_ms: float) -> None:
+        """Leave out an engine for a moment that is full although it has free slots.
+
+        Hosts that got no reply have sent it turns of their own choice.
+        """
+        engine = self._engines.get(server)
+        if engine is not None:
+            engine.state.backoff_until_ms = now_ms + _SHED_BACKOFF_MS
+
     def record_success(self, assignment: Assignment, now_ms: float) -> None:
         """Learn the pace of an engine from a completed turn, and end its back-off."""
         engine = self._engines.get(assignment.server)
--- a/celerypulley/turn_scheduling/turn_dispatcher.py
+++ b/celerypulley/turn_scheduling/turn_dispatcher.py
@@ -40,11 +40,15 @@
 
 
 class SlotOutcome(enum.Enum):
-    """What became of a turn on the engine that it was assigned."""
+    """What became of a turn on the engine that it was assigned.
+
+    SHED: the engine was full. UNKNOWN: nothing is learned of the engine.
+    """
 
     COMPLETE = "complete"
     FAILED = "failed"
-    NOT_RUN = "not run"
+    SHED = "shed"
+    UNKNOWN = "unknown"
 
 
 @attrs.frozen
@@ -166,6 +170,8 @@
             self.slots.record_success(assignment, now_ms)
         elif outcome is SlotOutcome.FAILED:
             self.slots.record_failure(assignment.server, now_ms)
+        elif outcome is SlotOutcome.SHED:
+            self.slots.record_shed(assignment.server, now_ms)
 
     def expected_wait_ms(self, turn: Turn, now_ms: float) -> float:
         """Return how long a new first turn would wait for an engine.
@@ -177,15 +183,19 @@
             each for each in self.waiting.values() if each.priority <= turn.priority
         ]
         first_ahead = sum(each.is_first for each in ahead)
-        slots_per_s = max(1, self.slots.total) / self._run_ms * 1000
         recent = self._first_turns.get(turn.priority)
-        first_per_s = max(
-            slots_per_s * _MIN_FIRST_FRACTION,
-            recent.rate_per_s(now_ms) if recent else 0.0,
-        )
-        under_way_ms = (len(ahead) - first_ahead) / slots_per_s * 1000
+        recent_per_s = recent.rate_per_s(now_ms) if recent else 0.0
+        first_per_s = max(self._min_first_per_s(), recent_per_s)
+        under_way_ms = (len(ahead) - first_ahead) / self._turns_per_s() * 1000
         return under_way_ms + first_ahead / first_per_s * 1000
 
+    def _turns_per_s(self) -> float:
+        """Return how many turns end in a second while all slots are occupied."""
+        return max(1, self.slots.total) / self._run_ms * 1000
+
+    def _min_first_per_s(self) -> float:
+        return self._turns_per_s() * _MIN_FIRST_FRACTION
+
     def decide(self, now_ms: float) -> list[Decision]:
         """Return what becomes of waiting turns now; they wait no longer.
 
@@ -195,18 +205,18 @@
         """
         self._expire(now_ms)
         decisions: list[Decision] = []
-        choosy: list[Turn] = []
+        without_cache: list[Turn] = []
         for turn in self._in_order(now_ms):
             waited_ms = now_ms - turn.submitted_ms
-            is_choosy = not turn.is_first and waited_ms < _CACHE_WAIT_MS
+            waits_for_cache = not turn.is_first and waited_ms < _CACHE_WAIT_MS
             decision = self._decide_one(
-                turn, now_ms, _CACHED_FRACTION if is_choosy else 0.0
+                turn, now_ms, _CACHED_FRACTION if waits_for_cache else 0.0
             )
             if decision is not None:
                 decisions.append(decision)
-            elif is_choosy:
-                choosy.append(turn)
-        for turn in choosy:
+            elif waits_for_cache:
+                without_cache.append(turn)
+        for turn in without_cache:
             decision = self._decide_one(turn, now_ms)
             if decision is not None:
                 decisions.append(decision)
@@ -286,8 +296,10 @@
         engines. Where that exceeds what callers wait for, they are spread by chance.
         """
         self.refused_count += 1
-        rate_per_s = sum(each.rate_per_s(now_ms) for each in self._first_turns.values())
-        spacing_ms = 1000 / max(1.0, rate_per_s)
+        recent_per_s = sum(
+            each.rate_per_s(now_ms) for each in self._first_turns.values()
+        )
+        spacing_ms = 1000 / max(recent_per_s, self._min_first_per_s())
         return_ms = max(now_ms + wait_ms, self._next_return_ms + spacing_ms)
         latest_ms = now_ms + _MAX_RETRY_S * 1000
         if return_ms > latest_ms:
--- a/celerypulley/turn_scheduling/turn_order.py
+++ b/celerypulley/turn_scheduling/turn_order.py
@@ -52,34 +52,35 @@
 class WaitLimits:
     """How long turns wait at most.
 
-    A turn of a program under way is sent to an engine that is full after
-    `under_way_ms`, so that no large turn starves. The first turn of a program without
-    a target waits for `first_turn_ms`.
+    No turn waits longer than `longest_ms`. Then one of a program under way is sent to
+    an engine that is full, so that no large turn starves. The first turn of a program
+    without a target waits for `first_turn_ms`.
     """
 
-    under_way_ms: float = 600.0
+    longest_ms: float = 600.0  # hosts wait for a reply for 800 ms
     first_turn_ms: float = 100.0
 
 
 def wait_limit_ms(turn: Turn, limits: WaitLimits) -> float:
     """Return how long a turn may wait for an engine from its submission."""
     remaining_ms = max(0.0, turn.deadline_ms - turn.submitted_ms)
+    longest_ms = min(limits.longest_ms, remaining_ms)
     if not turn.is_first:
-        return min(limits.under_way_ms, remaining_ms)
+        return longest_ms
     if math.isinf(turn.target_ms):
-        return min(limits.first_turn_ms, remaining_ms)
+        return min(limits.first_turn_ms, longest_ms)
     target_remaining_ms = turn.target_ms - turn.submitted_ms
     affordable_ms = target_remaining_ms * _FIRST_TURN_WAIT_FRACTION
-    return min(max(_MIN_FIRST_TURN_WAIT_MS, affordable_ms), remaining_ms)
+    return min(max(_MIN_FIRST_TURN_WAIT_MS, affordable_ms), longest_ms)
 
 
 def is_late(
     turn: Turn, now_ms: float, limits: WaitLimits, expected_run_ms: float
 ) -> bool:
-    """Return whether a waiting turn gives way to all that can meet their target.
+    """Return whether a waiting turn comes after all that can meet their target.
 
-    A program under way that can't any more has its turn once it has waited for half of
-    the limit, so that it ends before it expires.
+    A turn of a program under way that can't meet it any more does so for half of its
+    limit only, so that it runs before it expires.
     """
     if now_ms + expected_run_ms <= turn.target_ms:
         return False
@@ -90,17 +91,17 @@
 
 
 def order_key(
-    turn: Turn, gives_way: bool, organisation_load: float, newest_first: bool
+    turn: Turn, is_late_turn: bool, organisation_load: float, newest_first: bool
 ) -> tuple:
     """Return the sort key of a waiting turn; the lowest runs next.
 
-    Those that give way as late come last. The priority decides first, since operators
+    Late ones come last. The priority decides first, since operators
     set it; within one, programs under way come before new ones. Then follow the least
     time left of a program under way, and among new ones the organisation with the least
     `organisation_load`, its recent share of the engines. With `newest_first` the last
     new program that came is the next: those before it have lost their time already.
     """
-    order = (gives_way, turn.priority, turn.is_first)
+    order = (is_late_turn, turn.priority, turn.is_first)
     if not turn.is_first:
         return (*order, turn.target_ms, turn.submitted_ms)
     age = -turn.submitted_ms if newest_first else turn.submitted_ms
