Learn what requests cost, and the speed and pace of servers

Cause: the costs of candidates were constants, while requests that look alike differ in work, servers in speed, and machines in pace. Once a server of a service has sent the fourth figure of Server-Load, each host learns durations by route and size, factors by server, and adds the work that a server has left. Without it choices are as before.

--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from celerypulley.backend_servers.estimates import DurationFactor
 from celerypulley.clock import NEVER_MS
 from celerypulley.elapsed_time import elapsed_ms
 
@@ -14,6 +15,7 @@
     "EngineState",
     "EngineTraits",
     "LeavingAnnouncement",
+    "RunningCall",
     "ServerState",
 ]
 
@@ -27,6 +29,11 @@
 # server is tried again.
 _SLOWDOWN_HALF_LIFE_MS = 3_000.0
 _MAX_SLOWDOWN = 20.0
+# Machines are slow for some hundred milliseconds, so a reported pace soon is outdated.
+_PACE_HALF_LIFE_MS = 250.0
+_PACE_LIMITS = (0.1, 20.0)
+# Calls of which only the number is known have on average half their duration left.
+_REST_OF_OTHERS = 0.5
 _UNREACHABLE_BACKOFF_MS = 250.0
 _MAX_UNREACHABLE_BACKOFF_MS = 2_000.0
 
@@ -84,6 +91,18 @@
     prefill_tokens: float
 
 
+@attrs.define(eq=False)
+class RunningCall:
+    """A call in flight from this host that is expected to take `expected_ms`.
+
+    At least `rest_ms` remain while it runs.
+    """
+
+    sent_ms: float
+    expected_ms: float
+    rest_ms: float
+
+
 @attrs.define(eq=False)
 class EngineState:
     """The state of one engine or plain server, as seen by this host.
@@ -93,6 +112,9 @@
     that other hosts report as in flight on the server. `slowdown` is the ratio of
     measured to estimated response times, as of `slowdown_updated_ms`.
     `last_received_ms` is the time of the last byte received from the server.
+    `speed` has the learned factor of durations on this server. `pace` is the factor
+    that it reported at `pace_updated_ms` for the load of its machine. `running_calls`
+    are this host's calls with a learned duration.
     `announcement` is set once the server has announced that it leaves.
     `started_ms` is the wall-clock time of its start, 0 if unknown.
     `has_suspect_request` is set while a request with a crash count runs there and
@@ -121,6 +143,10 @@
     cache_entries: OrderedDict[str, tuple[int, float]] = attrs.Factory(OrderedDict)
     unreported_calls: deque[SentCall] = attrs.Factory(deque)
     unreported_tokens: float = 0.0
+    speed: DurationFactor = attrs.Factory(DurationFactor)
+    pace: float = 1.0
+    pace_updated_ms: float = NEVER_MS
+    running_calls: set[RunningCall] = attrs.Factory(set)
 
     def record_send(self, now_ms: float, prefill_tokens: float) -> None:
         """Count a call that load reports do not cover yet."""
@@ -158,6 +184,13 @@
             in_flight, report.running + report.waiting + len(self.unreported_calls)
         )
 
+    def is_full(self, now_ms: float) -> bool:
+        """Return whether a call sent now may have to wait for a slot.
+
+        Counts include this call, which is in flight already.
+        """
+        return self.sequence_count(now_ms) > self.traits.batch_limit
+
     def expected_slowdown(self, now_ms: float) -> float:
         """Return the expected ratio of actual to estimated response time."""
         age_ms = elapsed_ms(self.slowdown_updated_ms, now_ms, "slowdown of a server")
@@ -173,6 +206,31 @@
         self.slowdown = expected + (measured - expected) * gain
         self.slowdown_updated_ms = now_ms
 
+    def record_pace(self, pace: float, now_ms: float) -> None:
+        """Record the factor by which work takes longer on the machine at the moment."""
+        lowest, highest = _PACE_LIMITS
+        self.pace = min(highest, max(lowest, pace))
+        self.pace_updated_ms = now_ms
+
+    def expected_pace(self, now_ms: float) -> float:
+        """Return the reported pace, which decays to 1; exactly 1 without a report."""
+        if self.pace_updated_ms == NEVER_MS:
+            return 1.0
+        age_ms = elapsed_ms(self.pace_updated_ms, now_ms, "pace of a server")
+        return 1.0 + (self.pace - 1.0) * 0.5 ** (age_ms / _PACE_HALF_LIFE_MS)
+
+    def remaining_work_ms(self, now_ms: float, typical_ms: float) -> float:
+        """Return the duration at the pace 1 of what all its calls have left.
+
+        Calls of other hosts take `typical_ms` on the service's mean server.
+        """
+        remaining_ms = 0.0
+        for call in self.running_calls:
+            elapsed = elapsed_ms(call.sent_ms, now_ms, "call in flight")
+            remaining_ms += max(call.expected_ms - elapsed, call.rest_ms)
+        others = max(0, self.sequence_count(now_ms) - len(self.running_calls))
+        return remaining_ms + others * typical_ms * self.speed.factor * _REST_OF_OTHERS
+
     def record_cached(self, prefix: str, tokens: int, now_ms: float) -> None:
         """Record that `tokens` tokens of a prompt prefix are cached.
 
--- a/celerypulley/backend_servers/routing.py
+++ b/celerypulley/backend_servers/routing.py
@@ -11,11 +11,13 @@
 
 __all__ = [
     "POLICIES",
+    "CallCosts",
     "Choice",
     "EngineCall",
     "cached_tokens",
     "choose_engine",
     "choose_plain_server",
+    "expected_duration_ms",
     "expected_finish_ms",
     "expected_step_ms",
     "expected_wait_ms",
@@ -30,12 +32,28 @@
 _MEAN_PLAIN_CALL_MS = 20.0  # site sheets give means of 14 to 78 ms
 
 
+@attrs.frozen
+class CallCosts:
+    """The learned costs of a call on a server with the factor 1 at the pace 1.
+
+    `expected_ms` is the duration of a plain call, 0 for a turn, whose duration follows
+    from the engine's traits and its route's `factor`. A call of any route takes
+    `typical_ms`, and a running one has `rest_fraction` of its duration left at least.
+    """
+
+    expected_ms: float = 0.0
+    factor: float = 1.0
+    rest_fraction: float = 0.0
+    typical_ms: float = 0.0
+
+
 @attrs.frozen
 class EngineCall:
     """The properties of a call that determine the choice of its server.
 
     `cross_domain_ms` is the cost of a call to another failure domain: its latency
-    and the price of its bytes, in ms.
+    and the price of its bytes, in ms. `costs` are the learned costs, None where the
+    constants apply.
     """
 
     program: str
@@ -47,6 +65,7 @@
     round_robin_index: int = 0
     prefix_parts: tuple[PrefixPart, ...] = ()
     cross_domain_ms: float = _CROSS_DOMAIN_COST_MS
+    costs: CallCosts | None = None
 
 
 @attrs.frozen
@@ -97,11 +116,9 @@
     best = None
     best_cost_ms = float("inf")
     for server in usable_engines(call, servers, avoid):
-        load = (1 + server.sequence_count(call.now_ms)) / server.traits.batch_limit
         cross_domain_ms = 0.0 if server.domain == call.domain else call.cross_domain_ms
-        cost_ms = (1.0 + load) * _MEAN_PLAIN_CALL_MS * server.expected_slowdown(
-            call.now_ms
-        ) + cross_domain_ms
+        cost_ms = _plain_work_ms(call, server) * server.expected_slowdown(call.now_ms)
+        cost_ms += cross_domain_ms
         if cost_ms >= best_cost_ms:
             continue
         best = server
@@ -111,6 +128,37 @@
     return Choice(best, best_cost_ms, "least load")
 
 
+def _plain_work_ms(call: EngineCall, server: EngineState) -> float:
+    if call.costs is None:
+        load = (1 + server.sequence_count(call.now_ms)) / server.traits.batch_limit
+        return (1.0 + load) * _MEAN_PLAIN_CALL_MS
+    duration_ms = expected_duration_ms(call, server)
+    return (duration_ms + _wait_ms(call, server)) * server.expected_pace(call.now_ms)
+
+
+def expected_duration_ms(call: EngineCall, server: EngineState) -> float:
+    """Return how long a call with learned costs takes on a server at the pace 1, in ms.
+
+    The wait for a slot does not count.
+    """
+    if call.costs is None:
+        return 0.0
+    if call.costs.expected_ms:
+        return call.costs.expected_ms * server.speed.factor
+    uncached_tokens = call.prompt_tokens - cached_tokens(call, server)
+    prefill_ms = uncached_tokens / server.traits.prefill_tokens_per_s * 1000
+    decode_ms = _call_step_ms(call, server) * call.expected_tokens
+    return (server.traits.first_token_ms + prefill_ms + decode_ms) * call.costs.factor
+
+
+def _wait_ms(call: EngineCall, server: EngineState) -> float:
+    """Return the learned work that a server has left, for each of its slots."""
+    if call.costs is None:
+        return 0.0
+    remaining_ms = server.remaining_work_ms(call.now_ms, call.costs.typical_ms)
+    return remaining_ms / server.traits.batch_limit
+
+
 def choose_engine(
     policy: Policy,
     call: EngineCall,
@@ -144,8 +192,10 @@
     uncached_tokens = call.prompt_tokens - cached_tokens(call, engine)
     prefill_ms = (backlog_tokens + uncached_tokens) / traits.prefill_tokens_per_s * 1000
     cross_domain_ms = 0.0 if engine.domain == call.domain else call.cross_domain_ms
-    decode_ms = expected_step_ms(engine, call.now_ms) * call.expected_tokens
-    return traits.first_token_ms + prefill_ms + decode_ms + cross_domain_ms
+    decode_ms = _call_step_ms(call, engine) * call.expected_tokens
+    work_ms = traits.first_token_ms + prefill_ms + decode_ms
+    factor = 1.0 if call.costs is None else call.costs.factor
+    return work_ms * factor * engine.expected_pace(call.now_ms) + cross_domain_ms
 
 
 def expected_step_ms(engine: EngineState, now_ms: float) -> float:
@@ -156,6 +206,18 @@
     return step_ms * max(1.0, sequences / traits.batch_limit)
 
 
+def _call_step_ms(call: EngineCall, engine: EngineState) -> float:
+    """Return the estimated time per token of a call.
+
+    With learned costs, waiting calls delay the start of a call and not its tokens.
+    """
+    if call.costs is None:
+        return expected_step_ms(engine, call.now_ms)
+    traits = engine.traits
+    sequences = min(traits.batch_limit, engine.sequence_count(call.now_ms) + 1)
+    return traits.step_base_ms + traits.step_per_sequence_ms * sequences
+
+
 def shared_cost_ms(call: EngineCall, engine: EngineState) -> float:
     """Return the estimated finish plus the delay caused to other calls, in ms.
 
@@ -178,10 +240,13 @@
     )
     if overflow_tokens > 0.0:
         prefill_tokens += min(uncached_tokens, overflow_tokens) * _EVICTION_WEIGHT
-    step_ms = expected_step_ms(engine, call.now_ms)
+    step_ms = _call_step_ms(call, engine)
     cross_domain_ms = 0.0 if engine.domain == call.domain else call.cross_domain_ms
     prefill_ms = prefill_tokens / traits.prefill_tokens_per_s * 1000
     work_ms = traits.first_token_ms + prefill_ms + step_ms * call.expected_tokens
+    if call.costs is not None:
+        work_ms = work_ms * call.costs.factor + _wait_ms(call, engine)
+    work_ms *= engine.expected_pace(call.now_ms)
     return work_ms * engine.expected_slowdown(call.now_ms) + cross_domain_ms
 
 
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -5,8 +5,17 @@
 
 import attrs
 
-from celerypulley.backend_servers.engine_state import EngineReport, EngineState
-from celerypulley.backend_servers.routing import Choice, EngineCall
+from celerypulley.backend_servers.cost_model import CostModel
+from celerypulley.backend_servers.engine_state import (
+    EngineReport,
+    EngineState,
+    RunningCall,
+)
+from celerypulley.backend_servers.routing import (
+    Choice,
+    EngineCall,
+    expected_duration_ms,
+)
 from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.contracts.desired_state import ForwardRoute
 from celerypulley.decision_log import DecisionLog
@@ -66,20 +75,27 @@
     clock: Clock
     stall_monitor: StallMonitor
     region_of_domain: Mapping[str, str] = attrs.Factory(dict)
+    costs: CostModel = attrs.Factory(CostModel)
 
-    def engine_call(self, admitted: AdmittedRequest) -> EngineCall:
+    def engine_call(self, admitted: AdmittedRequest, service: str) -> EngineCall:
         """Return the properties of a request that routing depends on."""
         request = admitted.request
+        route = admitted.route
         return EngineCall(
             program=request.program,
-            model="",
+            model=service,
             prompt_tokens=request.prompt_tokens,
-            expected_tokens=request.expected_tokens or request.max_tokens // 3,
+            expected_tokens=self.costs.expected_tokens(
+                service, route.name, request.expected_tokens, request.max_tokens
+            ),
             domain=self.directory.domain,
             now_ms=self.clock.now_ms(),
             prefix_parts=request.prefix_parts,
             cross_domain_ms=_CROSS_DOMAIN_RTT_MS
             + _CROSS_DOMAIN_MS_PER_KB * (1.0 + len(request.body) / 1024),
+            costs=self.costs.call_costs(
+                service, route.name, len(request.body), route.is_streaming
+            ),
         )
 
     def choose(
@@ -93,7 +109,7 @@
 
         Servers that failed recently are chosen only as a last resort.
         """
-        call = attrs.evolve(self.engine_call(admitted), model=service)
+        call = self.engine_call(admitted, service)
         servers = self._exclude_unreachable(
             self._within_home(admitted, self.directory.of_service(service))
         )
@@ -148,9 +164,26 @@
             load=server.sequence_count(now_ms),
             load_age_ms=_age_ms(now_ms, server.report.taken_ms),
             **fields,
+            **self._cost_fields(admitted, server, now_ms),
             **self._crash_fields(admitted),
         )
 
+    def _cost_fields(
+        self, admitted: AdmittedRequest, server: EngineState, now_ms: float
+    ) -> dict[str, object]:
+        """Return the log fields of a call with learned costs."""
+        call = self.engine_call(admitted, _service_of(server))
+        if call.costs is None:
+            return {}
+        remaining_ms = server.remaining_work_ms(now_ms, call.costs.typical_ms)
+        return {
+            "expected_ms": round(expected_duration_ms(call, server), 1),
+            "remaining_ms": round(remaining_ms, 1),
+            "pace": round(server.expected_pace(now_ms), 2),
+            "duration_factor": round(server.speed.factor, 2),
+            "expected_tokens": call.expected_tokens,
+        }
+
     def _within_home(
         self, admitted: AdmittedRequest, servers: list[EngineState]
     ) -> list[EngineState]:
@@ -244,18 +277,57 @@
             raise ServerCallError("successful response without the server's seal", True)
         if not metadata.wrong_server:
             self.directory.record_announcement(server, metadata.leaving)
+            self._record_load(server, metadata, now_ms)
         return head, metadata
 
+    def _record_load(
+        self, server: EngineState, metadata: ResponseMetadata, now_ms: float
+    ) -> None:
+        """Record slots and pace of a server; the first pace enables learned costs."""
+        service = _service_of(server)
+        is_new = self.costs.record_load(
+            service, server, metadata.slots, metadata.pace, now_ms
+        )
+        if is_new:
+            _log.write(
+                "learning request costs",
+                "the first response of its service with a pace",
+                service=service,
+                server=server.name,
+                pace=metadata.pace,
+            )
+
     @contextmanager
     def count_in_flight(
-        self, server: EngineState, prefill_tokens: float = 0.0
+        self,
+        server: EngineState,
+        prefill_tokens: float = 0.0,
+        running: RunningCall | None = None,
     ) -> Iterator[None]:
-        """Count a call to `server` as in flight inside the `with` block."""
+        """Count a call to `server` as in flight inside the `with` block.
+
+        `running` has its learned duration, if it has one.
+        """
         server.record_send(self.clock.now_ms(), prefill_tokens)
+        if running is not None:
+            server.running_calls.add(running)
         try:
             yield
         finally:
             server.record_end()
+            if running is not None:
+                server.running_calls.discard(running)
+
+    def expected_call(
+        self, admitted: AdmittedRequest, service: str, server: EngineState
+    ) -> RunningCall | None:
+        """Return the call with its learned duration, None with constant costs."""
+        call = self.engine_call(admitted, service)
+        if call.costs is None:
+            return None
+        expected_ms = expected_duration_ms(call, server)
+        rest_ms = expected_ms * call.costs.rest_fraction
+        return RunningCall(call.now_ms, expected_ms, rest_ms)
 
     def stall_guard(
         self,
@@ -332,5 +404,9 @@
         return Refusal(ErrorKind.BACKEND_SERVER_FAILED, f"{server.name}: {error}")
 
 
+def _service_of(server: EngineState) -> str:
+    return next(iter(server.models), "")
+
+
 def _age_ms(now_ms: float, then_ms: float) -> int | None:
     return None if then_ms == NEVER_MS else round(now_ms - then_ms)
--- a/celerypulley/hosts/plain_forwarder.py
+++ b/celerypulley/hosts/plain_forwarder.py
@@ -5,8 +5,12 @@
 
 import random
 
+from celerypulley.backend_servers.cost_model import PlainSample
 from celerypulley.backend_servers.engine_state import EngineState
-from celerypulley.backend_servers.routing import choose_plain_server
+from celerypulley.backend_servers.routing import (
+    choose_plain_server,
+    expected_duration_ms,
+)
 from celerypulley.hosts.admission import AdmittedRequest
 from celerypulley.hosts.forward_context import ForwardContext, pick_service
 from celerypulley.hosts.server_attempts import (
@@ -42,7 +46,7 @@
         service = pick_service(admitted.route, random.random())
 
         async def run_attempt(server_attempt: ServerAttempt) -> FailedAttempt | None:
-            return await self._attempt(admitted, server_attempt, sink)
+            return await self._attempt(admitted, service, server_attempt, sink)
 
         return await try_servers(
             self.context, admitted, service, choose_plain_server, run_attempt
@@ -51,12 +55,14 @@
     async def _attempt(
         self,
         admitted: AdmittedRequest,
+        service: str,
         server_attempt: ServerAttempt,
         sink: ForwardSink,
     ) -> FailedAttempt | None:
         context = self.context
         server, call = server_attempt.server, server_attempt.call
         started_ms = context.clock.now_ms()
+        queued = server.is_full(started_ms)
         context.send(call, server, admitted)
         head, metadata = await context.read_head(call, server, admitted)
         if metadata.not_run:
@@ -72,14 +78,42 @@
         server.record_success()
         if 200 <= head.status < 300:
             context.crash_counts.record_whole_run(admitted.fingerprint)
-        self._record_pace(admitted.route.name, server, started_ms)
+        sample = PlainSample(
+            body_bytes=len(admitted.request.body),
+            took_ms=context.clock.now_ms() - started_ms,
+            pace=metadata.pace or 1.0,
+            queued=queued or bool(metadata.waiting),
+        )
+        if context.costs.is_learned(service):
+            self._learn(admitted, service, server, sample)
+        else:
+            self._record_pace(admitted.route.name, server, sample.took_ms)
         await sink.respond(head.status, head.reason, metadata.headers, body)
         return None
 
-    def _record_pace(self, route: str, server: EngineState, started_ms: float) -> None:
+    def _learn(
+        self,
+        admitted: AdmittedRequest,
+        service: str,
+        server: EngineState,
+        sample: PlainSample,
+    ) -> None:
+        """Compare a response time with the learned one, and learn from it."""
+        context = self.context
+        expected_ms = expected_duration_ms(
+            context.engine_call(admitted, service), server
+        )
+        server.record_duration(
+            context.clock.now_ms(),
+            sample.took_ms,
+            expected_ms * sample.pace,
+            _PACE_GAIN,
+        )
+        context.costs.add_plain(service, admitted.route.name, server, sample)
+
+    def _record_pace(self, route: str, server: EngineState, took_ms: float) -> None:
         """Compare a response time with the route's mean over all servers."""
         now_ms = self.context.clock.now_ms()
-        took_ms = now_ms - started_ms
         mean_ms = self._mean_ms.get(route, took_ms)
         server.record_duration(now_ms, took_ms, mean_ms, _PACE_GAIN)
         self._mean_ms[route] = mean_ms + (took_ms - mean_ms) * _MEAN_GAIN
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -117,7 +117,8 @@
         outcome = SlotOutcome.NOT_RUN
         started_ms = context.clock.now_ms()
         try:
-            with context.count_in_flight(server, prefill_tokens(server)):
+            running = context.expected_call(admitted, service, server)
+            with context.count_in_flight(server, prefill_tokens(server), running):
                 call = await context.start_call(server, admitted)
                 send_count += 1
                 with context.stall_guard(call, server, admitted, send_count):
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from celerypulley.backend_servers.cost_model import TurnSample
 from celerypulley.backend_servers.engine_state import EngineState
 from celerypulley.backend_servers.ordering import forward_priority
 from celerypulley.backend_servers.routing import (
@@ -15,6 +16,7 @@
     EngineCall,
     cached_tokens,
     choose_engine,
+    expected_duration_ms,
     expected_finish_ms,
     expected_step_ms,
 )
@@ -33,6 +35,7 @@
 )
 from celerypulley.hosts.turn_archive import CompletedTurn, TurnArchive
 from celerypulley.hosts.turn_scheduler import TurnScheduler, TurnSlot
+from celerypulley.links.forward_dialect import ResponseMetadata
 from celerypulley.links.forward_server import ForwardSink
 from celerypulley.links.key_value import StoreUnavailableError
 from celerypulley.links.server_connection import ServerCall, ServerCallError
@@ -68,6 +71,41 @@
         return len(self.output)
 
 
+@attrs.define(eq=False)
+class _MeasuredTurn:
+    """The times of a turn's events on one server, and what was known at its send."""
+
+    sent_ms: float
+    uncached_tokens: float
+    sequences: int
+    queued: bool
+    first_event_ms: float = 0.0
+    last_event_ms: float = 0.0
+    first_events: int = 0
+    events: int = 0
+
+    def record_events(self, now_ms: float, count: int) -> None:
+        """Record events that arrived together."""
+        if not self.events:
+            self.first_event_ms = now_ms
+            self.first_events = count
+        self.last_event_ms = now_ms
+        self.events += count
+
+    def sample(self, tokens_per_event: int, metadata: ResponseMetadata) -> TurnSample:
+        """Return the sample for the cost model."""
+        return TurnSample(
+            uncached_tokens=self.uncached_tokens,
+            sequences=self.sequences,
+            tokens=self.events * tokens_per_event,
+            decode_tokens=(self.events - self.first_events) * tokens_per_event,
+            first_ms=self.first_event_ms - self.sent_ms,
+            decode_ms=self.last_event_ms - self.first_event_ms,
+            pace=metadata.pace or 1.0,
+            queued=self.queued or bool(metadata.waiting),
+        )
+
+
 def _choose(
     call: EngineCall, servers: list[EngineState], avoid: frozenset[str]
 ) -> Choice | None:
@@ -164,7 +202,7 @@
         )
 
     async def _run_turn(self, turn: _Turn, sink: ForwardSink) -> str:
-        call = self.context.engine_call(turn.admitted)
+        call = self.context.engine_call(turn.admitted, turn.service)
 
         async def run_attempt(server_attempt: ServerAttempt) -> FailedAttempt | None:
             return await self._attempt(
@@ -193,9 +231,7 @@
             return None
 
         async def acquire_slot(excluded: frozenset[str]) -> TurnSlot | None:
-            call = attrs.evolve(
-                self.context.engine_call(turn.admitted), model=turn.service
-            )
+            call = self.context.engine_call(turn.admitted, turn.service)
             return await scheduler.acquire(turn.admitted, call, excluded)
 
         return acquire_slot
@@ -210,10 +246,17 @@
         context = self.context
         admitted = turn.admitted
         started_ms = context.clock.now_ms()
-        expected = attrs.evolve(context.engine_call(admitted), expected_tokens=0)
+        engine_call = context.engine_call(admitted, turn.service)
+        expected = attrs.evolve(engine_call, expected_tokens=0)
         expected_first_ms = expected_finish_ms(expected, server)
         step_ms = expected_step_ms(server, started_ms)
         events_before = turn.event_count
+        measured = _MeasuredTurn(
+            started_ms,
+            engine_call.prompt_tokens - cached_tokens(engine_call, server),
+            server.sequence_count(started_ms),
+            server.is_full(started_ms),
+        )
         context.send(
             call,
             server,
@@ -241,6 +284,7 @@
             if not turn.head_sent:
                 turn.head_sent = True
                 await sink.head(head.status, head.reason, metadata.headers)
+            measured.record_events(server.last_received_ms, len(events))
             self._record_events(turn, events)
             await sink.chunk(b"".join(event.raw for event in events))
         if reader.pending:
@@ -250,18 +294,44 @@
         context.crash_counts.record_whole_run(admitted.fingerprint)
         tokens = (turn.event_count - events_before) * turn.tokens_per_event
         now_ms = context.clock.now_ms()
-        server.record_duration(
-            now_ms,
-            now_ms - started_ms,
-            expected_first_ms + step_ms * tokens,
-            _PACE_GAIN,
-        )
+        expected_ms = expected_first_ms + step_ms * tokens
+        if engine_call.costs is not None:
+            answered = attrs.evolve(engine_call, expected_tokens=tokens)
+            expected_ms = expected_duration_ms(answered, server)
+            expected_ms *= metadata.pace or 1.0
+        server.record_duration(now_ms, now_ms - started_ms, expected_ms, _PACE_GAIN)
+        self._learn(turn, server, measured, metadata)
         self._record_cached_prefix(turn, server)
         if not turn.head_sent:
             await sink.head(head.status, head.reason, metadata.headers)
         await self._archive_turn(turn)
         return None
 
+    def _learn(
+        self,
+        turn: _Turn,
+        server: EngineState,
+        measured: _MeasuredTurn,
+        metadata: ResponseMetadata,
+    ) -> None:
+        """Learn from a turn that one server ran from its start."""
+        costs = self.context.costs
+        request = turn.admitted.request
+        if not costs.is_learned(turn.service) or not measured.first_events:
+            return
+        if measured.events != turn.event_count or request.last_event_id:
+            return
+        sample = measured.sample(turn.tokens_per_event, metadata)
+        sample = attrs.evolve(sample, hint_tokens=request.expected_tokens)
+        costs.add_turn(turn.service, turn.admitted.route.name, server, sample)
+        directory = self.context.directory
+        costs.update_traits(
+            turn.service,
+            server,
+            directory.of_service(turn.service),
+            self.context.clock.now_ms(),
+        )
+
     def _record_events(self, turn: _Turn, events: list[Event]) -> None:
         for event in events:
             turn.output.append(event.data)
--- a/celerypulley/links/forward_dialect.py
+++ b/celerypulley/links/forward_dialect.py
@@ -34,8 +34,10 @@
     `leaving` tells whether the server announces that it leaves, or None where the
     announcement cannot be read.
     `is_sealed` means that the response carries the seal of a backend server.
-    `running` and `waiting` are its load, or None if it reports none. `headers` are
-    forwarded to the caller.
+    `running` and `waiting` are its load, or None if it reports none. `slots` is the
+    number of calls that it runs at once, and `pace` the factor by which work takes
+    longer than usual on its machine at the moment, each None if it reports none.
+    `headers` are forwarded to the caller.
     """
 
     not_run: bool
@@ -44,6 +46,8 @@
     leaving: bool | None
     running: int | None
     waiting: int | None
+    slots: int | None
+    pace: float | None
     headers: tuple[tuple[bytes, bytes], ...]
 
 
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -14,6 +14,8 @@
 __all__ = ["DIALECT"]
 
 _DEFAULT_DEADLINE_MS = 30_000
+_LOAD_FIGURES = 4  # running, waiting, slots and pace in percent
+_NO_FIGURES = (None,) * _LOAD_FIGURES
 _PROGRAM_ID = re.compile(r"[0-9A-Za-z._~-]{1,100}")
 # Hop-by-hop headers, and those that the product sets itself or does not forward.
 _DROPPED_REQUEST_HEADERS = frozenset(
@@ -124,9 +126,11 @@
 
 def _decode_response_head(head: ResponseHead) -> ResponseMetadata:
     headers = head.headers
-    load = headers.get("Server-Load", "").split(",")
-    running = parse_whole_number(load[0].strip())
-    waiting = parse_whole_number(load[1].strip()) if len(load) > 1 else None
+    load = [
+        parse_whole_number(figure.strip())
+        for figure in headers.get("Server-Load", "").split(",", _LOAD_FIGURES)
+    ]
+    running, waiting, slots, pace_percent = (*load, *_NO_FIGURES)[:_LOAD_FIGURES]
     has_load = running is not None and waiting is not None
     return ResponseMetadata(
         not_run="Not-Executed" in headers or head.status == 421,
@@ -135,6 +139,8 @@
         leaving=_decode_leaving(headers.getall("Server-Leaving", [])),
         running=running if has_load else None,
         waiting=waiting if has_load else None,
+        slots=slots or None if has_load else None,
+        pace=pace_percent / 100 if has_load and pace_percent else None,
         headers=tuple(
             (name, value)
             for name, value in head.raw_headers
--- a/celerypulley/turn_scheduling/engine_slots.py
+++ b/celerypulley/turn_scheduling/engine_slots.py
@@ -99,6 +99,8 @@
             if engine is None or engine.state.started_ms != server.started_ms:
                 engine = _Engine(_own_state(server))
             engine.state.traits = server.traits
+            engine.state.pace = server.pace
+            engine.state.pace_updated_ms = server.pace_updated_ms
             engine.state.state = server.state
             engine.state.backoff_until_ms = max(
                 engine.state.backoff_until_ms, server.backoff_until_ms
