Smooth the counts of other hosts in learned costs, and gauges of them

Cause: counts are half a second old and calls last 0.2 s, so hosts that choose by the last count all queue at the same server. The remaining work uses a decaying mean of the counts.

--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -34,6 +34,10 @@
 _PACE_LIMITS = (0.1, 20.0)
 # Calls of which only the number is known have on average half their duration left.
 _REST_OF_OTHERS = 0.5
+# Counts of other hosts are as old as calls last, so a count says less about the present
+# than the mean does. Choices by the last count alone send all hosts to one server.
+_OTHERS_HALF_LIFE_MS = 2_000.0
+_OTHERS_LAST_COUNT_WEIGHT = 0.3
 _UNREACHABLE_BACKOFF_MS = 250.0
 _MAX_UNREACHABLE_BACKOFF_MS = 2_000.0
 
@@ -114,7 +118,8 @@
     `last_received_ms` is the time of the last byte received from the server.
     `speed` has the learned factor of durations on this server. `pace` is the factor
     that it reported at `pace_updated_ms` for the load of its machine. `running_calls`
-    are this host's calls with a learned duration.
+    are this host's calls with a learned duration. `others_mean` is the decaying mean
+    of `in_flight_on_others` up to its last change at `others_changed_ms`.
     `announcement` is set once the server has announced that it leaves.
     `started_ms` is the wall-clock time of its start, 0 if unknown.
     `has_suspect_request` is set while a request with a crash count runs there and
@@ -147,6 +152,8 @@
     pace: float = 1.0
     pace_updated_ms: float = NEVER_MS
     running_calls: set[RunningCall] = attrs.Factory(set)
+    others_mean: float = 0.0
+    others_changed_ms: float = NEVER_MS
 
     def record_send(self, now_ms: float, prefill_tokens: float) -> None:
         """Count a call that load reports do not cover yet."""
@@ -219,6 +226,22 @@
         age_ms = elapsed_ms(self.pace_updated_ms, now_ms, "pace of a server")
         return 1.0 + (self.pace - 1.0) * 0.5 ** (age_ms / _PACE_HALF_LIFE_MS)
 
+    def record_others(self, count: int, now_ms: float) -> None:
+        """Record the number of calls that other hosts have in flight."""
+        self.others_mean = self._mean_of_others(now_ms)
+        self.others_changed_ms = now_ms
+        self.in_flight_on_others = count
+
+    def _mean_of_others(self, now_ms: float) -> float:
+        if self.others_changed_ms == NEVER_MS:
+            return self.in_flight_on_others
+        age_ms = elapsed_ms(self.others_changed_ms, now_ms, "calls of other hosts")
+        decay = 0.5 ** (age_ms / _OTHERS_HALF_LIFE_MS)
+        return (
+            self.in_flight_on_others
+            + (self.others_mean - self.in_flight_on_others) * decay
+        )
+
     def remaining_work_ms(self, now_ms: float, typical_ms: float) -> float:
         """Return the duration at the pace 1 of what all its calls have left.
 
@@ -228,7 +251,9 @@
         for call in self.running_calls:
             elapsed = elapsed_ms(call.sent_ms, now_ms, "call in flight")
             remaining_ms += max(call.expected_ms - elapsed, call.rest_ms)
-        others = max(0, self.sequence_count(now_ms) - len(self.running_calls))
+        last_count = max(0, self.sequence_count(now_ms) - len(self.running_calls))
+        mean = self._mean_of_others(now_ms)
+        others = mean + (last_count - mean) * _OTHERS_LAST_COUNT_WEIGHT
         return remaining_ms + others * typical_ms * self.speed.factor * _REST_OF_OTHERS
 
     def record_cached(self, prefix: str, tokens: int, now_ms: float) -> None:
--- a/celerypulley/backend_servers/routing.py
+++ b/celerypulley/backend_servers/routing.py
@@ -29,6 +29,9 @@
 _CROSS_DOMAIN_COST_MS = 2.0
 _DELAYED_SEQUENCE_WEIGHT = 0.2
 _EVICTION_WEIGHT = 10.0
+# Replays with counts half a second old: with 1, hosts queue calls at fast servers; from
+# 8 on, calls go to servers that take longer than the wait that is saved.
+_WAIT_WEIGHT = 6.0
 _MEAN_PLAIN_CALL_MS = 20.0  # site sheets give means of 14 to 78 ms
 
 
@@ -152,11 +155,11 @@
 
 
 def _wait_ms(call: EngineCall, server: EngineState) -> float:
-    """Return the learned work that a server has left, for each of its slots."""
+    """Return the cost of the learned work that a server has left, by its slots."""
     if call.costs is None:
         return 0.0
     remaining_ms = server.remaining_work_ms(call.now_ms, call.costs.typical_ms)
-    return remaining_ms / server.traits.batch_limit
+    return remaining_ms / server.traits.batch_limit * _WAIT_WEIGHT
 
 
 def choose_engine(
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -8,6 +8,7 @@
 from mode import Service
 
 from celerypulley import __version__
+from celerypulley.backend_servers.cost_model import CostModel
 from celerypulley.backend_servers.server_entry import ServerEntry
 from celerypulley.clock import Clock
 from celerypulley.contracts.desired_state import CallerLimits, DesiredState
@@ -114,6 +115,7 @@
             clock,
             self.desired_state.evacuations,
         )
+        self.costs = CostModel()
         self.meter = FleetMeter(settings.quota_window_ms, clock)
         self.crash_counts = CrashCounts(clock)
         self.crash_mark_store = CrashMarkStore(store, self.crash_counts, clock)
@@ -226,6 +228,7 @@
             clock=self.clock,
             stall_monitor=self.stall_monitor,
             region_of_domain=self.settings.region_of_domain,
+            costs=self.costs,
         )
         max_state_age_ms = self.settings.max_state_age_ms
         if not self.settings.refuse_stale_state:
@@ -262,6 +265,10 @@
         gauges["leaving_announcements_invalid"] = lambda: (
             self.directory.invalid_announcements
         )
+        gauges["servers_slow"] = self.directory.count_slow
+        gauges["request_cost_services"] = lambda: self.costs.learned_services
+        gauges["request_cost_samples"] = lambda: self.costs.samples
+        gauges["request_cost_samples_queued"] = lambda: self.costs.queued_samples
         gauges["server_connections_opened"] = lambda: self.links.opened_count
         gauges["members_known"] = lambda: len(self.members.addresses)
         gauges["fleet_heard_part"] = lambda: self.meter.reachable_fraction()
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -34,6 +34,7 @@
 _FIRST_TOKEN_MS = 42.0
 _NAMED_FOR_MS = 6_000.0  # four messages of a fleet of 171 hosts
 _REPORT_TTL_MS = 300.0  # about one turn: calls that ran at the report have ended
+_SLOW_PACE = 1.5
 _log = DecisionLog("servers")
 
 
@@ -90,11 +91,13 @@
     def on_peer_counts(self, peer: PeerCounts, previous: PeerCounts | None) -> None:
         """Update the calls that another host has in flight, and servers that leave."""
         previous_in_flight = previous.in_flight if previous else {}
+        now_ms = self.clock.now_ms()
         for name in previous_in_flight.keys() | peer.in_flight.keys():
             server = self.servers.get(name)
             if server is not None:
                 change = peer.in_flight.get(name, 0) - previous_in_flight.get(name, 0)
-                server.in_flight_on_others = max(0, server.in_flight_on_others + change)
+                count = max(0, server.in_flight_on_others + change)
+                server.record_others(count, now_ms)
         for name, started_ms in peer.leaving.items():
             server = self.servers.get(name)
             if server is not None and server.started_ms == started_ms:
@@ -209,6 +212,14 @@
                 counts[server.announcement.source.value] += 1
         return counts
 
+    def count_slow(self) -> int:
+        """Return the number of servers that recently reported a slow machine."""
+        now_ms = self.clock.now_ms()
+        return sum(
+            server.expected_pace(now_ms) > _SLOW_PACE
+            for server in self.servers.values()
+        )
+
     def _on_snapshot(self, items: tuple[Item, ...]) -> None:
         listed = {item.key for item in items}
         for key in [key for key in self._entries if key not in listed]:
