--- a/celerypulley/backend_servers/cost_model.py
+++ b/celerypulley/backend_servers/cost_model.py
@@ -122,7 +122,8 @@
         size = _size_class(body_bytes)
         of_size = self.plain_ms_of_size.get(size)
         if of_size is None:
-            of_size = RunningMean(self.plain_ms.mean, _SIZE_CLASS_WEIGHT)
+            weight = min(_SIZE_CLASS_WEIGHT, self.plain_ms.weight)
+            of_size = RunningMean(self.plain_ms.mean, weight)
             self.plain_ms_of_size[size] = of_size
         for estimate in (self.plain_ms, of_size):
             estimate.add(min(took_ms, estimate.mean * _MAX_RATIO))
--- a/celerypulley/backend_servers/estimates.py
+++ b/celerypulley/backend_servers/estimates.py
@@ -130,8 +130,9 @@
     def add(self, log_ratio: float, noise: float) -> None:
         """Add the logarithm of measured duration by the mean of all servers.
 
-        `noise` is the variance of such samples on one server.
+        `noise` is the variance of such samples on one server, of which few are known.
         """
+        noise = max(noise, _RELATIVE_NOISE)
         limit = _MAX_DEVIATIONS * math.sqrt(noise + self.variance)
         error = _clamp(log_ratio - self.log_factor, -limit, limit)
         gain = self.variance / (self.variance + noise)
--- a/celerypulley/stand_ins/opaque_server.py
+++ b/celerypulley/stand_ins/opaque_server.py
@@ -122,7 +122,8 @@
     `event_count` events, `event_interval_s` apart. `cut_response` is a response, the
     number of its bytes that are sent, and whether a reset follows. `client_disconnects`
     counts connections that end within a request or its response. `added_headers` are
-    lines in the head of every response, such as that the server leaves.
+    lines in the head of every response, such as that the server leaves. `load` is the
+    value of its `Server-Load`.
     """
 
     name: str
@@ -139,6 +140,7 @@
     crash_count: int = 0
     cut_response: tuple[bytes, int, bool] = (b"", 0, False)
     added_headers: tuple[str, ...] = ()
+    load: str = "1,0,8"
     address: str = ""
     _server: asyncio.Server | None = None
     _writers: set = attrs.Factory(set)
@@ -322,7 +324,7 @@
     ) -> bytes:
         head = [f"HTTP/1.1 {status} Reason", f"Request-Id: {request_id}"]
         head += [f"Server-Seal: seal-of-{self.name}", f"Content-Length: {len(body)}"]
-        head += ["Server-Load: 1,0,8", *self.added_headers]
+        head += [f"Server-Load: {self.load}", *self.added_headers]
         if not_executed:
             head.append("Not-Executed: 1")
         return ("\r\n".join(head) + "\r\n\r\n").encode() + body
@@ -341,7 +343,7 @@
     ) -> bool:
         head = ["HTTP/1.1 200 OK", f"Request-Id: {request.request_id}"]
         head += [f"Server-Seal: seal-of-{self.name}", "Transfer-Encoding: chunked"]
-        head += ["Content-Type: text/event-stream", "Server-Load: 1,0,8"]
+        head += ["Content-Type: text/event-stream", f"Server-Load: {self.load}"]
         head += self.added_headers
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
         first = int(request.headers.get("last-event-id") or 0) + 1
