--- a/celerypulley/hosts/plain_forwarder.py
+++ b/celerypulley/hosts/plain_forwarder.py
@@ -85,7 +85,9 @@
             queued=queued or bool(metadata.waiting),
         )
         if context.costs.is_learned(service):
-            self._learn(admitted, service, server, sample)
+            # A server that fails at once is not fast.
+            if 200 <= head.status < 300:
+                self._learn(admitted, service, server, sample)
         else:
             self._record_pace(admitted.route.name, server, sample.took_ms)
         await sink.respond(head.status, head.reason, metadata.headers, body)
--- a/tests/test_request_costs.py
+++ b/tests/test_request_costs.py
@@ -5,6 +5,7 @@
 import random
 import statistics
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 import pytest
@@ -61,37 +62,6 @@
         is_slow = any(0 <= now_ms - each < _SLOW_MS for each in self.slow_from_ms)
         return _SLOW_PACE if is_slow else 1.0
 
-    def end_ms(self, now_ms: float, work_ms: float) -> float:
-        """Return when work ends that starts now."""
-        left_ms = work_ms / self.speed
-        for slow_ms in self.slow_from_ms:
-            left_ms -= max(0.0, slow_ms - now_ms)
-            if left_ms <= 0.0:
-                return slow_ms + left_ms
-            now_ms = max(now_ms, slow_ms)
-            slow_left_ms = max(0.0, slow_ms + _SLOW_MS - now_ms)
-            if left_ms * _SLOW_PACE <= slow_left_ms:
-                return now_ms + left_ms * _SLOW_PACE
-            left_ms -= slow_left_ms / _SLOW_PACE
-            now_ms += slow_left_ms
-        return now_ms + left_ms
-
-
-@attrs.define(eq=False)
-class _Job:
-    host: int
-    state: EngineState
-    route: str
-    sent_ms: float
-    work_ms: float
-    tokens: int
-    call: EngineCall
-    running: RunningCall
-    queued: bool
-    sequences: int
-    estimate_ms: float
-    first_event_ms: float = 0.0
-
 
 class _Replay:
     """Hosts that each see a part of the requests, and servers that queue them."""
@@ -101,16 +71,14 @@
         self.is_learned, self.is_turn = is_learned, is_turn
         self.servers = [_Server(each, self._slow_periods()) for each in _SPEEDS]
         names = [f"s{number}" for number in range(len(_SPEEDS))]
-        self.states = [
-            {name: make_server(name) for name in names} for _ in range(_HOSTS)
-        ]
+        self.states = [[make_server(name) for name in names] for _ in range(_HOSTS)]
         self.models = [CostModel() for _ in range(_HOSTS)]
-        self.told: list[dict[str, int]] = [{} for _ in range(_HOSTS)]
+        self.told = [[0] * len(names) for _ in range(_HOSTS)]
         self.means: list[dict[str, float]] = [{} for _ in range(_HOSTS)]
         self.events: list[tuple] = []
         self.order = itertools.count()
-        self.waits: list[float] = []
-        self.unevenness: list[float] = []
+        self.waits_ms: list[float] = []
+        self.deviations: list[float] = []
 
     def _slow_periods(self) -> list[float]:
         gap_ms = _SLOW_MS / _SLOW_FRACTION - _SLOW_MS
@@ -119,7 +87,7 @@
             starts.append(starts[-1] + _SLOW_MS + self.draw.expovariate(1 / gap_ms))
         return starts
 
-    def _push(self, at_ms: float, action, *arguments: object) -> None:
+    def _push(self, at_ms: float, action: Callable, *arguments: object) -> None:
         heapq.heappush(self.events, (at_ms, next(self.order), action, arguments))
 
     def run(self) -> tuple[float, float]:
@@ -135,108 +103,94 @@
         while self.events:
             now_ms, _, action, arguments = heapq.heappop(self.events)
             action(now_ms, *arguments)
-        return statistics.mean(self.waits), statistics.mean(self.unevenness)
+        return statistics.mean(self.waits_ms), statistics.mean(self.deviations)
 
     def _gossip(self, now_ms: float, host: int) -> None:
-        for name, state in self.states[host].items():
-            change = state.in_flight - self.told[host].get(name, 0)
-            self.told[host][name] = state.in_flight
+        for number, state in enumerate(self.states[host]):
+            change = state.in_flight - self.told[host][number]
+            self.told[host][number] = state.in_flight
             for states in self.states:
-                if states is self.states[host]:
-                    continue
-                other = states[name]
-                other.record_others(other.in_flight_on_others + change, now_ms)
+                other = states[number]
+                if other is not state:
+                    other.record_others(other.in_flight_on_others + change, now_ms)
         if now_ms < _END_MS:
             self._push(now_ms + _GOSSIP_MS, self._gossip, host)
 
-    def _send(self, now_ms: float) -> None:
-        if now_ms < _END_MS:
+    def _send(self, sent_ms: float) -> None:
+        if sent_ms < _END_MS:
             pause_ms = self.draw.expovariate(self.calls_per_ms)
-            self._push(now_ms + pause_ms, self._send)
+            self._push(sent_ms + pause_ms, self._send)
         host = self.draw.randrange(_HOSTS)
-        route_name = self.draw.choice(list(_MEAN_WORK_MS))
+        model, states = self.models[host], self.states[host]
+        name = self.draw.choice(list(_MEAN_WORK_MS))
         tokens = round(self.draw.lognormvariate(4.1, 0.6))
-        work_ms = self.draw.expovariate(1 / _MEAN_WORK_MS[route_name])
+        work_ms = self.draw.expovariate(1 / _MEAN_WORK_MS[name])
         if self.is_turn:
             work_ms = _FIRST_EVENT_MS + tokens * _TOKEN_MS
-        costs = self.models[host].call_costs("m", route_name, 0, self.is_turn)
-        call = EngineCall("p", "m", 1_000, _MEAN_TOKENS, "a", now_ms, costs=costs)
-        states = list(self.states[host].values())
+        costs = model.call_costs("m", name, 0, self.is_turn)
+        call = EngineCall("p", "m", 1_000, _MEAN_TOKENS, "a", sent_ms, costs=costs)
         choice = choose_plain_server(call, states, frozenset())
         if self.is_turn:
             choice = choose_engine(Policy.SHARED_COST, call, states)
         state = choice.engine
+        server = self.servers[states.index(state)]
         expected_ms = expected_duration_ms(call, state)
         rest_ms = expected_ms * costs.rest_fraction if costs else 0.0
-        running = RunningCall(now_ms, expected_ms, rest_ms)
+        running = RunningCall(sent_ms, expected_ms, rest_ms)
         state.running_calls.add(running)
-        state.record_send(now_ms, 0.0)
+        state.record_send(sent_ms, 0.0)
         first_ms = expected_finish_ms(attrs.evolve(call, expected_tokens=0), state)
-        job = _Job(
-            *(host, state, route_name, now_ms, work_ms, tokens, call, running),
-            *(state.is_full(now_ms), state.sequence_count(now_ms)),
-            first_ms + expected_step_ms(state, now_ms) * tokens,
-        )
-        server = self._server(state)
-        server.queue.append(job)
+        constant_ms = first_ms + expected_step_ms(state, sent_ms) * tokens
+        queued, sequences = state.is_full(sent_ms), state.sequence_count(sent_ms)
+
+        def start(now_ms: float) -> None:
+            server.running += 1
+            if sent_ms > _WARM_UP_MS:
+                counts = [each.running + len(each.queue) for each in self.servers]
+                self.waits_ms.append(now_ms - sent_ms)
+                self.deviations.append(statistics.pstdev(counts))
+            scale = server.pace(now_ms) / server.speed
+            head_ms = now_ms + min(work_ms, _FIRST_EVENT_MS) * scale
+            end_ms = now_ms + work_ms * scale
+            self._push(head_ms if self.is_turn else end_ms, report)
+            self._push(end_ms, end, head_ms)
+
+        def report(now_ms: float) -> None:
+            load = EngineReport(now_ms, server.running, len(server.queue))
+            state.apply_report(load)
+            pace = server.pace(now_ms) if self.is_learned else None
+            model.record_load("m", state, 6, pace, now_ms)
+
+        def end(now_ms: float, head_ms: float) -> None:
+            server.running -= 1
+            pace = server.pace(head_ms if self.is_turn else now_ms)
+            took_ms = now_ms - sent_ms
+            estimate_ms = constant_ms
+            if costs is not None:
+                answered = attrs.evolve(call, expected_tokens=tokens)
+                estimate_ms = expected_duration_ms(answered, state) * pace
+            elif not self.is_turn:
+                estimate_ms = self.means[host].get(name, took_ms)
+                self.means[host][name] = estimate_ms + (took_ms - estimate_ms) * 0.02
+            gain = 0.25 if self.is_turn else 0.05
+            state.record_duration(now_ms, took_ms, estimate_ms, gain)
+            state.record_end()
+            state.running_calls.discard(running)
+            fields = {"pace": pace, "queued": queued}
+            if self.is_turn:
+                times = (head_ms - sent_ms, now_ms - head_ms, tokens)
+                sample = turn_sample(*times, sequences=sequences, **fields)
+                model.add_turn("m", name, state, sample)
+                model.update_traits("m", state, states, now_ms)
+            else:
+                model.add_plain("m", name, state, plain_sample(took_ms, **fields))
+            if server.queue:
+                server.queue.popleft()(now_ms)
+
         if server.running < 6:
-            self._start(now_ms, server)
-
-    def _server(self, state: EngineState) -> _Server:
-        return self.servers[int(state.name[1:])]
-
-    def _start(self, now_ms: float, server: _Server) -> None:
-        job = server.queue.popleft()
-        server.running += 1
-        if job.sent_ms > _WARM_UP_MS:
-            self.waits.append(now_ms - job.sent_ms)
-            counts = [each.running + len(each.queue) for each in self.servers]
-            self.unevenness.append(statistics.pstdev(counts))
-        job.first_event_ms = server.end_ms(now_ms, min(job.work_ms, _FIRST_EVENT_MS))
-        if self.is_turn:
-            self._push(job.first_event_ms, self._report, job)
-        self._push(server.end_ms(now_ms, job.work_ms), self._end, job)
-
-    def _report(self, now_ms: float, job: _Job) -> None:
-        server = self._server(job.state)
-        report = EngineReport(now_ms, server.running, len(server.queue))
-        job.state.apply_report(report)
-        pace = server.pace(now_ms) if self.is_learned else None
-        self.models[job.host].record_load("m", job.state, 6, pace, now_ms)
-
-    def _end(self, now_ms: float, job: _Job) -> None:
-        server, state, model = self._server(job.state), job.state, self.models[job.host]
-        server.running -= 1
-        if not self.is_turn:
-            self._report(now_ms, job)
-        pace = server.pace(job.first_event_ms if self.is_turn else now_ms)
-        took_ms = now_ms - job.sent_ms
-        if job.call.costs is not None:
-            answered = attrs.evolve(job.call, expected_tokens=job.tokens)
-            job.estimate_ms = expected_duration_ms(answered, state) * pace
-        elif not self.is_turn:
-            mean_ms = self.means[job.host].get(job.route, took_ms)
-            self.means[job.host][job.route] = mean_ms + (took_ms - mean_ms) * 0.02
-            job.estimate_ms = mean_ms
-        gain = 0.25 if self.is_turn else 0.05
-        state.record_duration(now_ms, took_ms, job.estimate_ms, gain)
-        state.record_end()
-        state.running_calls.discard(job.running)
-        if self.is_turn:
-            first_ms = job.first_event_ms - job.sent_ms
-            sample = turn_sample(
-                *(first_ms, took_ms - first_ms, job.tokens),
-                **{"sequences": job.sequences, "pace": pace, "queued": job.queued},
-            )
-            model.add_turn("m", job.route, state, sample)
-            states = self.states[job.host].values()
-            model.update_traits("m", state, states, now_ms)
+            start(sent_ms)
         else:
-            model.add_plain(
-                "m", job.route, state, plain_sample(took_ms, pace, job.queued)
-            )
-        if server.queue:
-            self._start(now_ms, server)
+            server.queue.append(start)
 
 
 def turn_sample(first_ms: float, decode_ms: float, tokens: int, **fields) -> TurnSample:
@@ -269,21 +223,25 @@
 
 
 @pytest.mark.parametrize(
-    ("samples", "lowest", "highest"),
+    ("samples", "pace", "lowest", "highest"),
     [
-        pytest.param([], 20.0, 20.0, id="constant at first"),
-        pytest.param([100.0] * 2, 60.0, 90.0, id="first samples weigh most"),
-        pytest.param([100.0] * 30, 90.0, 101.0, id="settled"),
-        pytest.param([100.0] * 30 + [50_000.0], 90.0, 130.0, id="outlier"),
-        pytest.param([100.0] * 30 + [30.0] * 200, 28.0, 45.0, id="change"),
+        pytest.param([], 1.0, 20.0, 20.0, id="constant at first"),
+        pytest.param([100.0] * 2, 1.0, 60.0, 90.0, id="first samples weigh most"),
+        pytest.param([100.0] * 30, 1.0, 90.0, 101.0, id="settled"),
+        pytest.param([100.0] * 30 + [50_000.0], 1.0, 90.0, 130.0, id="outlier"),
+        pytest.param([100.0] * 30 + [30.0] * 200, 1.0, 28.0, 45.0, id="change"),
+        pytest.param([200.0] * 30, 2.0, 90.0, 101.0, id="slow machine"),
     ],
 )
-def test_duration_of_a_plain_call_follows_its_samples(samples, lowest, highest):
-    """Guards against estimates that stay at the constant or follow single samples."""
+def test_duration_of_a_plain_call_follows_its_samples(samples, pace, lowest, highest):
+    """Guards against estimates that stay at the constant or follow single samples.
+
+    What a slow machine adds is not learned.
+    """
     server = make_server()
     model = learning_model(server)
     for took_ms in samples:
-        model.add_plain("m", "r", server, plain_sample(took_ms))
+        model.add_plain("m", "r", server, plain_sample(took_ms, pace=pace))
     costs = model.call_costs("m", "r", 0, False)
     duration_ms = costs.expected_ms * server.speed.factor
     assert lowest <= duration_ms <= highest
@@ -365,16 +323,6 @@
     )
 
 
-def test_pace_is_taken_out_of_what_is_learned():
-    """Guards against a slow machine that is taken for slow requests."""
-    server = make_server()
-    model = learning_model(server)
-    for _ in range(50):
-        model.add_plain("m", "r", server, plain_sample(100.0, pace=2.0))
-    duration_ms = model.call_costs("m", "r", 0, False).expected_ms
-    assert duration_ms * server.speed.factor == pytest.approx(50.0, rel=0.2)
-
-
 @pytest.mark.parametrize(
     ("elapsed_ms", "rest_fraction", "remaining_ms"),
     [(0, 0, 100), (60, 0, 40), (500, 0, 0), (60, 0.5, 50), (500, 1, 100)],
@@ -468,3 +416,18 @@
         assert server.traits.batch_limit == slots
         assert costs.samples == (2 if pace else 0)
         assert not server.running_calls
+
+
+@pytest.mark.parametrize(
+    ("mode", "is_learned"),
+    [(Mode.ERROR, True), (Mode.OTHER_INSTANCE, False), (Mode.NO_SEAL, False)],
+)
+async def test_failed_calls_and_responses_of_others_are_no_samples(mode, is_learned):
+    """Guards against servers that fail at once and count as fast ever after."""
+    state = desired_state(routes=[route("unsafe", "/unsafe/", attempts=1)])
+    async with running_fleet(servers=1, state=state) as fleet:
+        fleet.servers[0].load = "1,0,8,250"
+        fleet.servers[0].mode = mode
+        assert (await fleet.call("/unsafe/x")).status != 200
+        costs = fleet.hosts[0].costs
+        assert (costs.is_learned("engines"), costs.samples) == (is_learned, 0)
