Decide by lapsing shares when a host may send to a cold server

Cause: a cold server crashes if 65 hosts send to it at once; the limit is 47 in any second, also during a partition.

--- a/celerypulley/contracts/desired_state.py
+++ b/celerypulley/contracts/desired_state.py
@@ -29,7 +29,8 @@
     `prepends_history` is set, the earlier turns of a chain are prepended to the
     request. `retention_ms` is above zero where the requests are turns of programs.
     `home_regions` are the regions that requests and their data may not leave, none if
-    they may go anywhere.
+    they may go anywhere. If `is_sticky` is set, requests about one object are sent to
+    the same server where possible.
     """
 
     name: str
@@ -45,6 +46,7 @@
     max_attempts: int = 1
     priority: int = 0
     is_public: bool = False
+    is_sticky: bool = False
     home_regions: frozenset[str] = frozenset()
 
     @property
@@ -63,12 +65,16 @@
     """The settings of one service.
 
     `tokens_per_event` is the number of budget tokens for each event of a stream.
-    `memory_tokens` is the memory of one of its engines, 0 if unknown.
+    `memory_tokens` is the memory of one of its engines, 0 if unknown. A server is cold
+    for `cold_start_ms` after its start, and takes `cold_per_s` requests a second
+    meanwhile (0: no limit).
     """
 
     name: str
     tokens_per_event: int = 1
     memory_tokens: int = 0
+    cold_start_ms: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/celerypulley/fleet/fleet_members.py
+++ b/celerypulley/fleet/fleet_members.py
@@ -8,7 +8,7 @@
 import msgpack
 from mode import Service
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.links.key_value import (
     ConditionFailedError,
@@ -29,6 +29,10 @@
 _LEASE_TTL_MS = 20_000  # the rate share of a host that died is unused for this long
 _RENEW_PERIOD_MS = 4_000  # two renewals may be lost before the lease expires
 _RETRY_MS = 1_000.0
+# A process that lost its registration may go on. For this long others count it among
+# those that share a limit, and it uses its share.
+_COUNTED_MS = 120_000.0
+_NO_HOSTS: frozenset[str] = frozenset()
 # While a large fleet starts, each response then has many of the hosts that join.
 _READ_PAUSE_MS_PER_MEMBER = 10.0
 _log = DecisionLog("members")
@@ -83,6 +87,9 @@
         self._lease = 0
         self._own_entry: Item | None = None
         self._is_deregistering = False
+        self._registered_ms = NEVER_MS
+        self._left_ms: dict[str, float] = {}
+        self._sharing = _NO_HOSTS
         self._index_host(own_member)
         self.follower = PrefixFollower(
             "members",
@@ -99,6 +106,24 @@
         """Return the other members of a kind, HOST or STORAGE_HOST."""
         return [each for each in self.others.values() if each.kind == kind]
 
+    def sharing_hosts(self) -> frozenset[str]:
+        """Return the hosts among which a limit is shared without messages.
+
+        They are, or were until recently, registered. It is empty while this process
+        does not know them, or may not be counted by the others. The same object is
+        returned until they change.
+        """
+        now_ms = self.clock.now_ms()
+        if self.follower.confirmed_ms == NEVER_MS:
+            return _NO_HOSTS
+        if now_ms - self._registered_ms > _COUNTED_MS:
+            return _NO_HOSTS
+        for name in [n for n, t in self._left_ms.items() if now_ms - t > _COUNTED_MS]:
+            del self._left_ms[name]
+        if self._sharing != self.addresses.keys() | self._left_ms.keys():
+            self._sharing = frozenset((*self.addresses, *self._left_ms))
+        return self._sharing
+
     def view_digest(self) -> int:
         """Return a checksum of the known hosts, the same for the same view."""
         return zlib.crc32("\0".join(sorted(self.addresses)).encode())
@@ -151,19 +176,22 @@
     def _remove(self, name: str) -> None:
         if self.others.pop(name, None) is None:
             return
-        self.addresses.pop(name, None)
+        if self.addresses.pop(name, None) is not None:
+            self._left_ms[name] = self.clock.now_ms()
         self.domains.pop(name, None)
         _log.write("left", "lease ended", member=name)
 
     @Service.task
     async def _maintain_registration(self) -> None:
         while not self.should_stop and not self._is_deregistering:
+            requested_ms = self.clock.now_ms()
             try:
                 if self._lease:
                     await self.store.renew_lease(self._lease)
                 else:
                     self._lease = await self.store.grant_lease(_LEASE_TTL_MS)
                 await self._write_entry()
+                self._registered_ms = requested_ms
             except LeaseExpiredError as error:
                 _log.write("lease lost, registering again", str(error))
                 self._lease = 0
--- a/celerypulley/fleet_settings.py
+++ b/celerypulley/fleet_settings.py
@@ -23,7 +23,9 @@
     is set if no disk of the fleet has ever been written. If `schedules_turns` is set,
     turns wait for a free slot of an engine, and programs that do not fit are refused.
     If `evacuates_domains` is set, operators can mark failure domains whose servers get
-    no requests. `region_of_domain` has the regions of all failure domains.
+    no requests. `region_of_domain` has the regions of all failure domains. In a second
+    at most its rate times `cold_overrun` plus `cold_slack` requests are sent to a cold
+    server.
     """
 
     host_id: str
@@ -45,5 +47,7 @@
     tolerated_disk_losses: int = 1
     schedules_turns: bool = False
     evacuates_domains: bool = False
+    cold_overrun: float = 1.5
+    cold_slack: float = 5.0
     region: str = ""
     region_of_domain: dict[str, str] = attrs.Factory(dict)
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from celerypulley.backend_servers.cold_start import ColdBounds, ColdServers, Instant
 from celerypulley.backend_servers.engine_state import (
     AnnouncementSource,
     EngineState,
@@ -58,14 +59,20 @@
         drain_ms: float,
         clock: Clock,
         evacuations: Evacuations | None = None,
+        cold: ColdServers | None = None,
     ) -> None:
         """Follow the entries below `prefix`, decoded by `decode(key, value)`.
 
         `domain` is the failure domain of this host. A server goes on for at least
         `drain_ms` after it has announced that it leaves. Servers of domains in
-        `evacuations` accept no requests.
+        `evacuations` accept no requests. `cold` is told when servers may be cold.
         """
         self.evacuations = evacuations or Evacuations()
+        self.evacuations.on_change.append(self._on_evacuation)
+        self.cold = cold or ColdServers(
+            "", lambda _service: None, frozenset, ColdBounds()
+        )
+        self._has_snapshot = False
         self.decode = decode
         self.links = links
         self.domain = domain
@@ -148,6 +155,25 @@
         """Return whether the operator has evacuated the failure domain of a server."""
         return server.domain in self.evacuations.domains
 
+    def instant(self) -> Instant:
+        """Return the time by which shares of cold servers are decided."""
+        return Instant(self.clock.now_ms(), self.clock.wall_ms())
+
+    def is_cold(self, server: EngineState) -> bool:
+        """Return whether only `ForwardContext.choose` may choose a server."""
+        return self.cold.left_ms(server, self.clock.now_ms()) > 0.0
+
+    def count_cold(self) -> int:
+        """Return how many servers are cold."""
+        return self.cold.count_cold(self.servers.values(), self.clock.now_ms())
+
+    def _on_evacuation(self, domain: str, is_evacuated: bool) -> None:
+        if is_evacuated:
+            return
+        for server in self.servers.values():
+            if server.domain == domain:
+                self.cold.record_release(server, self.clock.now_ms())
+
     def record_announcement(self, server: EngineState, leaving: bool | None) -> None:
         """Record whether a server's response says that the server leaves.
 
@@ -215,6 +241,7 @@
             self._remove(key)
         for item in items:
             self._on_item(item)
+        self._has_snapshot = True
 
     def _on_item(self, item: Item) -> None:
         if item.value is None:
@@ -234,10 +261,16 @@
         previous = self._entries.get(item.key)
         self._entries[item.key] = entry
         server = self.servers.get(entry.name)
+        record_cold = self.cold.record_entry
         if server is None or previous is None or _is_new_instance(previous, entry):
             server = self._add(entry)
+            if self._has_snapshot:
+                record_cold = self.cold.record_start
         server.models = frozenset((entry.service,))
         state = ServerState.LEAVING if entry.leaving else ServerState.LIVE
+        if state is ServerState.LIVE and server.state is ServerState.LEAVING:
+            record_cold = self.cold.record_return
+        record_cold(server, entry.cold_left_ms, item.revision, self.clock.now_ms())
         if state is not server.state:
             server.state = state
             _log.write(state.value, "state in its entry changed", server=entry.name)
@@ -306,5 +339,10 @@
 
 
 def _is_new_instance(previous: ServerEntry, entry: ServerEntry) -> bool:
-    same = attrs.evolve(previous, leaving=entry.leaving, slots=entry.slots)
+    same = attrs.evolve(
+        previous,
+        leaving=entry.leaving,
+        slots=entry.slots,
+        cold_left_ms=entry.cold_left_ms,
+    )
     return same != entry
--- a/celerypulley/links/forward_dialect.py
+++ b/celerypulley/links/forward_dialect.py
@@ -34,7 +34,8 @@
     `leaving` tells whether the server announces that it leaves, or None where the
     announcement cannot be read.
     `is_sealed` means that the response carries the seal of a backend server.
-    `running` and `waiting` are its load, or None if it reports none. `headers` are
+    `running` and `waiting` are its load, or None if it reports none. `cold_left_ms` is
+    the time for which the server stays cold, or None if it doesn't say. `headers` are
     forwarded to the caller.
     """
 
@@ -45,6 +46,7 @@
     running: int | None
     waiting: int | None
     headers: tuple[tuple[bytes, bytes], ...]
+    cold_left_ms: int | None = None
 
 
 @attrs.frozen
--- a/celerypulley/platform/desired_state.py
+++ b/celerypulley/platform/desired_state.py
@@ -73,6 +73,7 @@
         max_attempts=max(1, int(row.get("attempts") or 1)),
         priority=int(row.get("priority") or 0),
         is_public=bool(row.get("public")),
+        is_sticky=bool(row.get("sticky")),
         home_regions=_decode_regions(row),
     )
 
@@ -90,11 +91,13 @@
     # Despite its name, this field is an object that describes a model engine.
     engine = row.get("engineId")
     if not isinstance(engine, dict):
-        return ServiceRule(name=row["name"])
+        engine = {}
     return ServiceRule(
         name=row["name"],
         tokens_per_event=int(engine.get("chunkTokens") or 1),
         memory_tokens=max(0, int(engine.get("kvCapacity") or 0)),
+        cold_start_ms=max(0.0, float(row.get("coldStartS") or 0)) * 1000,
+        cold_per_s=max(0.0, float(row.get("coldPerS") or 0)),
     )
 
 
@@ -147,6 +150,7 @@
         slots=max(1, int(row["slots"])),
         leaving=state == "draining",
         started_ms=int(started_ms) if _is_number(started_ms) else 0,
+        cold_left_ms=max(0.0, float(row["coldLeftMs"])),
     )
 
 
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -62,6 +62,7 @@
         else now_ms + program_wait_ms,
         token_budget=_parse_integer(headers.get("Token-Budget", ""), None),
         previous_turn=headers.get("Previous-Turn", ""),
+        affinity_key=headers.get("Affinity-Key", ""),
     )
 
 
@@ -135,6 +136,7 @@
         leaving=_decode_leaving(headers.getall("Server-Leaving", [])),
         running=running if has_load else None,
         waiting=waiting if has_load else None,
+        cold_left_ms=parse_whole_number(headers.get("Cold-Ms", "")),
         headers=tuple(
             (name, value)
             for name, value in head.raw_headers
--- a/celerypulley/platform/settings_file.py
+++ b/celerypulley/platform/settings_file.py
@@ -50,6 +50,8 @@
             for name, region in values.items()
             if name.startswith(_REGION_PREFIX)
         },
+        cold_overrun=_parse_number(values, "bounds.coldOverrun", 1.5),
+        cold_slack=_parse_number(values, "bounds.coldSlack", 5.0),
         schedules_turns=_PRESSURE_CONTRACT in values.get("contracts", "").split(","),
     )
 
--- a/celerypulley/programs/opaque_request.py
+++ b/celerypulley/programs/opaque_request.py
@@ -22,7 +22,8 @@
     `headers` are those to forward. `deadline_ms`, `program_deadline_ms` and
     `received_ms`, the time when the request head was read, are monotonic times of
     this host. Token counts are 0 and strings empty where the caller declared none;
-    `token_budget` is None then, since a budget of 0 allows no turn.
+    `token_budget` is None then, since a budget of 0 allows no turn. `affinity_key` is
+    the same for requests about one object.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     program_deadline_ms: float = 0.0
     token_budget: int | None = None
     previous_turn: str = ""
+    affinity_key: str = ""
 
     @property
     def path(self) -> str:
