Send to cold servers within a host's share, and to an object's server

Cause: ForwardContext.choose knew neither cold servers nor objects. Change: choose leaves out cold servers without a share and orders servers by object on sticky routes; a request for which only cold servers are left waits for a share, at most 400 ms, or is refused at once. Turn slots are not given on cold engines, and a request is not sent to a server that became cold since it was chosen.

--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -32,11 +32,15 @@
 
     `requests_before` counts, for each of them, the requests that its connection had
     carried before. `not_run_count` of them reported that they did not run it.
+    `share_waited_ms` is the time for which it waited for a share of a cold server, and
+    `share_server` the server whose share it used last.
     """
 
     servers: list[str] = attrs.Factory(list)
     not_run_count: int = 0
     requests_before: list[int] = attrs.Factory(list)
+    share_waited_ms: float = 0.0
+    share_server: str = ""
 
     @property
     def may_have_run(self) -> bool:
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -8,9 +8,14 @@
 from mode import Service
 
 from celerypulley import __version__
+from celerypulley.backend_servers.cold_start import ColdBounds, ColdServers
 from celerypulley.backend_servers.server_entry import ServerEntry
 from celerypulley.clock import Clock
-from celerypulley.contracts.desired_state import CallerLimits, DesiredState
+from celerypulley.contracts.desired_state import (
+    CallerLimits,
+    DesiredState,
+    ServiceRule,
+)
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import ErrorKind, Refusal, RunState
 from celerypulley.fleet.confirmations import Confirmations
@@ -104,6 +109,12 @@
             clock,
             schema.evacuation_prefix if settings.evacuates_domains else "",
         )
+        cold = ColdServers(
+            settings.host_id,
+            self._service_rule,
+            lambda: self.members.sharing_hosts(),
+            ColdBounds(settings.cold_overrun, settings.cold_slack),
+        )
         self.directory = ServerDirectory(
             store,
             schema.server_prefix,
@@ -113,6 +124,7 @@
             settings.server_drain_ms,
             clock,
             self.desired_state.evacuations,
+            cold,
         )
         self.meter = FleetMeter(settings.quota_window_ms, clock)
         self.crash_counts = CrashCounts(clock)
@@ -255,6 +267,11 @@
             self.desired_state.evacuations.domains
         )
         gauges["servers_known"] = lambda: len(self.directory.servers)
+        cold = self.directory.cold
+        gauges["servers_cold"] = self.directory.count_cold
+        gauges["cold_requests_sent"] = lambda: cold.sent_count
+        gauges["cold_requests_waited"] = lambda: cold.waited_count
+        gauges["cold_requests_refused"] = lambda: cold.refused_count
         for source in self.directory.count_leaving():
             gauges[f"servers_leaving_by_{source}"] = partial(
                 self._count_leaving, source
@@ -314,6 +331,10 @@
             store=self.settings.store_address,
         )
 
+    def _service_rule(self, service: str) -> ServiceRule | None:
+        state = self.desired_state.state
+        return state.services.get(service) if state is not None else None
+
     def _body_limit(self) -> int:
         limits = (
             self.desired_state.state.limits
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -5,8 +5,9 @@
 
 import attrs
 
+from celerypulley.backend_servers.affinity import with_affinity
 from celerypulley.backend_servers.engine_state import EngineReport, EngineState
-from celerypulley.backend_servers.routing import Choice, EngineCall
+from celerypulley.backend_servers.routing import Choice, EngineCall, usable_engines
 from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.contracts.desired_state import ForwardRoute
 from celerypulley.decision_log import DecisionLog
@@ -91,12 +92,20 @@
     ) -> EngineState | None:
         """Return the server for a request, None where there is none.
 
-        Servers that failed recently are chosen only as a last resort.
+        Servers that failed recently are chosen only as a last resort, and cold ones
+        only within this host's share.
         """
         call = attrs.evolve(self.engine_call(admitted), model=service)
-        servers = self._exclude_unreachable(
-            self._within_home(admitted, self.directory.of_service(service))
-        )
+        instant = self.directory.instant()
+        cold = self.directory.cold
+        request = admitted.request
+        if (
+            admitted.route.is_sticky
+            and request.affinity_key
+            and not request.prefix_parts
+        ):
+            chooser = with_affinity(request.affinity_key, chooser)
+        servers = cold.allowed(service, self._candidates(admitted, service), instant)
         choice = chooser(call, servers, avoid)
         if choice is None:
             candidates = [attrs.evolve(each) for each in servers]
@@ -104,25 +113,44 @@
                 each.backoff_until_ms = NEVER_MS
             choice = chooser(call, candidates, avoid)
         if choice is None:
-            draining = self.directory.draining_of_service(
-                service, admitted.request.received_ms
+            draining = self._within_home(
+                admitted,
+                self.directory.draining_of_service(service, request.received_ms),
             )
-            choice = chooser(call, self._within_home(admitted, draining), avoid)
+            choice = chooser(call, cold.allowed(service, draining, instant), avoid)
         else:
-            self.directory.record_choice(service, admitted.request.request_id)
+            self.directory.record_choice(service, request.request_id)
         if choice is None:
             return None
         server = self.directory.servers.get(choice.engine.name)
         if server is not None:
+            cold_fields = {}
+            if cold.take_share(server, instant):
+                admitted.attempts.share_server = server.name
+                cold_fields["is_cold"] = True
             self._log_server(
                 admitted,
                 server,
                 choice.reason,
                 cost_ms=round(choice.estimate_ms, 1),
                 avoided=len(avoid),
+                **cold_fields,
             )
         return server
 
+    def share_wait_ms(
+        self, admitted: AdmittedRequest, service: str, avoid: frozenset[str]
+    ) -> float:
+        """Return the time until this host's next free share of a cold server.
+
+        It is infinite if no cold server could serve the request.
+        """
+        call = attrs.evolve(self.engine_call(admitted), model=service)
+        usable = usable_engines(call, self._candidates(admitted, service), avoid)
+        cold = self.directory.cold
+        position = cold.waiting.get(service, 0)
+        return cold.share_wait_ms(usable, position, self.directory.instant())
+
     def log_slot(
         self, admitted: AdmittedRequest, server: EngineState, reason: str
     ) -> None:
@@ -151,6 +179,12 @@
             **self._crash_fields(admitted),
         )
 
+    def _candidates(self, admitted: AdmittedRequest, service: str) -> list[EngineState]:
+        """Return the servers that accept a request, cold or not."""
+        return self._exclude_unreachable(
+            self._within_home(admitted, self.directory.of_service(service))
+        )
+
     def _within_home(
         self, admitted: AdmittedRequest, servers: list[EngineState]
     ) -> list[EngineState]:
@@ -208,11 +242,14 @@
         """Send the request, with `body` in place of the caller's if it is given.
 
         Raise CallRefusedError where the deadline has passed and ServerCallError
-        where the request cannot be written, or where the server's domain has been
-        evacuated since it was chosen.
+        where the request cannot be written, or where the server has become cold or
+        its domain has been evacuated since it was chosen.
         """
         if self.directory.is_evacuated(server):
             raise ServerCallError("its failure domain was evacuated", False)
+        is_without_share = admitted.attempts.share_server != server.name
+        if is_without_share and self.directory.is_cold(server):
+            raise ServerCallError("it became cold since it was chosen", False)
         request = admitted.request
         forwarded = ForwardedCall(
             server=server.name,
@@ -244,6 +281,10 @@
             raise ServerCallError("successful response without the server's seal", True)
         if not metadata.wrong_server:
             self.directory.record_announcement(server, metadata.leaving)
+            if metadata.cold_left_ms is not None:
+                self.directory.cold.record_response(
+                    server, metadata.cold_left_ms, now_ms
+                )
         return head, metadata
 
     @contextmanager
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -1,6 +1,7 @@
 """Send a request to one server after another until one has responded."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -25,6 +26,10 @@
 
 SlotSource = Callable[[frozenset[str]], Awaitable[TurnSlot | None]]
 
+_MAX_SHARE_WAIT_MS = 400.0
+_MIN_SHARE_WAIT_MS = 1.0  # the resolution of the wall clock by which shares begin
+# A retry may reach another host, whose share may begin at any time.
+_MAX_SHARE_RETRY_S = 0.5
 _SHED_RETRY_S = 0.1  # about the duration of a turn on an engine, which frees a slot
 
 
@@ -64,6 +69,49 @@
     return FailedAttempt(refusal, True, metadata.wrong_server)
 
 
+async def _choose(
+    context: ForwardContext,
+    admitted: AdmittedRequest,
+    service: str,
+    avoid: frozenset[str],
+    chooser: Chooser,
+) -> EngineState | None:
+    """Return the server for a request, after a wait if all are cold.
+
+    Return None where there is none; raise CallRefusedError where this host may send
+    none of them a request soon.
+    """
+    cold = context.directory.cold
+    attempts = admitted.attempts
+    while True:
+        server = context.choose(admitted, service, avoid, chooser)
+        if server is not None:
+            return server
+        wait_ms = context.share_wait_ms(admitted, service, avoid)
+        if math.isinf(wait_ms):
+            return None
+        now_ms = context.clock.now_ms()
+        limit_ms = _MAX_SHARE_WAIT_MS - attempts.share_waited_ms
+        if wait_ms > min(limit_ms, admitted.deadline_ms - now_ms):
+            cold.refused_count += 1
+            retry_after_s = min(_MAX_SHARE_RETRY_S, max(wait_ms, limit_ms) / 1000)
+            raise CallRefusedError(
+                Refusal(
+                    ErrorKind.NO_BACKEND_SERVER,
+                    f"service {service} is cold, no share within {wait_ms:.0f} ms",
+                    retry_after_s=round(retry_after_s, 2),
+                )
+            )
+        if not attempts.share_waited_ms:
+            cold.waited_count += 1
+        cold.waiting[service] = cold.waiting.get(service, 0) + 1
+        try:
+            await asyncio.sleep(max(_MIN_SHARE_WAIT_MS, wait_ms) / 1000)
+        finally:
+            cold.waiting[service] -= 1
+            attempts.share_waited_ms += context.clock.now_ms() - now_ms
+
+
 async def try_servers(
     context: ForwardContext,
     admitted: AdmittedRequest,
@@ -109,7 +157,11 @@
             server = slot.server
             context.log_slot(admitted, server, slot.reason)
         else:
-            server = context.choose(admitted, service, avoid, chooser)
+            try:
+                server = await _choose(context, admitted, service, avoid, chooser)
+            except CallRefusedError as error:
+                failure = error.refusal
+                break
         if server is None:
             break
         avoid = avoid | {server.name}
--- a/celerypulley/hosts/turn_scheduler.py
+++ b/celerypulley/hosts/turn_scheduler.py
@@ -179,7 +179,11 @@
         host = self._assigning_host(domain)
         number, service = request[0], request[1]
         server = self.directory.servers.get(answer.server)
-        if server is None or server not in self.directory.of_service(service):
+        if (
+            server is None
+            or server not in self.directory.of_service(service)
+            or self.directory.is_cold(server)
+        ):
             self._send_release(host, number, SlotOutcome.NOT_RUN)
             return None
         if domain != self.domain:
@@ -305,7 +309,7 @@
             servers = [
                 each
                 for each in self.directory.of_service(service)
-                if each.domain == self.domain
+                if each.domain == self.domain and not self.directory.is_cold(each)
             ]
             dispatcher.update_engines(servers, rule.memory_tokens if rule else 0)
         return dispatcher
