--- a/celerypulley/backend_servers/affinity.py
+++ b/celerypulley/backend_servers/affinity.py
@@ -49,8 +49,14 @@
     return 0
 
 
-def with_affinity(key: str, chooser: _Chooser) -> _Chooser:
-    """Return a chooser of the server for an object; `chooser` estimates the cost."""
+def with_affinity(
+    key: str, chooser: _Chooser, record_rank: Callable[[int], None] = lambda _rank: None
+) -> _Chooser:
+    """Return a chooser of the server for an object.
+
+    `chooser` estimates the cost. `record_rank(rank)` gets the position of the chosen
+    server in the order for the object.
+    """
 
     def choose(
         call: EngineCall, servers: list[EngineState], avoid: frozenset[str]
@@ -62,6 +68,7 @@
         choice = chooser(call, [order[rank]], avoid)
         if choice is None:
             return None
+        record_rank(rank)
         return attrs.evolve(choice, reason=f"number {rank + 1} for its object")
 
     return choose
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -1,6 +1,7 @@
 """An entry host on a platform: its services and their start and stop order."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 
@@ -100,6 +101,7 @@
         self.store = store
         self.clock = clock
         self.metrics = ForwardMetrics()
+        self.affinity_counts: Counter[str] = Counter()
         self.links = ServerLinks(clock)
         self.desired_state = DesiredStateCache(
             store,
@@ -238,6 +240,7 @@
             clock=self.clock,
             stall_monitor=self.stall_monitor,
             region_of_domain=self.settings.region_of_domain,
+            affinity_counts=self.affinity_counts,
         )
         max_state_age_ms = self.settings.max_state_age_ms
         if not self.settings.refuse_stale_state:
@@ -272,6 +275,10 @@
         gauges["cold_requests_sent"] = lambda: cold.sent_count
         gauges["cold_requests_waited"] = lambda: cold.waited_count
         gauges["cold_requests_refused"] = lambda: cold.refused_count
+        for choice in ("first", "other"):
+            gauges[f"affinity_{choice}_choices"] = partial(
+                self.affinity_counts.__getitem__, choice
+            )
         for source in self.directory.count_leaving():
             gauges[f"servers_leaving_by_{source}"] = partial(
                 self._count_leaving, source
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -1,5 +1,6 @@
 """Steps that forwarding to model engines and to plain services share."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import AbstractContextManager, contextmanager, nullcontext
 
@@ -55,6 +56,8 @@
 
     `unreachable_domains()` returns the failure domains from which no host is
     reachable. `region_of_domain` has the regions of all failure domains.
+    `affinity_counts` counts requests about objects that went to the first server for
+    the object, and to another one.
     """
 
     directory: ServerDirectory
@@ -67,6 +70,7 @@
     clock: Clock
     stall_monitor: StallMonitor
     region_of_domain: Mapping[str, str] = attrs.Factory(dict)
+    affinity_counts: Counter[str] = attrs.Factory(Counter)
 
     def engine_call(self, admitted: AdmittedRequest) -> EngineCall:
         """Return the properties of a request that routing depends on."""
@@ -104,7 +108,7 @@
             and request.affinity_key
             and not request.prefix_parts
         ):
-            chooser = with_affinity(request.affinity_key, chooser)
+            chooser = with_affinity(request.affinity_key, chooser, self._count_rank)
         servers = cold.allowed(service, self._candidates(admitted, service), instant)
         choice = chooser(call, servers, avoid)
         if choice is None:
@@ -138,6 +142,9 @@
             )
         return server
 
+    def _count_rank(self, rank: int) -> None:
+        self.affinity_counts["other" if rank else "first"] += 1
+
     def share_wait_ms(
         self, admitted: AdmittedRequest, service: str, avoid: frozenset[str]
     ) -> float:
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -7,6 +7,7 @@
 import attrs
 
 from celerypulley.backend_servers.engine_state import EngineState
+from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.hosts.admission import AdmittedRequest
 from celerypulley.hosts.forward_context import Chooser, ForwardContext
@@ -31,6 +32,7 @@
 # A retry may reach another host, whose share may begin at any time.
 _MAX_SHARE_RETRY_S = 0.5
 _SHED_RETRY_S = 0.1  # about the duration of a turn on an engine, which frees a slot
+_log = DecisionLog("forward")
 
 
 @attrs.frozen(eq=False)
@@ -104,6 +106,12 @@
             )
         if not attempts.share_waited_ms:
             cold.waited_count += 1
+            _log.write(
+                "waits for a share",
+                f"the servers of service {service} that are left are cold",
+                request=admitted.request.request_id,
+                wait_ms=round(wait_ms, 1),
+            )
         cold.waiting[service] = cold.waiting.get(service, 0) + 1
         try:
             await asyncio.sleep(max(_MIN_SHARE_WAIT_MS, wait_ms) / 1000)
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -123,3 +123,5 @@
         received = {each.name: len(each.received) for each in fleet.servers}
         assert (received[order[0].name] == 6) == is_kept
         assert (received[order[-1].name] == 6) == (not is_kept)
+        counts = fleet.hosts[0].affinity_counts
+        assert counts == ({"first": 6} if is_kept else {})
