A start that ended its registration is new when it returns

A server that leaves and returns under the same start counted as known, so it got requests as a warm one.

--- a/celerypulley/backend_servers/cold_start.py
+++ b/celerypulley/backend_servers/cold_start.py
@@ -171,6 +171,10 @@
         self._state(server).revision = revision
         self._assume(server, left_ms, now_ms, "its start is new")
 
+    def forget(self, server: EngineState) -> None:
+        """Forget a start that ended its registration; if it returns it is new."""
+        self._states.pop(_key(server), None)
+
     def record_return(
         self, server: EngineState, left_ms: float, revision: int, now_ms: float
     ) -> None:
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -30,6 +30,7 @@
 _MAX_SHARE_WAIT_MS = 400.0
 _MIN_SHARE_WAIT_MS = 1.0  # the resolution of the wall clock by which shares begin
 # A retry may reach another host, whose share may begin at any time.
+_MIN_SHARE_RETRY_S = 0.05
 _MAX_SHARE_RETRY_S = 0.5
 _SHED_RETRY_S = 0.1  # about the duration of a turn on an engine, which frees a slot
 _log = DecisionLog("forward")
@@ -96,7 +97,9 @@
         limit_ms = _MAX_SHARE_WAIT_MS - attempts.share_waited_ms
         if wait_ms > min(limit_ms, admitted.deadline_ms - now_ms):
             cold.refused_count += 1
-            retry_after_s = min(_MAX_SHARE_RETRY_S, max(wait_ms, limit_ms) / 1000)
+            retry_after_s = min(
+                _MAX_SHARE_RETRY_S, max(_MIN_SHARE_RETRY_S, wait_ms / 1000)
+            )
             raise CallRefusedError(
                 Refusal(
                     ErrorKind.NO_BACKEND_SERVER,
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -318,6 +318,9 @@
                 "entry expired", "retained after a store outage", server=entry.name
             )
             return
+        server = self.servers.get(entry.name)
+        if server is not None:
+            self.cold.forget(server)
         self._drop(key, "entry removed")
 
     def _drop_expired(self) -> None:
