--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -1,6 +1,7 @@
 """An entry host on a platform: its services and their start and stop order."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 
@@ -8,10 +9,15 @@
 from mode import Service
 
 from celerypulley import __version__
+from celerypulley.backend_servers.cold_start import ColdBounds, ColdServers
 from celerypulley.backend_servers.cost_model import CostModel
 from celerypulley.backend_servers.server_entry import ServerEntry
 from celerypulley.clock import Clock
-from celerypulley.contracts.desired_state import CallerLimits, DesiredState
+from celerypulley.contracts.desired_state import (
+    CallerLimits,
+    DesiredState,
+    ServiceRule,
+)
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import ErrorKind, Refusal, RunState
 from celerypulley.fleet.confirmations import Confirmations
@@ -99,6 +105,7 @@
         self.store = store
         self.clock = clock
         self.metrics = ForwardMetrics()
+        self.affinity_counts: Counter[str] = Counter()
         self.links = ServerLinks(clock)
         self.desired_state = DesiredStateCache(
             store,
@@ -108,6 +115,12 @@
             clock,
             schema.evacuation_prefix if settings.evacuates_domains else "",
         )
+        cold = ColdServers(
+            settings.host_id,
+            self._service_rule,
+            lambda: self.members.sharing_hosts(),
+            ColdBounds(settings.cold_overrun, settings.cold_slack),
+        )
         self.directory = ServerDirectory(
             store,
             schema.server_prefix,
@@ -117,6 +130,7 @@
             settings.server_drain_ms,
             clock,
             self.desired_state.evacuations,
+            cold,
         )
         self.costs = CostModel()
         self.meter = FleetMeter(settings.quota_window_ms, clock)
@@ -235,6 +249,7 @@
             stall_monitor=self.stall_monitor,
             region_of_domain=self.settings.region_of_domain,
             costs=self.costs,
+            affinity_counts=self.affinity_counts,
         )
         max_state_age_ms = self.settings.max_state_age_ms
         if not self.settings.refuse_stale_state:
@@ -264,6 +279,15 @@
             self.desired_state.evacuations.domains
         )
         gauges["servers_known"] = lambda: len(self.directory.servers)
+        cold = self.directory.cold
+        gauges["servers_cold"] = self.directory.count_cold
+        gauges["cold_requests_sent"] = lambda: cold.sent_count
+        gauges["cold_requests_waited"] = lambda: cold.waited_count
+        gauges["cold_requests_refused"] = lambda: cold.refused_count
+        for choice in ("first", "other"):
+            gauges[f"affinity_{choice}_choices"] = partial(
+                self.affinity_counts.__getitem__, choice
+            )
         for source in self.directory.count_leaving():
             gauges[f"servers_leaving_by_{source}"] = partial(
                 self._count_leaving, source
@@ -341,6 +365,10 @@
         """
         return _LARGE_FLEET_READ_PAUSE_MS if self.gossip.has_relays() else 0.0
 
+    def _service_rule(self, service: str) -> ServiceRule | None:
+        state = self.desired_state.state
+        return state.services.get(service) if state is not None else None
+
     def _body_limit(self) -> int:
         limits = (
             self.desired_state.state.limits
--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -1,10 +1,12 @@
 """Steps that forwarding to model engines and to plain services share."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import AbstractContextManager, contextmanager, nullcontext
 
 import attrs
 
+from celerypulley.backend_servers.affinity import with_affinity
 from celerypulley.backend_servers.cost_model import CostModel
 from celerypulley.backend_servers.engine_state import (
     EngineReport,
@@ -15,6 +17,7 @@
     Choice,
     EngineCall,
     expected_duration_ms,
+    usable_engines,
 )
 from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.contracts.desired_state import ForwardRoute
@@ -63,6 +66,8 @@
 
     `unreachable_domains()` returns the failure domains from which no host is
     reachable. `region_of_domain` has the regions of all failure domains.
+    `affinity_counts` counts requests about objects that went to the first server for
+    the object, and to another one.
     """
 
     directory: ServerDirectory
@@ -76,6 +81,7 @@
     stall_monitor: StallMonitor
     region_of_domain: Mapping[str, str] = attrs.Factory(dict)
     costs: CostModel = attrs.Factory(CostModel)
+    affinity_counts: Counter[str] = attrs.Factory(Counter)
 
     def engine_call(self, admitted: AdmittedRequest, service: str) -> EngineCall:
         """Return the properties of a request that routing depends on."""
@@ -107,12 +113,20 @@
     ) -> EngineState | None:
         """Return the server for a request, None where there is none.
 
-        Servers that failed recently are chosen only as a last resort.
+        Servers that failed recently are chosen only as a last resort, and cold ones
+        only within this host's share.
         """
         call = self.engine_call(admitted, service)
-        servers = self._exclude_unreachable(
-            self._within_home(admitted, self.directory.of_service(service))
-        )
+        instant = self.directory.instant()
+        cold = self.directory.cold
+        request = admitted.request
+        if (
+            admitted.route.is_sticky
+            and request.affinity_key
+            and not request.prefix_parts
+        ):
+            chooser = with_affinity(request.affinity_key, chooser, self._count_rank)
+        servers = cold.allowed(service, self._candidates(admitted, service), instant)
         choice = chooser(call, servers, avoid)
         if choice is None:
             candidates = [attrs.evolve(each) for each in servers]
@@ -120,25 +134,47 @@
                 each.backoff_until_ms = NEVER_MS
             choice = chooser(call, candidates, avoid)
         if choice is None:
-            draining = self.directory.draining_of_service(
-                service, admitted.request.received_ms
+            draining = self._within_home(
+                admitted,
+                self.directory.draining_of_service(service, request.received_ms),
             )
-            choice = chooser(call, self._within_home(admitted, draining), avoid)
+            choice = chooser(call, cold.allowed(service, draining, instant), avoid)
         else:
-            self.directory.record_choice(service, admitted.request.request_id)
+            self.directory.record_choice(service, request.request_id)
         if choice is None:
             return None
         server = self.directory.servers.get(choice.engine.name)
         if server is not None:
+            cold_fields = {}
+            if cold.take_share(server, instant):
+                admitted.attempts.share_server = server.name
+                cold_fields["is_cold"] = True
             self._log_server(
                 admitted,
                 server,
                 choice.reason,
                 cost_ms=round(choice.estimate_ms, 1),
                 avoided=len(avoid),
+                **cold_fields,
             )
         return server
 
+    def _count_rank(self, rank: int) -> None:
+        self.affinity_counts["other" if rank else "first"] += 1
+
+    def share_wait_ms(
+        self, admitted: AdmittedRequest, service: str, avoid: frozenset[str]
+    ) -> float:
+        """Return the time until this host's next free share of a cold server.
+
+        It is infinite if no cold server could serve the request.
+        """
+        call = self.engine_call(admitted, service)
+        usable = usable_engines(call, self._candidates(admitted, service), avoid)
+        cold = self.directory.cold
+        position = cold.waiting.get(service, 0)
+        return cold.share_wait_ms(usable, position, self.directory.instant())
+
     def log_slot(
         self, admitted: AdmittedRequest, server: EngineState, reason: str
     ) -> None:
@@ -184,6 +220,12 @@
             "expected_tokens": call.expected_tokens,
         }
 
+    def _candidates(self, admitted: AdmittedRequest, service: str) -> list[EngineState]:
+        """Return the servers that accept a request, cold or not."""
+        return self._exclude_unreachable(
+            self._within_home(admitted, self.directory.of_service(service))
+        )
+
     def _within_home(
         self, admitted: AdmittedRequest, servers: list[EngineState]
     ) -> list[EngineState]:
@@ -241,11 +283,14 @@
         """Send the request, with `body` in place of the caller's if it is given.
 
         Raise CallRefusedError where the deadline has passed and ServerCallError
-        where the request cannot be written, or where the server's domain has been
-        evacuated since it was chosen.
+        where the request cannot be written, or where the server has become cold or
+        its domain has been evacuated since it was chosen.
         """
         if self.directory.is_evacuated(server):
             raise ServerCallError("its failure domain was evacuated", False)
+        is_without_share = admitted.attempts.share_server != server.name
+        if is_without_share and self.directory.is_cold(server):
+            raise ServerCallError("it became cold since it was chosen", False)
         request = admitted.request
         forwarded = ForwardedCall(
             server=server.name,
@@ -278,6 +323,10 @@
         if not metadata.wrong_server:
             self.directory.record_announcement(server, metadata.leaving)
             self._record_load(server, metadata, now_ms)
+            if metadata.cold_left_ms is not None:
+                self.directory.cold.record_response(
+                    server, metadata.cold_left_ms, now_ms
+                )
         return head, metadata
 
     def _record_load(
--- a/celerypulley/hosts/turn_scheduler.py
+++ b/celerypulley/hosts/turn_scheduler.py
@@ -208,7 +208,11 @@
     ) -> TurnSlot | None:
         """Return the slot that `host` assigned, None if its server can't be used."""
         server = self.directory.servers.get(name)
-        if server is None or server not in self.directory.of_service(request.service):
+        if (
+            server is None
+            or server not in self.directory.of_service(request.service)
+            or self.directory.is_cold(server)
+        ):
             self._send_release(host, request.number, SlotOutcome.UNKNOWN)
             return None
         if domain != self.domain:
@@ -336,7 +340,7 @@
             servers = [
                 each
                 for each in self.directory.of_service(service)
-                if each.domain == self.domain
+                if each.domain == self.domain and not self.directory.is_cold(each)
             ]
             dispatcher.update_engines(servers, rule.memory_tokens)
         return dispatcher
--- a/celerypulley/links/forward_dialect.py
+++ b/celerypulley/links/forward_dialect.py
@@ -37,7 +37,8 @@
     `running` and `waiting` are its load, or None if it reports none. `slots` is the
     number of calls that it runs at once, and `pace` the factor by which work takes
     longer than usual on its machine at the moment, each None if it reports none.
-    `headers` are forwarded to the caller.
+    `cold_left_ms` is the time for which the server stays cold, or None if it doesn't
+    say. `headers` are forwarded to the caller.
     """
 
     not_run: bool
@@ -49,6 +50,7 @@
     slots: int | None
     pace: float | None
     headers: tuple[tuple[bytes, bytes], ...]
+    cold_left_ms: int | None = None
 
 
 @attrs.frozen
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -64,6 +64,7 @@
         else now_ms + program_wait_ms,
         token_budget=_parse_integer(headers.get("Token-Budget", ""), None),
         previous_turn=headers.get("Previous-Turn", ""),
+        affinity_key=headers.get("Affinity-Key", ""),
     )
 
 
@@ -141,6 +142,7 @@
         waiting=waiting if has_load else None,
         slots=slots or None if has_load else None,
         pace=pace_percent / 100 if has_load and pace_percent else None,
+        cold_left_ms=parse_whole_number(headers.get("Cold-Ms", "")),
         headers=tuple(
             (name, value)
             for name, value in head.raw_headers
