--- a/tests/test_outside_bytes.py
+++ b/tests/test_outside_bytes.py
@@ -130,6 +130,7 @@
         ("portRange=x,y", "portRange"),
         ("platform.addr=", "platform.addr"),
         ("bounds.revokeMs=soon", "bounds.revokeMs"),
+        ("bounds.coldSlack=few", "bounds.coldSlack"),
     ],
 )
 def test_settings_file_names_the_bad_field(tmp_path, line, field):
