--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -104,7 +104,7 @@
         self.settings = settings
         self.store = store
         self.clock = clock
-        self.metrics = ForwardMetrics()
+        self.metrics = ForwardMetrics(store.calls_by_purpose)
         self.affinity_counts: Counter[str] = Counter()
         self.links = ServerLinks(clock)
         self.desired_state = DesiredStateCache(
--- a/celerypulley/hosts/forward_metrics.py
+++ b/celerypulley/hosts/forward_metrics.py
@@ -1,7 +1,7 @@
 """Counters and latency histograms of forwarded requests, by route and outcome."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -24,8 +24,9 @@
     `gauges` are functions that return the current value, by name.
     """
 
-    def __init__(self) -> None:
-        """Start with all counters at zero."""
+    def __init__(self, store_calls: Mapping[tuple[str, str], int]) -> None:
+        """Start with all counters at zero; `store_calls` are by kind and purpose."""
+        self.store_calls = store_calls
         self.requests: Counter[tuple[str, str]] = Counter()
         self.latency: dict[str, HdrHistogram] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
@@ -60,6 +61,10 @@
             lines.append(
                 f'celerypulley_forward_seconds_count{{route="{route}"}} {count}'
             )
+        lines.append("# TYPE celerypulley_store_calls_total counter")
+        for (kind, purpose), count in sorted(self.store_calls.items()):
+            labels = f'kind="{kind}",purpose="{purpose}"'
+            lines.append(f"celerypulley_store_calls_total{{{labels}}} {count}")
         for name, read in self.gauges.items():
             lines.append(f"# TYPE celerypulley_{name} gauge")
             lines.append(f"celerypulley_{name} {read()}")
--- a/celerypulley/links/key_value.py
+++ b/celerypulley/links/key_value.py
@@ -86,10 +86,11 @@
     """A linearizable store with conditional writes, leases and watches.
 
     Every call raises StoreUnavailableError if it gets no usable response. `calls`
-    counts the calls by kind.
+    counts the calls by kind, `calls_by_purpose` by kind and first part of the key.
     """
 
     calls: Counter[str]
+    calls_by_purpose: Counter[tuple[str, str]]
 
     async def read(self, key: str) -> Item | None:
         """Return the current item of a key, or None if it does not exist."""
--- a/celerypulley/platform/store.py
+++ b/celerypulley/platform/store.py
@@ -21,13 +21,15 @@
 __all__ = ["PlatformStore"]
 
 _CONNECT_TIMEOUT_S = 0.5  # a healthy store responds within 4 ms (site sheets)
+_LEASES = "leases"
 _WATCH_MARGIN_S = 1.0  # on top of the wait: network latency and a slow store
 
 
 class PlatformStore:
     """HTTP client of the store, with persistent connections.
 
-    A call that times out closes its connection.
+    A call that times out closes its connection. `calls` counts calls by kind, and
+    `calls_by_purpose` by kind and by what the keys belong to.
     """
 
     def __init__(
@@ -38,11 +40,12 @@
         self.session = session
         self.timeout_s = timeout_ms / 1000
         self.calls: Counter[str] = Counter()
+        self.calls_by_purpose: Counter[tuple[str, str]] = Counter()
 
     async def read(self, key: str) -> Item | None:
         """Return the current item of a key, or None if it does not exist."""
         status, response = await self._request(
-            "GET", f"/kv-key?key={quote(key, safe='')}"
+            "GET", f"/kv-key?key={quote(key, safe='')}", _purpose(key)
         )
         if status == 404:
             return None
@@ -61,7 +64,7 @@
             path = f"/kv-range?pathPrefix={quote(prefix, safe='')}"
             if after:
                 path += f"&after={quote(after, safe='')}"
-            _, response = await self._request("GET", path)
+            _, response = await self._request("GET", path, _purpose(prefix))
             revision = revision or int(response["currentRev"])
             page = [_decode_item(each) for each in response["items"]]
             items += page
@@ -79,7 +82,9 @@
             f"&after={after}&waitMs={wait_ms}"
         )
         timeout_s = wait_ms / 1000 + _WATCH_MARGIN_S
-        status, response = await self._request("GET", path, timeout_s=timeout_s)
+        status, response = await self._request(
+            "GET", path, _purpose(prefix), timeout_s=timeout_s
+        )
         if status == 410:
             raise HistoryExpiredError(f"no history of {prefix!r} after {after}")
         items = tuple(_decode_item(each) for each in response["events"])
@@ -99,7 +104,9 @@
             "writes": [_encode_write(each) for each in writes],
             "delete": deletes or [],
         }
-        status, response = await self._request("POST", "/kv-txn", body)
+        keys = [each.key for each in writes] + list(deletes or [])
+        purpose = _purpose(keys[0]) if keys else ""
+        status, response = await self._request("POST", "/kv-txn", purpose, body)
         if status == 412:
             items = [_decode_item(each) for each in response.get("items", [])]
             # A key that does not exist is listed with revision 0.
@@ -112,27 +119,32 @@
 
     async def grant_lease(self, ttl_ms: int) -> int:
         """Grant a lease of `ttl_ms` and return its number."""
-        _, response = await self._request("POST", "/kv-lease", {"ttlMs": ttl_ms})
+        _, response = await self._request(
+            "POST", "/kv-lease", _LEASES, {"ttlMs": ttl_ms}
+        )
         return int(response["lease"])
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raise LeaseExpiredError if it has expired."""
-        status, _ = await self._request("POST", f"/kv-keep/{lease}")
+        status, _ = await self._request("POST", f"/kv-keep/{lease}", _LEASES)
         if status == 404:
             raise LeaseExpiredError(f"lease {lease} has expired")
 
     async def end_lease(self, lease: int) -> None:
         """End a lease and delete its keys; an expired lease is not an error."""
-        await self._request("DELETE", f"/kv-lease-end/{lease}")
+        await self._request("DELETE", f"/kv-lease-end/{lease}", _LEASES)
 
     async def _request(
         self,
         method: str,
         path: str,
+        purpose: str,
         body: dict | None = None,
         timeout_s: float | None = None,
     ) -> tuple[int, dict]:
-        self.calls[path.partition("?")[0].split("/")[1]] += 1
+        kind = path.partition("?")[0].split("/")[1]
+        self.calls[kind] += 1
+        self.calls_by_purpose[kind, purpose] += 1
         timeout = aiohttp.ClientTimeout(
             total=timeout_s or self.timeout_s, sock_connect=_CONNECT_TIMEOUT_S
         )
@@ -159,6 +171,11 @@
             ) from error
 
 
+def _purpose(key: str) -> str:
+    """Return what a key belongs to: the first part of its name."""
+    return key.partition("/")[0]
+
+
 def _parse_response(status: int, raw: bytes, path: str) -> tuple[int, dict]:
     if status in (429, 503):
         raise StoreUnavailableError(f"{path} answered {status}", may_have_run=False)
