--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -191,6 +191,7 @@
         self.stall_monitor = StallMonitor(clock)
         self.disk_list = DiskList(store, clock)
         self.disk_list.follower.wait_to_retry = confirmer.wait_to_retry
+        self.disk_list.follower.read_pause_ms = self._read_pause_ms
         pool = None
         if settings.has_storage_hosts:
             pool = StorageHostPool(
@@ -361,7 +362,7 @@
     def _read_pause_ms(self) -> float:
         """Return the time in which changes of a large fleet are read together.
 
-        While it starts, each of its servers is a change of its own.
+        While it starts, each of its servers and disks is a change of its own.
         """
         return _LARGE_FLEET_READ_PAUSE_MS if self.gossip.has_relays() else 0.0
 
