Hosts that the store refuses ask others about evacuations

Only hosts that read the store for nobody asked a peer, so a source that the store refuses, and every host of a small fleet, would not have learned of an evacuation.

--- a/celerypulley/fleet/confirmations.py
+++ b/celerypulley/fleet/confirmations.py
@@ -38,7 +38,7 @@
 
 
 class Confirmations:
-    """Ask the source of this host's domain, and answer the hosts that ask this one.
+    """Ask the source of this host's domain, and answer hosts that ask this one.
 
     The answer is the version in force, the age of its confirmation in ms, and details.
     """
@@ -63,6 +63,9 @@
         self.read_age_ms = read_age_ms
         self.evacuations = evacuations
         self.servers = servers
+        # Returns whether this host has lost the store; may be replaced.
+        self.is_store_unavailable: Callable[[], bool] = lambda: False
+        self._asked_count = 0
         datagrams.handlers[_KIND] = self._handle_request
 
     def source(self) -> str:
@@ -86,28 +89,48 @@
         return RETRY_DELAY_MS if is_source else _ASK_RETRY_MS
 
     async def ask(self) -> float | None:
-        """Return the age in ms of the source's confirmation when it answered.
+        """Return the age in ms of a peer's confirmation when it answered.
 
-        None if this host has to read the store itself: it is the source, or the source
+        None if this host has to read the store itself: it is the source, or the peer
         does not answer, has another version or has itself lost the store.
         """
+        for peer in self._peers_to_ask():
+            age_ms = await self._ask_peer(peer)
+            if age_ms is not None:
+                return age_ms
+        return None
+
+    def _peers_to_ask(self) -> list[str]:
+        """Return the source, and another host where this one has lost the store.
+
+        The store may refuse some hosts, which learn of evacuations by others only.
+        """
+        own_name = self.datagrams.host
         source = self.source()
-        if source == self.datagrams.host:
-            return None
+        peers = [source] if source != own_name else []
+        if self.evacuations is None or not self.is_store_unavailable():
+            return peers
+        self._asked_count += 1
+        reachable = set(filter(self.gossip.is_reachable, self.gossip.members))
+        others = reachable - {own_name, source}
+        other = rendezvous(f"{own_name} {self._asked_count}", others)
+        return [*peers, other] if other is not None else peers
+
+    async def _ask_peer(self, peer: str) -> float | None:
         try:
-            version, age_ms, *rest = await self.datagrams.request(source, _KIND, [])
+            version, age_ms, *rest = await self.datagrams.request(peer, _KIND, [])
             details = dict(*rest)
         except (NoReplyError, ValueError, TypeError) as error:
-            _log.write("not confirmed", repr(error), peer=source)
+            _log.write("not confirmed", repr(error), peer=peer)
             return None
         # Revisions order the details, however old the answer is otherwise.
-        if not self._apply(details, source):
+        if not self._apply(details, peer):
             return None
         if not isinstance(age_ms, int) or not 0 <= age_ms <= _MAX_SOURCE_AGE_MS:
             return None
         return age_ms if version == self.read_version() else None
 
-    def _apply(self, details: dict, source: str) -> bool:
+    def _apply(self, details: dict, peer: str) -> bool:
         """Apply the details of an answer; return False if evacuations are missing."""
         try:
             if self.servers is not None and _SERVERS in details:
@@ -117,7 +140,7 @@
                 revisions = {str(name): int(each) for name, each in marks.items()}
                 self.evacuations.apply_read(revisions, int(as_of_revision))
         except _INVALID_DETAILS as error:
-            _log.write("not confirmed", f"details: {error!r}", peer=source)
+            _log.write("not confirmed", f"details: {error!r}", peer=peer)
             return False
         return True
 
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -170,6 +170,7 @@
         confirmer = self.desired_state.confirmer
         self.directory.store_observers = self._store_observers
         self.directory.follower.read_pause_ms = self._read_pause_ms
+        confirmations.is_store_unavailable = lambda: confirmer.is_store_unavailable
         confirmer.ask_peer = confirmations.ask
         confirmer.pause_ms = confirmations.pause_ms
         confirmer.retry_ms = confirmations.retry_ms
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -179,3 +179,34 @@
     state = desired_state(routes=[route("safe", "/safe/", regionsAllowed=regions)])
     with pytest.raises(ValueError, match="regionsAllowed"):
         decode_desired_state(orjson.dumps(state))
+
+
+@pytest.mark.parametrize("hosts", [3, 20])
+async def test_host_that_the_store_refuses_learns_of_evacuations(hosts):
+    """Guards against hosts that know only what the store tells them."""
+    members = {f"host-{number}": "a" for number in range(hosts)}
+    datagrams = FleetDatagrams("host-0", "", 1, {name: ("", 1) for name in members})
+    gossip = FleetGossip(
+        datagrams, lambda: ({}, {}, {}), lambda: 1, run_clock(), members
+    )
+    gossip.is_reachable = lambda _host: True
+    asked = []
+
+    async def request(host: str, _kind: str, _payload: list) -> list:
+        asked.append(host)
+        return [7, 5_000, {"evacuations": [{"a": 5}, 9]}]
+
+    datagrams.request = request
+    evacuations = Evacuations()
+    confirmations = Confirmations(
+        datagrams, gossip, lambda: 7, lambda: 0.0, evacuations
+    )
+    confirmations.source = lambda: "host-0"
+    assert await confirmations.ask() is None
+    assert not asked
+    confirmations.is_store_unavailable = lambda: True
+    for _ in range(5):
+        assert await confirmations.ask() is None
+    assert len(set(asked)) > 1
+    assert "host-0" not in asked
+    assert evacuations.domains == {"a"}
