Table of responses with invalid heads, and stand-ins that send them

Cause: status 000 reached a caller, and 199 with a body kept a request until its deadline. The product is unchanged.

--- a/celerypulley/stand_ins/engine.py
+++ b/celerypulley/stand_ins/engine.py
@@ -21,6 +21,7 @@
     Segment,
     split_prompt,
 )
+from celerypulley.stand_ins.invalid_responses import invalid_response
 
 __all__ = ["EngineOptions", "conversation_digest", "make_engine_app"]
 
@@ -50,6 +51,18 @@
     crashes_on_poison: bool = True
 
 
+@attrs.define
+class EngineFaults:
+    """The entries of `INVALID_RESPONSES` to respond with, empty for none.
+
+    `invalid_response` is sent for a completion, `invalid_load` for a load report. The
+    connection stays open.
+    """
+
+    invalid_response: str = ""
+    invalid_load: str = ""
+
+
 @attrs.define
 class PendingResponse:
     """A response in progress and its generated tokens that are not sent yet."""
@@ -90,6 +103,7 @@
         self.request_count = 0
         self.header_names: set[str] = set()
         self.crashed = False
+        self.faults = EngineFaults()
         self.transports: set[asyncio.Transport] = set()
 
     async def run(self, _app: web.Application) -> object:
@@ -109,6 +123,8 @@
             _POISON_MARKER in raw_body and self.options.crashes_on_poison
         ):
             return self._crash(request)
+        if self.faults.invalid_response:
+            await _send_invalid(request, self.faults.invalid_response)
         body = orjson.loads(raw_body)
         if body.get("model") not in self.options.models:
             return web.json_response(
@@ -199,6 +215,8 @@
         """Return the load report of `load_lag_ms` ago, or the oldest one since."""
         if self.crashed:
             return self._crash(request)
+        if self.faults.invalid_load:
+            await _send_invalid(request, self.faults.invalid_load)
         newest_ms = self.clock.now_ms() - self.options.load_lag_ms
         report = self._current_load()
         for taken_ms, past_report in reversed(self.load_reports):
@@ -229,6 +247,11 @@
         self.newest_fences[program] = max(fence, newest)
         return web.json_response({"freed_tokens": self.core.release(program)})
 
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Replace the injected faults."""
+        self.faults = EngineFaults(**orjson.loads(await request.read()))
+        return web.json_response(attrs.asdict(self.faults))
+
     async def counts(self, _request: web.Request) -> web.Response:
         """Return the counters that tests and benchmarks read."""
         counts = {
@@ -285,6 +308,14 @@
         }
 
 
+async def _send_invalid(request: web.Request, name: str) -> None:
+    """Write an invalid response, and wait until the client closes the connection."""
+    if request.transport is not None:
+        request_id = request.headers.get("X-Request-Id", "")
+        request.transport.write(invalid_response(name, request_id))
+    await asyncio.Event().wait()
+
+
 def _processed_tokens(messages: list[dict], segments: tuple[Segment, ...]) -> int:
     """Return the tokens up to the last completion, which an engine processed before."""
     processed = 0
@@ -346,5 +377,6 @@
     app.router.add_get("/sessions", server.sessions)
     app.router.add_post("/release", server.release)
     app.router.add_get("/counts", server.counts)
+    app.router.add_post("/faults", server.set_faults)
     app.cleanup_ctx.append(server.run)
     return app
--- a/celerypulley/stand_ins/opaque_server.py
+++ b/celerypulley/stand_ins/opaque_server.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from celerypulley.stand_ins.invalid_responses import invalid_response
+
 __all__ = ["Mode", "OpaqueServer", "ReceivedRequest", "Script"]
 
 _DEFAULT_EVENT_COUNT = 4
@@ -25,7 +27,9 @@
     identifier before it. REPEATED_REFUSAL sends the last refusal on the connection once
     more before the right response, NAMELESS_REFUSAL the same without its identifier.
     CUT_SHORT sends the first bytes of `cut_response` and ends the connection.
-    CRASH ends the server, so that it refuses connections until it is started again.
+    INVALID sends the entry of `INVALID_RESPONSES` that `invalid_response` names, and
+    keeps the connection open. CRASH ends the server, so that it refuses connections
+    until it is started again.
     The ENDLESS modes repeat bytes until the caller closes the connection.
     """
 
@@ -39,6 +43,7 @@
     CLOSE = "close"
     TRUNCATED = "truncated"
     CUT_SHORT = "cut short"
+    INVALID = "invalid head"
     RESET_WITHIN_EVENT = "within an event"
     HANG_WITHIN_EVENT = "silent within an event"
     CLOSE_DELIMITED = "unframed"
@@ -123,6 +128,7 @@
     number of its bytes that are sent, and whether a reset follows. `client_disconnects`
     counts connections that end within a request or its response. `added_headers` are
     lines in the head of every response, such as that the server leaves.
+    `invalid_writers` are the open connections that got an invalid response.
     """
 
     name: str
@@ -138,9 +144,11 @@
     connection_count: int = 0
     crash_count: int = 0
     cut_response: tuple[bytes, int, bool] = (b"", 0, False)
+    invalid_response: str = "status 000 with a body"
     added_headers: tuple[str, ...] = ()
     address: str = ""
     _server: asyncio.Server | None = None
+    invalid_writers: set = attrs.Factory(set)
     _writers: set = attrs.Factory(set)
     _late_tasks: set = attrs.Factory(set)
     _owed: dict[asyncio.StreamWriter, bytes] = attrs.Factory(dict)
@@ -186,6 +194,7 @@
             self.client_disconnects += 1
         finally:
             self._writers.discard(writer)
+            self.invalid_writers.discard(writer)
             self._last_refusals.pop(writer, None)
             self._owed.pop(writer, None)
             writer.close()
@@ -263,6 +272,11 @@
                 await asyncio.sleep(0.005)  # the bytes before a reset may be lost
                 _reset_connection(writer)
             return False
+        if mode is Mode.INVALID:
+            self.invalid_writers.add(writer)
+            writer.write(invalid_response(self.invalid_response, request.request_id))
+            await writer.drain()
+            return True
         if mode is Mode.TRUNCATED:
             writer.write(complete[:-3])
             await writer.drain()
--- a/celerypulley/stand_ins/plain_service.py
+++ b/celerypulley/stand_ins/plain_service.py
@@ -11,6 +11,8 @@
 import orjson
 from aiohttp import web
 
+from celerypulley.stand_ins.invalid_responses import invalid_response
+
 __all__ = ["make_plain_app"]
 
 
@@ -20,13 +22,16 @@
 
     `delay_ms` is the time an operation takes. `hang` never responds, and
     `fail_after_run` drops the connection; in both cases the operation has run.
-    `fail_fast` responds with status 500 without running it.
+    `fail_fast` responds with status 500 without running it. `invalid_response` names
+    an entry of `INVALID_RESPONSES`, which is sent after the operation has run; the
+    connection stays open.
     """
 
     delay_ms: float = 5.0
     hang: bool = False
     fail_after_run: bool = False
     fail_fast: bool = False
+    invalid_response: str = ""
 
 
 class PlainService:
@@ -53,7 +58,12 @@
         name = str(body["id"])
         self.run_counts[name] += 1
         await asyncio.sleep(self.faults.delay_ms / 1000)
-        if self.faults.hang:
+        if self.faults.invalid_response and request.transport is not None:
+            request_id = request.headers.get("X-Request-Id", "")
+            request.transport.write(
+                invalid_response(self.faults.invalid_response, request_id)
+            )
+        if self.faults.hang or self.faults.invalid_response:
             await asyncio.Event().wait()
         if self.faults.fail_after_run and request.transport is not None:
             request.transport.abort()
