Refuse responses whose heads are not valid, in one place

Cause: each client had its own reading of a status. 000 and 600 to 999 reached callers, 000 to 199 with a body kept a request until its deadline, and aiohttp's client took 101, HTTP/2.0 and two transfer encodings for responses and skipped interim ones without end. Change: links/response_status.py decides which heads are final, interim or invalid; ResponseParser and a response class of aiohttp's sessions apply it, OwnerRouter to statuses of peers. An invalid one closes the connection, fails the attempt as sent and has one log line of at most 200 characters. Redirects are not followed, since they send a request again. A repeatable call or a turn of the own front end that was sent and failed is no longer reported as not run when no other server is left. A crash probe that gets an invalid response no longer counts the engine as ended. The soak lets a plain service send each.

--- a/celerypulley/hosts/backend_servers.py
+++ b/celerypulley/hosts/backend_servers.py
@@ -93,10 +93,15 @@
         self.engines[server.name] = engine
 
     async def probe(self, address: str) -> Reachability:
-        """Return how an engine answers a request for its load."""
+        """Return how an engine answers a request for its load.
+
+        An engine whose response is invalid runs.
+        """
         try:
             await self.link.read_json(address, "/load", _READ_TIMEOUT_S)
         except BackendError as error:
+            if error.is_invalid:
+                return Reachability.ACCEPTS
             is_silent = isinstance(error.__cause__, TimeoutError)
             return Reachability.SILENT if is_silent else Reachability.REFUSES
         return Reachability.ACCEPTS
--- a/celerypulley/hosts/engine_runner.py
+++ b/celerypulley/hosts/engine_runner.py
@@ -123,17 +123,21 @@
         """Return the whole response; raise CallRefusedError.
 
         A failed job is retried on another engine while nothing has been forwarded to
-        the caller and the retry budget allows it.
+        the caller and the retry budget allows it. Once a job was sent to an engine, its
+        failure doesn't say that it has not run.
         """
         avoid: frozenset[str] = frozenset()
+        sent_failure: Refusal | None = None
         self.retry_budget.record_request()
         for attempt in range(_MAX_ATTEMPTS):
             is_trial = await self._check_crashes(job, is_first=attempt == 0)
             try:
                 engine = (await self._choose_or_wait(job, avoid)).engine
-            except CallRefusedError:
+            except CallRefusedError as error:
                 if is_trial:
                     self.crash_trials.give_back(job.fingerprint)
+                if sent_failure is not None:
+                    raise CallRefusedError(sent_failure) from error
                 raise
             reader = CompletionReader(job.max_tokens)
             started_ms = self.clock.now_ms()
@@ -144,12 +148,13 @@
                 await self._record_error(engine, job, error, reader, started_ms)
                 if is_trial and not getattr(error, "sent", True):
                     self.crash_trials.give_back(job.fingerprint)
+                failure = _failure_refusal(engine, error, reader)
+                if failure.run is RunState.UNKNOWN:
+                    sent_failure = failure
                 may_retry = job.on_events is None or not reader.tokens
                 last = attempt == _MAX_ATTEMPTS - 1
                 if last or not may_retry or not self.retry_budget.try_acquire():
-                    raise CallRefusedError(
-                        _failure_refusal(engine, error, reader)
-                    ) from error
+                    raise CallRefusedError(sent_failure or failure) from error
                 avoid = avoid | {engine.name}
                 _log.write("retry on another engine", str(error), program=job.program)
         raise AssertionError("the loop returns or raises")
--- a/celerypulley/hosts/entry.py
+++ b/celerypulley/hosts/entry.py
@@ -280,6 +280,7 @@
 
     async def _first_response(self, message: RunCall, limits: Limits) -> PlainResponse:
         detail = f"no available server for route {message.route!r}"
+        kind = ErrorKind.NO_BACKEND_SERVER
         for server in self.servers.live_plain_servers(message.route)[:_PLAIN_ATTEMPTS]:
             _log.write(
                 f"server {server.name}",
@@ -297,4 +298,6 @@
                 )
             except BackendError as error:
                 detail = f"{server.name}: {error}"
-        raise CallRefusedError.of(ErrorKind.NO_BACKEND_SERVER, detail[:300])
+                if error.sent:
+                    kind = ErrorKind.BACKEND_SERVER_FAILED
+        raise CallRefusedError.of(kind, detail[:300])
--- a/celerypulley/hosts/host.py
+++ b/celerypulley/hosts/host.py
@@ -45,6 +45,7 @@
 from celerypulley.links.peer_link import PeerIdentity
 from celerypulley.links.peer_server import PeerServer
 from celerypulley.links.platform_link import PlatformLink, PlatformUnavailableError
+from celerypulley.links.server_session import open_server_session
 from celerypulley.settings import Settings
 
 __all__ = ["Host"]
@@ -90,10 +91,8 @@
 
     def _open_links(self) -> None:
         settings = self.settings
-        session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-        unpooled_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True)
-        )
+        session = open_server_session()
+        unpooled_session = open_server_session(force_close=True)
         self._sessions = [session, unpooled_session]
         platform_url = f"http://{settings.platform_address}"
         self.platform = PlatformLink(platform_url, session, self.cuts)
--- a/celerypulley/hosts/owner_router.py
+++ b/celerypulley/hosts/owner_router.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from celerypulley.clock import Clock
+from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, RunState
 from celerypulley.hosts.configuration_follower import ConfigurationFollower
 from celerypulley.hosts.peers import Peers
@@ -13,6 +14,11 @@
 from celerypulley.links.peer_link import PeerLinkError
 from celerypulley.links.peer_messages import Chunk, End, Head, ProgramReport, Refused
 from celerypulley.links.response_sink import ResponseSink
+from celerypulley.links.response_status import (
+    StatusKind,
+    bounded_detail,
+    classify_status,
+)
 from celerypulley.programs.identifier import ShardId
 
 __all__ = ["OwnerRouter"]
@@ -20,6 +26,7 @@
 _OWNER_WAIT_MS = 15_000.0
 _OWNER_POLL_S = 0.15
 _STREAM_IDLE_TIMEOUT_MS = 150_000.0
+_log = DecisionLog("owner-router")
 
 
 class OwnerRouter:
@@ -144,6 +151,10 @@
         await sink.chunk(reply.data)
         return
     if isinstance(reply, Head):
+        if classify_status(reply.status) is not StatusKind.FINAL:
+            detail = bounded_detail(f"status {reply.status!r} from the owner")
+            _log.write("invalid response", detail)
+            raise CallRefusedError.of(ErrorKind.OUTCOME_UNKNOWN, detail)
         await sink.head(reply.status, reply.headers)
         return
     if isinstance(reply, ProgramReport):
--- a/celerypulley/links/backend_link.py
+++ b/celerypulley/links/backend_link.py
@@ -6,6 +6,8 @@
 import attrs
 import orjson
 
+from celerypulley.links.server_session import describe_error
+
 __all__ = ["BackendError", "BackendLink", "PlainResponse"]
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -15,14 +17,22 @@
     """A backend server gave no complete response.
 
     `sent` is False only if certainly no byte reached the server. `status` is the
-    server's own error status, or None if the connection failed.
+    server's own error status, or None if the connection failed or the head of the
+    response was invalid; in the latter case `is_invalid` is set.
     """
 
-    def __init__(self, detail: str, sent: bool, status: int | None = None) -> None:
+    def __init__(
+        self,
+        detail: str,
+        sent: bool,
+        status: int | None = None,
+        is_invalid: bool = False,
+    ) -> None:
         """Set the message to `detail`; the others become attributes."""
         super().__init__(detail)
         self.sent = sent
         self.status = status
+        self.is_invalid = is_invalid
 
 
 @attrs.frozen
@@ -37,7 +47,8 @@
 class BackendLink:
     """HTTP client for engines and plain services.
 
-    No header of a caller is forwarded: the headers of each request are built here.
+    Redirects are not followed: a request that may not be repeated is sent once. No
+    header of a caller is forwarded: the headers of each request are built here.
     """
 
     def __init__(
@@ -64,17 +75,19 @@
         url = f"http://{address}/v1/chat/completions"
         try:
             async with self.session.post(
-                url, data=body, headers=headers, timeout=timeout
+                url,
+                data=body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status != 200:
                     text = (await response.text())[:200]
                     raise BackendError(text, sent=True, status=response.status)
                 async for data in response.content.iter_any():
                     yield data
-        except aiohttp.ClientConnectorError as error:
-            raise BackendError(repr(error), sent=False) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise BackendError(repr(error), sent=True) from error
+            raise _backend_error(error) from error
 
     async def call_plain(
         self,
@@ -94,7 +107,11 @@
         )
         try:
             async with self.unpooled_session.post(
-                f"http://{address}{path}", data=body, headers=headers, timeout=timeout
+                f"http://{address}{path}",
+                data=body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 response_body = await response.read()
                 return PlainResponse(
@@ -102,33 +119,42 @@
                     response.headers.get("Content-Type", ""),
                     response_body,
                 )
-        except aiohttp.ClientConnectorError as error:
-            raise BackendError(repr(error), sent=False) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise BackendError(repr(error), sent=True) from error
+            raise _backend_error(error) from error
 
     async def read_json(self, address: str, path: str, timeout_s: float) -> dict | list:
         """Return a JSON report of a server; raise BackendError."""
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self.session.get(
-                f"http://{address}{path}", timeout=timeout
+                f"http://{address}{path}", timeout=timeout, allow_redirects=False
             ) as response:
                 raw = await response.read()
                 if response.status != 200:
                     raise BackendError(f"{path} answered {response.status}", True)
                 return orjson.loads(raw)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise BackendError(repr(error), sent=True) from error
+            raise _backend_error(error) from error
 
     async def post_json(self, address: str, path: str, body: dict) -> int:
         """Post a JSON command and return the status; raise BackendError."""
         timeout = aiohttp.ClientTimeout(total=2.0)
         try:
             async with self.session.post(
-                f"http://{address}{path}", json=body, timeout=timeout
+                f"http://{address}{path}",
+                json=body,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 await response.read()
                 return response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise BackendError(repr(error), sent=True) from error
+
+
+def _backend_error(error: Exception) -> BackendError:
+    return BackendError(
+        describe_error(error),
+        sent=not isinstance(error, aiohttp.ClientConnectorError),
+        is_invalid=isinstance(error, aiohttp.ClientResponseError),
+    )
--- a/celerypulley/links/platform_link.py
+++ b/celerypulley/links/platform_link.py
@@ -18,6 +18,7 @@
     StoreUnavailableError,
     Write,
 )
+from celerypulley.links.server_session import describe_error
 
 __all__ = [
     "KeyValue",
@@ -219,6 +220,7 @@
                 self.base_url + "/v3/watch",
                 json={"create_request": create},
                 timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status != 200:
                     raise PlatformUnavailableError(f"watch answered {response.status}")
@@ -226,7 +228,9 @@
                     self._raise_if_cut()
                     yield _decode_watch_batch(orjson.loads(line)["result"])
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise PlatformUnavailableError(f"the watch failed: {error!r}") from error
+            raise PlatformUnavailableError(
+                f"the watch failed: {describe_error(error)}"
+            ) from error
 
     def _raise_if_cut(self) -> None:
         if self.cuts.is_cut(_CUT_NAME):
@@ -238,14 +242,16 @@
         timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
         try:
             async with self.session.post(
-                self.base_url + path, json=body, timeout=timeout
+                self.base_url + path, json=body, timeout=timeout, allow_redirects=False
             ) as response:
                 raw = await response.read()
                 if response.status != 200:
                     raise PlatformUnavailableError(f"{path} answered {response.status}")
                 return orjson.loads(raw)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise PlatformUnavailableError(f"{path}: {error!r}") from error
+            raise PlatformUnavailableError(
+                f"{path}: {describe_error(error)}"
+            ) from error
 
 
 def _decode_watch_batch(result: dict) -> list[KeyValue]:
--- a/celerypulley/links/response_parser.py
+++ b/celerypulley/links/response_parser.py
@@ -12,8 +12,13 @@
 import httptools
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from celerypulley.links.response_status import (
+    HeadSequence,
+    InvalidResponseError,
+    bounded_detail,
+)
+
 __all__ = [
-    "InvalidResponseError",
     "RequestIdentity",
     "ResponseHead",
     "ResponseParser",
@@ -26,10 +31,8 @@
 _MAX_BYTES_WITHOUT_BODY = 1024 * 1024
 # A head that ended early is followed by the status line of the next one.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
-
-
-class InvalidResponseError(Exception):
-    """What a server sent is no response, or not certainly one."""
+# llhttp also parses RTSP/1.0 and ICE/1.0, and doesn't tell them from HTTP/1.0.
+_PROTOCOL = b"HTTP/"
 
 
 @attrs.frozen
@@ -93,6 +96,8 @@
         self._report_discarded = report_discarded
         self._body: list[bytes] = []
         self._bytes_without_body = 0
+        self._heads = HeadSequence()
+        self._first_bytes = b""
         self._reason = b""
         self._raw_headers: list[tuple[bytes, bytes]] = []
         self._has_head = False
@@ -113,11 +118,13 @@
         """
         assert self._parser is not None, "the response is incomplete"
         self._bytes_without_body += len(data)
+        self._check_protocol(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.is_complete:
-                raise InvalidResponseError(str(error.__context__ or error)) from error
+                detail = bounded_detail(str(error.__context__ or error))
+                raise InvalidResponseError(detail) from error
             self.has_strays = True
         if self.is_complete:
             self.forget_parser()
@@ -177,10 +184,8 @@
             tuple(self._raw_headers),
             not self._parser.should_keep_alive(),
         )
-        encodings = headers.getall("Transfer-Encoding", [])
-        if encodings and [each.lower() for each in encodings] != ["chunked"]:
-            raise InvalidResponseError(f"transfer encodings {encodings}")
-        if head.status < 200:
+        version = self._parser.get_http_version()
+        if not self._heads.accept(version, head.status, headers):
             return
         mismatch = self._find_mismatch(head)
         if mismatch is not None:
@@ -208,6 +213,15 @@
         if self.is_complete:
             raise InvalidResponseError("bytes behind the response")
 
+    def _check_protocol(self, data: bytes) -> None:
+        """Check the first bytes, which may follow empty lines."""
+        if len(self._first_bytes) == len(_PROTOCOL):
+            return
+        first_bytes = (self._first_bytes + data).lstrip(b"\r\n")
+        self._first_bytes = first_bytes[: len(_PROTOCOL)]
+        if not _PROTOCOL.startswith(self._first_bytes):
+            raise InvalidResponseError("the bytes of another protocol")
+
     def _check_line(self, line: bytes) -> None:
         if len(line) > _MAX_HEADER_BYTES:
             raise InvalidResponseError(f"a line over {_MAX_HEADER_BYTES} bytes")
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -15,11 +15,11 @@
 from celerypulley.decision_log import DecisionLog
 from celerypulley.links.header_text import parse_whole_number
 from celerypulley.links.response_parser import (
-    InvalidResponseError,
     RequestIdentity,
     ResponseHead,
     ResponseParser,
 )
+from celerypulley.links.response_status import InvalidResponseError
 
 __all__ = [
     "Reachability",
@@ -94,6 +94,13 @@
         try:
             response.feed(data)
         except InvalidResponseError as error:
+            if not self.error:
+                _log.write(
+                    "invalid response",
+                    str(error),
+                    request=response.identity.request_id,
+                    server=self.address,
+                )
             self._fail(str(error))
             self.abort()
             return
--- a/celerypulley/operators/commands.py
+++ b/celerypulley/operators/commands.py
@@ -15,6 +15,7 @@
 from celerypulley.failure_domains.member import MEMBERS_PREFIX, Member
 from celerypulley.links.cuts import CutTable
 from celerypulley.links.platform_link import PlatformLink, PlatformUnavailableError
+from celerypulley.links.server_session import open_server_session
 from celerypulley.operators.configuration_store import (
     ChangeRefusedError,
     ConfigurationStore,
@@ -53,7 +54,7 @@
     """
 
     async def run() -> list[str]:
-        async with aiohttp.ClientSession() as session:
+        async with open_server_session() as session:
             link = PlatformLink(f"http://{store_address}", session, CutTable())
             return await command(ConfigurationStore(link, Clock()))
 
--- a/celerypulley/platform/roles.py
+++ b/celerypulley/platform/roles.py
@@ -14,6 +14,7 @@
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.fleet_host import FleetHost, PlatformSchema
 from celerypulley.hosts.storage_host import StorageHost
+from celerypulley.links.server_session import open_server_session
 from celerypulley.log_stream import LogStream
 from celerypulley.platform.desired_state import (
     DESIRED_STATE_KEY,
@@ -75,13 +76,9 @@
     return PlatformStore(settings.store_address, session, _STORE_TIMEOUT_MS)
 
 
-def _make_session() -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-
-
 async def _serve_edge(settings: FleetSettings) -> None:
     stop_requested = _install_stop_event()
-    async with _make_session() as session:
+    async with open_server_session() as session:
         host = FleetHost(
             settings, _make_store(settings, session), PLATFORM_SCHEMA, Clock()
         )
@@ -94,7 +91,7 @@
 
 async def _serve_store(settings: FleetSettings) -> None:
     stop_requested = _install_stop_event()
-    async with _make_session() as session:
+    async with open_server_session() as session:
         store = _make_store(settings, session)
         host = StorageHost(settings, store, Clock())
         await host.start()
--- a/celerypulley/platform/store.py
+++ b/celerypulley/platform/store.py
@@ -17,6 +17,7 @@
     WatchBatch,
     Write,
 )
+from celerypulley.links.server_session import describe_error
 
 __all__ = ["PlatformStore"]
 
@@ -145,6 +146,7 @@
                 data=data,
                 headers=headers,
                 timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 raw = await response.read()
                 return _parse_response(response.status, raw, path)
@@ -152,7 +154,7 @@
             raise StoreUnavailableError(repr(error), may_have_run=False) from error
         except (aiohttp.ClientError, TimeoutError, OSError, RuntimeError) as error:
             # aiohttp raises RuntimeError if the session closes while the process stops.
-            raise StoreUnavailableError(f"{path}: {error!r}") from error
+            raise StoreUnavailableError(f"{path}: {describe_error(error)}") from error
         except (ValueError, KeyError, TypeError) as error:
             raise StoreUnavailableError(
                 f"{path}: invalid response body: {error!r}"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -11,6 +11,7 @@
 
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.fleet_host import FleetHost
+from celerypulley.links.server_session import open_server_session
 from celerypulley.platform.roles import PLATFORM_SCHEMA
 from celerypulley.platform.store import PlatformStore
 from celerypulley.stand_ins.fleet_store import FleetStore, make_fleet_store_app
@@ -107,7 +108,7 @@
 
     async def start_host(self) -> None:
         """Start one more host, under the name of the next number."""
-        session = aiohttp.ClientSession()
+        session = open_server_session()
         self.host_sessions.append(session)
         client = PlatformStore(self.store_address, session, 500.0)
         settings = make_settings(
--- a/tests/test_response_statuses.py
+++ b/tests/test_response_statuses.py
@@ -7,6 +7,7 @@
 import aiohttp
 import attrs
 import pytest
+from multidict import CIMultiDict
 
 from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.hosts import owner_router
@@ -15,6 +16,13 @@
 from celerypulley.links.key_value import StoreUnavailableError
 from celerypulley.links.peer_messages import Head
 from celerypulley.links.platform_link import PlatformLink
+from celerypulley.links.response_status import (
+    HeadSequence,
+    InvalidResponseError,
+    StatusKind,
+    classify_status,
+)
+from celerypulley.links.server_session import open_server_session
 from celerypulley.platform.store import PlatformStore
 from celerypulley.stand_ins.invalid_responses import INVALID_RESPONSES, invalid_response
 from celerypulley.stand_ins.opaque_server import Mode, ReceivedRequest, Script
@@ -172,7 +180,7 @@
     server = RawServer(response.replace("REQUEST_ID", "r").encode())
     listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
     server.address = "{}:{}".format(*listening.sockets[0].getsockname())
-    async with aiohttp.ClientSession() as session:
+    async with open_server_session() as session:
         yield server, session
     listening.close()
 
@@ -272,8 +280,8 @@
         program = await deployment.open_program(host)
         for address in deployment.engine_addresses:
             await deployment.set_faults(address, invalid_response=names[0])
-        status, headers, _ = await deployment.send_turn(host, program, "hello")
-        assert (status, headers["X-Celerypulley-Run"]) == (502, "unknown")
+        status, headers, error = await deployment.send_turn(host, program, "hello")
+        assert (status, headers["X-Celerypulley-Run"]) == (502, "unknown"), error
 
 
 async def test_invalid_load_report_of_an_engine_means_that_it_has_ended():
@@ -293,3 +301,28 @@
     with pytest.raises(CallRefusedError) as raised:
         await owner_router._forward_reply(Head(status, {}), owner_router._ReportSink())
     assert raised.value.refusal.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("statuses", "kind"),
+    [
+        (range(200, 600), StatusKind.FINAL),
+        ([100, *range(102, 200)], StatusKind.INTERIM),
+        ([*range(-1, 100), 101, *range(600, 1_001)], StatusKind.INVALID),
+        ([None, "200", 200.0, True, b"200"], StatusKind.INVALID),
+    ],
+)
+def test_status_is_of_another_kind(statuses, kind):
+    assert {classify_status(each) for each in statuses} == {kind}
+
+
+@pytest.mark.parametrize(
+    ("interim_count", "is_valid"), [(0, True), (16, True), (17, False)]
+)
+def test_interim_responses_have_no_bound(interim_count, is_valid):
+    heads = HeadSequence()
+    accepted = []
+    with suppress(InvalidResponseError):
+        for status in [102] * interim_count + [200]:
+            accepted.append(heads.accept("1.1", status, CIMultiDict()))
+    assert (accepted[-1:] == [True]) == is_valid
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -26,6 +26,7 @@
 from celerypulley.load.workload import MIXES, plan_programs
 from celerypulley.operators import commands
 from celerypulley.operators.configuration_store import ChangeRefusedError
+from celerypulley.stand_ins.invalid_responses import INVALID_RESPONSES
 from tools.cluster import DEPLOYMENTS, Cluster, ClusterOptions, Process
 from tools.demo import check_promises, run_on_cluster
 
@@ -41,6 +42,7 @@
     "platform loses answers",
     "kill engine",
     "leaving engine",
+    "invalid responses",
     "restart host gracefully",
     "operators race",
 )
@@ -241,6 +243,7 @@
             "platform loses answers": self._platform_loses_responses,
             "kill engine": self._kill_engine,
             "leaving engine": self._mark_engine_leaving,
+            "invalid responses": self._send_invalid_responses,
             "restart host gracefully": self._restart_host,
             "operators race": self._change_keys_concurrently,
         }
@@ -331,6 +334,22 @@
         await asyncio.sleep(fault.duration_s)
         await self.cluster.set_server_state(engine.name, "live")
 
+    async def _send_invalid_responses(self, fault: PlannedFault) -> None:
+        """Let a plain service run its operations and send invalid responses."""
+        service = self._pick_running(self.cluster.plain_services, fault.target_draw)
+        names = list(INVALID_RESPONSES)
+        name = names[int(fault.target_draw * len(names)) % len(names)]
+        await self._set_service_faults(service, {"invalid_response": name})
+        await asyncio.sleep(fault.duration_s)
+        await self._set_service_faults(service, {})
+
+    async def _set_service_faults(self, service: Process, faults: dict) -> None:
+        session = self.cluster.session
+        assert session is not None, "the cluster has not been started"
+        url = f"http://{service.address}/faults"
+        async with session.post(url, json=faults) as response:
+            response.raise_for_status()
+
     async def _restart_host(self, fault: PlannedFault) -> None:
         host = self._pick_running(self.cluster.hosts, fault.target_draw)
         self.cluster.terminate(host)
