Review declarations before they are sent

Cause: `celerypulley check` found errors only. Entries that never match, exceptions without effect and limits that contradict each other were found in operation. Change: contracts/declaration_review.py, functions of the declaration; `check` reports its findings with file, line and name, compares with the version in force (`--platform`), writes JSON (`--json`) and ends with 1 if there is an error or a finding. Errors go to standard output, as the rest of the report does.

--- a/celerypulley/cli.py
+++ b/celerypulley/cli.py
@@ -116,9 +116,18 @@
         """List every setting of `serve` with its variable, unit and default."""
         print(setting_help())
 
-    def check(self, file: str) -> None:
-        """Check a declaration and show every error with its line."""
-        _print_lines(lambda: commands.check_declaration(file))
+    def check(self, file: str, platform: str = "", json: bool = False) -> None:
+        """Check a declaration and show every error and finding with its line.
+
+        With `platform`, the key-value store, show what differs from the version in
+        force. The exit status is 1 if there is an error or a finding, else 0.
+        """
+        try:
+            report = commands.check_declaration(file, platform)
+        except commands.CommandFailedError as error:
+            _exit_with_error(str(error))
+        print(report.to_json() if json else "\n".join(report.lines()))
+        sys.exit(0 if report.is_clean else 1)
 
     def plan(self, file: str, platform: str = _DEFAULT_PLATFORM) -> None:
         """Show the changes that applying a declaration would make."""
@@ -221,17 +230,13 @@
         _exit_with_error(str(error))
 
 
-def _print_lines(command: object) -> None:
+def _run_with_store(platform: str, command: object) -> None:
     try:
-        print("\n".join(command()))
+        print("\n".join(commands.run_with_store(platform, command)))
     except commands.CommandFailedError as error:
         _exit_with_error(str(error))
 
 
-def _run_with_store(platform: str, command: object) -> None:
-    _print_lines(lambda: commands.run_with_store(platform, command))
-
-
 def _exit_with_error(text: str) -> None:
     print(text, file=sys.stderr)
     sys.exit(_USAGE_ERROR_STATUS)
--- a/celerypulley/contracts/declaration_file.py
+++ b/celerypulley/contracts/declaration_file.py
@@ -1,6 +1,6 @@
 """Read declarations from YAML, with the line of every error."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import attrs
@@ -23,6 +23,7 @@
     "declaration_to_dict",
     "make_declaration_converter",
     "read_declaration",
+    "read_lines",
 ]
 
 _FORMAT_VERSION = 1
@@ -31,11 +32,15 @@
 
 @attrs.frozen(order=True)
 class DeclarationError:
-    """One error in a declaration: its file, line and description."""
+    """One error in a declaration: its file, line, description and place.
+
+    `path` is such as `$.routes[2].prefix`.
+    """
 
     file: str
     line: int
     problem: str
+    path: str = "$"
 
     def __str__(self) -> str:
         """Return `file:line: problem`."""
@@ -119,6 +124,13 @@
     return Success(_CONVERTER.structure(data, Declaration))
 
 
+def read_lines(path: Path) -> Callable[[str], int]:
+    """Return a function that maps a place in a readable declaration to its line."""
+    node = yaml.compose(path.read_text(encoding="utf-8"), Loader=yaml.SafeLoader)
+    lines = dict(_line_numbers(node, "$"))
+    return lambda place: _line_of(lines, place, "-")
+
+
 def _line_numbers(node: yaml.Node, path: str) -> Iterator[tuple[str, int]]:
     yield path, node.start_mark.line + 1
     if isinstance(node, yaml.MappingNode):
@@ -137,10 +149,10 @@
     except Exception as error:
         for text in transform_error(error, format_exception=_describe_error):
             problem, _, path = text.rpartition(" @ ")
-            yield DeclarationError(file, _line_of(lines, path, problem), problem)
+            yield DeclarationError(file, _line_of(lines, path, problem), problem, path)
         return
     for path, problem in _check_consistency(declaration):
-        yield DeclarationError(file, _line_of(lines, path, problem), problem)
+        yield DeclarationError(file, _line_of(lines, path, problem), problem, path)
 
 
 def _describe_error(error: BaseException, _type: type | None) -> str:
--- a/celerypulley/operators/commands.py
+++ b/celerypulley/operators/commands.py
@@ -5,12 +5,14 @@
 from pathlib import Path
 
 import aiohttp
+import attrs
 import orjson
 from returns.result import Failure
 
 from celerypulley.clock import Clock
 from celerypulley.contracts.declaration import Declaration
-from celerypulley.contracts.declaration_file import read_declaration
+from celerypulley.contracts.declaration_file import read_declaration, read_lines
+from celerypulley.contracts.declaration_review import review_declaration
 from celerypulley.contracts.keys import StoredKey, generate_key
 from celerypulley.failure_domains.member import MEMBERS_PREFIX, Member
 from celerypulley.links.cuts import CutTable
@@ -21,6 +23,7 @@
     ConfigurationStore,
     StoredVersion,
 )
+from celerypulley.operators.declaration_report import DeclarationReport
 from celerypulley.operators.differences import differences
 
 __all__ = [
@@ -72,14 +75,28 @@
     return result.unwrap()
 
 
-def check_declaration(file: str) -> list[str]:
-    """Check a declaration without writing it."""
-    declaration = load_declaration(file)
-    return [
-        f"{file}: valid; {len(declaration.organisations)} organisations, "
-        f"{len(declaration.routes)} routes, "
-        f"{len(declaration.exceptions)} exceptions"
-    ]
+def check_declaration(file: str, store_address: str = "") -> DeclarationReport:
+    """Check a declaration without writing it.
+
+    It is compared with the version in force of the store at `store_address`, unless
+    that is empty. Raise CommandFailedError if that store is unavailable.
+    """
+    result = read_declaration(Path(file))
+    if isinstance(result, Failure):
+        return DeclarationReport(file, errors=result.failure())
+    declaration = result.unwrap()
+    report = DeclarationReport(
+        file,
+        declaration=declaration,
+        findings=tuple(review_declaration(declaration)),
+        line_of=read_lines(Path(file)),
+    )
+    if not store_address:
+        return report
+    changes = run_with_store(
+        store_address, lambda store: plan_declaration(store, declaration)
+    )
+    return attrs.evolve(report, changes=tuple(changes))
 
 
 async def plan_declaration(
