Weigh learned remaining work by the square of the load

Cause: remaining work by slots times 6 moved turns away from engines that had their prompts cached. The wait now grows with the square of the load and costs little at idle servers; a wrong fourth figure and calls of no measurable duration are bounded.

--- a/celerypulley/backend_servers/cost_model.py
+++ b/celerypulley/backend_servers/cost_model.py
@@ -24,6 +24,7 @@
 _FIRST_PLAIN_CALL_MS = 20.0  # site sheets give means of 14 to 78 ms
 _SIZE_CLASS_WEIGHT = 4.0  # samples as which the route's mean counts in a new class
 _ROUTE_FACTOR_WEIGHT = 20.0  # samples until which the service's estimates count more
+_MIN_CALL_MS = 0.1  # keeps estimates above zero, by which others are divided
 _HINT_WEIGHT = 4.0
 # Outputs and calls longer than this multiple of the estimate count as that long.
 _MAX_RATIO = 8.0
@@ -237,7 +238,8 @@
             return
         of_route = self._route(service, route)
         expected_ms = of_route.expected_plain_ms(sample.body_bytes)
-        unit_ms = sample.took_ms / sample.pace / server.speed.factor
+        took_ms = max(_MIN_CALL_MS, sample.took_ms / sample.pace)
+        unit_ms = took_ms / server.speed.factor
         of_route.add_plain(sample.body_bytes, unit_ms)
         costs.call_ms.add(min(unit_ms, _MAX_RATIO * expected_ms))
         _add_server_sample(of_route, server, unit_ms / expected_ms)
--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -31,7 +31,6 @@
 _MAX_SLOWDOWN = 20.0
 # Machines are slow for some hundred milliseconds, so a reported pace soon is outdated.
 _PACE_HALF_LIFE_MS = 250.0
-_PACE_LIMITS = (0.1, 20.0)
 # Calls of which only the number is known have on average half their duration left.
 _REST_OF_OTHERS = 0.5
 # Counts of other hosts are as old as calls last, so a count says less about the present
@@ -215,8 +214,7 @@
 
     def record_pace(self, pace: float, now_ms: float) -> None:
         """Record the factor by which work takes longer on the machine at the moment."""
-        lowest, highest = _PACE_LIMITS
-        self.pace = min(highest, max(lowest, pace))
+        self.pace = pace
         self.pace_updated_ms = now_ms
 
     def expected_pace(self, now_ms: float) -> float:
@@ -254,7 +252,11 @@
         last_count = max(0, self.sequence_count(now_ms) - len(self.running_calls))
         mean = self._mean_of_others(now_ms)
         others = mean + (last_count - mean) * _OTHERS_LAST_COUNT_WEIGHT
-        return remaining_ms + others * typical_ms * self.speed.factor * _REST_OF_OTHERS
+        return remaining_ms + others * self.typical_rest_ms(typical_ms)
+
+    def typical_rest_ms(self, typical_ms: float) -> float:
+        """Return what a call of the typical duration has left here on average."""
+        return typical_ms * self.speed.factor * _REST_OF_OTHERS
 
     def record_cached(self, prefix: str, tokens: int, now_ms: float) -> None:
         """Record that `tokens` tokens of a prompt prefix are cached.
--- a/celerypulley/backend_servers/routing.py
+++ b/celerypulley/backend_servers/routing.py
@@ -29,9 +29,11 @@
 _CROSS_DOMAIN_COST_MS = 2.0
 _DELAYED_SEQUENCE_WEIGHT = 0.2
 _EVICTION_WEIGHT = 10.0
-# Replays with counts half a second old: with 1, hosts queue calls at fast servers; from
-# 8 on, calls go to servers that take longer than the wait that is saved.
-_WAIT_WEIGHT = 6.0
+# Replays with counts half a second old: remaining work by slots times 1 queues calls at
+# fast servers, times 6 takes calls from where their prompts are cached. With the square
+# of the load, as the risk of a wait grows, it costs little at idle servers.
+_WAIT_WEIGHT = 2.0
+_MAX_LOAD_FACTOR = 1.5
 _MEAN_PLAIN_CALL_MS = 20.0  # site sheets give means of 14 to 78 ms
 
 
@@ -155,11 +157,18 @@
 
 
 def _wait_ms(call: EngineCall, server: EngineState) -> float:
-    """Return the cost of the learned work that a server has left, by its slots."""
+    """Return the cost of the learned work that a server has left.
+
+    It is the part for each slot, weighted by the square of the load: the work left by
+    that of a server with a call of the typical duration in each slot.
+    """
     if call.costs is None:
         return 0.0
     remaining_ms = server.remaining_work_ms(call.now_ms, call.costs.typical_ms)
-    return remaining_ms / server.traits.batch_limit * _WAIT_WEIGHT
+    slots = server.traits.batch_limit
+    full_ms = server.typical_rest_ms(call.costs.typical_ms) * slots
+    load = min(_MAX_LOAD_FACTOR, remaining_ms / max(1.0, full_ms))
+    return remaining_ms / slots * load * load * _WAIT_WEIGHT
 
 
 def choose_engine(
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -15,6 +15,7 @@
 
 _DEFAULT_DEADLINE_MS = 30_000
 _LOAD_FIGURES = 4  # running, waiting, slots and pace in percent
+_PACE_LIMITS_PERCENT = (10, 2_000)  # bounds the effect of one wrong figure
 _NO_FIGURES = (None,) * _LOAD_FIGURES
 _PROGRAM_ID = re.compile(r"[0-9A-Za-z._~-]{1,100}")
 # Hop-by-hop headers, and those that the product sets itself or does not forward.
@@ -140,7 +141,7 @@
         running=running if has_load else None,
         waiting=waiting if has_load else None,
         slots=slots or None if has_load else None,
-        pace=pace_percent / 100 if has_load and pace_percent else None,
+        pace=_decode_pace(pace_percent) if has_load else None,
         headers=tuple(
             (name, value)
             for name, value in head.raw_headers
@@ -149,6 +150,13 @@
     )
 
 
+def _decode_pace(percent: int | None) -> float | None:
+    if not percent:
+        return None
+    lowest, highest = _PACE_LIMITS_PERCENT
+    return min(highest, max(lowest, percent)) / 100
+
+
 def _decode_leaving(values: list[str]) -> bool | None:
     if not values:
         return False
