Test restarts of servers, and calls too short to measure, with learned costs

Cause: only the state of a new object was checked, not a new entry of a server at a host. Measured: test_request_costs passes (57 cases) at clock bases of 0.001 s and 1e9 s.

--- a/tests/test_request_costs.py
+++ b/tests/test_request_costs.py
@@ -30,6 +30,7 @@
 from celerypulley.stand_ins.opaque_server import Mode
 from celerypulley.turn_scheduling.engine_slots import EngineSlots
 from tests.fleet import desired_state, route, running_fleet
+from tests.harness import wait_until
 
 _CONSTANTS = EngineTraits(2.18, 0.0548, 187_000.0, 6, 42.0)
 _SPEEDS = (0.7, 0.8, 1.0, 1.0, 1.2, 1.7)
@@ -230,6 +231,7 @@
         pytest.param([100.0] * 30, 1.0, 90.0, 101.0, id="settled"),
         pytest.param([100.0] * 30 + [50_000.0], 1.0, 90.0, 130.0, id="outlier"),
         pytest.param([100.0] * 30 + [30.0] * 200, 1.0, 28.0, 45.0, id="change"),
+        pytest.param([0.0] * 200, 1.0, 0.05, 2.0, id="too short to measure"),
         pytest.param([200.0] * 30, 2.0, 90.0, 101.0, id="slow machine"),
     ],
 )
@@ -292,10 +294,7 @@
     [(0, 1.0, 1.0), (1, 1.02, 1.4), (40, 1.5, 2.1)],
 )
 def test_factor_of_a_server_begins_at_the_mean_of_its_service(samples, lowest, highest):
-    """Guards against servers that one slow call excludes or that are never told apart.
-
-    A new start of a server begins anew.
-    """
+    """Guards against one slow call that excludes a server, and speeds never learned."""
     slow, others = make_server(), [make_server(f"s{number}") for number in (1, 2, 3, 4)]
     model = learning_model(slow, *others)
     for _ in range(60):
@@ -305,7 +304,6 @@
         model.add_plain("m", "r", slow, plain_sample(100.0))
         model.add_plain("m", "r", others[0], plain_sample(50.0))
     assert lowest <= slow.speed.factor <= highest
-    assert make_server().speed.factor == 1.0
 
 
 @pytest.mark.parametrize(
@@ -419,6 +417,23 @@
         assert not server.running_calls
 
 
+@pytest.mark.parametrize(("born", "is_new"), [(0, False), (9, True)])
+async def test_new_start_of_a_server_begins_at_the_mean(born, is_new):
+    """Guards against a restarted server that is avoided for its former slowness."""
+    async with running_fleet(servers=1) as fleet:
+        fleet.servers[0].load = "1,0,8,250"
+        assert (await fleet.call("/unsafe/x")).status == 200
+        directory = fleet.hosts[0].directory
+        former = directory.servers["server-0"]
+        former.speed.add(1.0, 0.1)
+        fleet.register(fleet.servers[0], born=born, seq=2)
+        await wait_until(lambda: directory.follower._revision >= fleet.store.revision)
+        server = directory.servers["server-0"]
+        assert (server is not former) == is_new
+        assert (server.speed.factor == 1.0, server.pace == 1.0) == (is_new, is_new)
+        assert fleet.hosts[0].costs.is_learned("engines")
+
+
 @pytest.mark.parametrize(
     ("mode", "is_learned"),
     [(Mode.ERROR, True), (Mode.OTHER_INSTANCE, False), (Mode.NO_SEAL, False)],
