Bound what a host holds for its clients by its machine's memory and descriptors

Cause: heads of many short lines, unfinished bodies, pipelined requests, slow readers and idle connections cost memory and descriptors without any bound.

Long responses are read from servers only when there is room, and written in parts. Both front ends, the probe servers and the storage hosts' server use them. A server whose response waits for its caller no longer counts as stalled. Settings limits.memoryMb and limits.maxFds, and maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the desired state are decoded.

A handler's exception kept what it had read until the next collection of cycles, so lists of parts are cleared.

--- /dev/null
+++ b/celerypulley/client_limits/__init__.py
@@ -0,0 +1,1 @@
+"""What a process may hold for its clients."""
--- /dev/null
+++ b/celerypulley/client_limits/memory_account.py
@@ -0,0 +1,152 @@
+"""The account of the memory that a process holds for its clients."""
+
+import enum
+
+import attrs
+
+__all__ = [
+    "ClientCharge",
+    "MemoryAccount",
+    "Progress",
+    "client_memory_bytes",
+    "connection_limit",
+    "head_memory_bytes",
+]
+
+_MB = 1024 * 1024
+_PROCESS_MB = 60  # a host that serves nobody has 55 MB
+_HISTORY_CACHE_MB = 12  # of hosts/turn_archive.py
+# The rest is for the allocator's fragments, for what is read before a closed connection
+# is freed, and for estimates that are too low.
+_ACCOUNT_FRACTION = 0.5
+_MIN_ACCOUNT_MB = 8
+_CONNECTION_BYTES = 12 * 1024  # 9.4 KB with aiohttp 3.14.5, and the socket
+# With aiohttp 3.14.5, lines of 4 to 35 bytes take 180 to 410 bytes once parsed, and are
+# copied when the request is forwarded.
+_HEADER_LINE_BYTES = 512
+_RESERVED_DESCRIPTORS = 128  # listeners, probes, store, peers, log and disk
+_MIN_CONNECTIONS = 16
+
+
+def client_memory_bytes(memory_mb: float) -> int:
+    """Return what a process on a machine of `memory_mb` may hold for clients."""
+    spare_mb = (memory_mb - _PROCESS_MB - _HISTORY_CACHE_MB) * _ACCOUNT_FRACTION
+    return int(max(_MIN_ACCOUNT_MB, spare_mb) * _MB)
+
+
+def connection_limit(max_descriptors: int) -> int:
+    """Return how many clients may be connected, if each needs a server connection."""
+    return max(_MIN_CONNECTIONS, (max_descriptors - _RESERVED_DESCRIPTORS) // 2)
+
+
+def head_memory_bytes(lines: int, wire_bytes: int) -> int:
+    """Return the memory of a parsed head, or of a part of one."""
+    return lines * _HEADER_LINE_BYTES + 2 * wire_bytes
+
+
+class Progress(enum.IntEnum):
+    """What a connection waits for; those of lower values are closed first.
+
+    INCOMPLETE: the rest of a request. UNTAKEN: the client, which doesn't read its
+    response or has sent requests ahead. RUNNING: the host or a server.
+    """
+
+    INCOMPLETE = 0
+    UNTAKEN = 1
+    RUNNING = 2
+
+
+# A connection that holds no more is never closed: a request of 20 kB holds 60 kB.
+_ORDINARY_BYTES = {
+    Progress.INCOMPLETE: 64 * 1024,
+    Progress.UNTAKEN: 64 * 1024,
+    Progress.RUNNING: 256 * 1024,
+}
+
+
+@attrs.define(eq=False)
+class ClientCharge:
+    """What one connection holds, in bytes of memory."""
+
+    progress: Progress = Progress.INCOMPLETE
+    head_bytes: int = 0
+    body_bytes: int = 0
+    history_bytes: int = 0
+    response_bytes: int = 0
+    ahead_bytes: int = 0
+    is_closed: bool = False
+
+    @property
+    def total_bytes(self) -> int:
+        """Return the sum of the parts and of the connection itself."""
+        return (
+            _CONNECTION_BYTES
+            + self.head_bytes
+            + self.body_bytes
+            + self.history_bytes
+            + self.response_bytes
+            + self.ahead_bytes
+        )
+
+
+class MemoryAccount:
+    """The charges of all connections of a process, and what is closed if they exceed.
+
+    `held_bytes` is the sum of all charges.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        """Allow all connections together `limit_bytes`."""
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+        self._charges: set[ClientCharge] = set()
+
+    def open(self) -> ClientCharge:
+        """Return the charge of a new connection."""
+        charge = ClientCharge()
+        self._charges.add(charge)
+        self.held_bytes += charge.total_bytes
+        return charge
+
+    def close(self, charge: ClientCharge) -> None:
+        """Drop the charge of a connection that is closed; later changes are ignored."""
+        if charge.is_closed:
+            return
+        charge.is_closed = True
+        self._charges.discard(charge)
+        self.held_bytes -= charge.total_bytes
+
+    def change(self, charge: ClientCharge, **parts: int) -> None:
+        """Replace parts of a charge by `parts`."""
+        if charge.is_closed:
+            return
+        self.held_bytes -= charge.total_bytes
+        for name, count in parts.items():
+            setattr(charge, name, count)
+        self.held_bytes += charge.total_bytes
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Return whether more is held than allowed."""
+        return self.held_bytes > self.limit_bytes
+
+    def choose_evictions(self) -> list[ClientCharge]:
+        """Return the connections to close so that the others fit.
+
+        The lowest progress comes first, then the largest charge. Connections that hold
+        no more than ordinary ones are never among them.
+        """
+        excess_bytes = self.held_bytes - self.limit_bytes
+        chosen: list[ClientCharge] = []
+        if excess_bytes <= 0:
+            return chosen
+        for charge in sorted(
+            self._charges, key=lambda each: (each.progress, -each.total_bytes)
+        ):
+            if excess_bytes <= 0:
+                break
+            if charge.total_bytes <= _ORDINARY_BYTES[charge.progress]:
+                continue
+            chosen.append(charge)
+            excess_bytes -= charge.total_bytes
+        return chosen
--- a/celerypulley/contracts/desired_state.py
+++ b/celerypulley/contracts/desired_state.py
@@ -88,9 +88,12 @@
 
 @attrs.frozen(kw_only=True)
 class CallerLimits:
-    """Limits on what callers send."""
+    """Limits on what callers send, and on how long they take or stay idle."""
 
     max_body_bytes: int = 4_194_304
+    max_header_bytes: int = 16_384
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
 
 
 class DesiredState:
--- a/celerypulley/fleet_settings.py
+++ b/celerypulley/fleet_settings.py
@@ -23,7 +23,8 @@
     is set if no disk of the fleet has ever been written. If `schedules_turns` is set,
     turns wait for a free slot of an engine, and programs that do not fit are refused.
     If `evacuates_domains` is set, operators can mark failure domains whose servers get
-    no requests. `region_of_domain` has the regions of all failure domains.
+    no requests. `region_of_domain` has the regions of all failure domains. The machine
+    has `memory_mb` of memory, and a process `max_descriptors` file descriptors.
     """
 
     host_id: str
@@ -45,5 +46,7 @@
     tolerated_disk_losses: int = 1
     schedules_turns: bool = False
     evacuates_domains: bool = False
+    memory_mb: float = 128.0
+    max_descriptors: int = 1_024
     region: str = ""
     region_of_domain: dict[str, str] = attrs.Factory(dict)
--- a/celerypulley/hosts/entry.py
+++ b/celerypulley/hosts/entry.py
@@ -269,7 +269,7 @@
     async def _call_repeatable(
         self, message: RunCall, limits: Limits, sink: ResponseSink
     ) -> None:
-        response = await self._first_response(message, limits)
+        response = await self._first_response(message, limits, sink)
         content_type = response.content_type or "application/octet-stream"
         headers = {
             "Content-Type": content_type,
@@ -278,7 +278,9 @@
         await sink.head(response.status, headers)
         await sink.chunk(response.body)
 
-    async def _first_response(self, message: RunCall, limits: Limits) -> PlainResponse:
+    async def _first_response(
+        self, message: RunCall, limits: Limits, sink: ResponseSink
+    ) -> PlainResponse:
         detail = f"no available server for route {message.route!r}"
         for server in self.servers.live_plain_servers(message.route)[:_PLAIN_ATTEMPTS]:
             _log.write(
@@ -294,6 +296,7 @@
                     message.content_type,
                     message.request_id,
                     limits.turn_timeout_s,
+                    sink,
                 )
             except BackendError as error:
                 detail = f"{server.name}: {error}"
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -9,6 +9,11 @@
 
 from celerypulley import __version__
 from celerypulley.backend_servers.server_entry import ServerEntry
+from celerypulley.client_limits.memory_account import (
+    MemoryAccount,
+    client_memory_bytes,
+    connection_limit,
+)
 from celerypulley.clock import Clock
 from celerypulley.contracts.desired_state import CallerLimits, DesiredState
 from celerypulley.decision_log import DecisionLog
@@ -39,6 +44,7 @@
 from celerypulley.hosts.stream_forwarder import StreamForwarder
 from celerypulley.hosts.turn_archive import TurnArchive
 from celerypulley.hosts.turn_scheduler import TurnScheduler
+from celerypulley.links.client_connections import REFUSED_KINDS, ClientPolicy
 from celerypulley.links.forward_dialect import Dialect
 from celerypulley.links.forward_server import ForwardServer, ForwardSink
 from celerypulley.links.key_value import KeyValueStore
@@ -57,6 +63,7 @@
 _LAST_RESPONSE_MS = 250.0  # from the last response to the abort of connections
 _READINESS_PERIOD_S = 0.25  # the gossip period
 _SUMMARY_PERIOD_S = 10.0
+_DEFAULT_LIMITS = CallerLimits()
 _log = DecisionLog("host")
 
 
@@ -190,6 +197,11 @@
                 clock,
             )
         self.forwarder = self._make_forwarder(schema.dialect)
+        self.client_policy = ClientPolicy(
+            MemoryAccount(client_memory_bytes(settings.memory_mb)),
+            self._caller_limits,
+            clock,
+        )
         self.server = ForwardServer(
             settings.caller_address,
             schema.dialect,
@@ -197,17 +209,21 @@
             self._body_limit,
             lambda: not self._was_ready,
             settings.shutdown_grace_ms - _LEAVE_BALANCER_MS - _STOP_MARGIN_MS,
+            connection_limit(settings.max_descriptors),
+            self.client_policy,
             clock,
         )
         self.readiness_server = ProbeServer(
             settings.ready_address.ip,
             settings.ready_address.port,
             {"/readyz": self._readiness_response},
+            self.client_policy,
         )
         self.metrics_server = ProbeServer(
             settings.ip,
             settings.metrics_port,
             {"/metrics": lambda: (200, self.metrics.text())},
+            self.client_policy,
         )
         self._was_ready = False
         self._add_gauges()
@@ -268,6 +284,11 @@
         gauges["rate_delays"] = lambda: self.meter.delayed
         gauges["rate_refusals"] = lambda: self.meter.refused
         gauges["requests_active"] = lambda: self.server.active
+        gauges["client_connections"] = lambda: self.server.connections.count
+        policy = self.client_policy
+        gauges["client_held_bytes"] = lambda: policy.account.held_bytes
+        for kind in REFUSED_KINDS:
+            gauges[f"clients_refused_{kind}"] = partial(policy.closed.__getitem__, kind)
         pool = self.archive.pool
         if pool is not None:
             gauges["disks_known"] = lambda: len(self.disk_list.disks)
@@ -314,13 +335,12 @@
             store=self.settings.store_address,
         )
 
+    def _caller_limits(self) -> CallerLimits:
+        state = self.desired_state.state
+        return state.limits if state is not None else _DEFAULT_LIMITS
+
     def _body_limit(self) -> int:
-        limits = (
-            self.desired_state.state.limits
-            if self.desired_state.state
-            else CallerLimits()
-        )
-        return limits.max_body_bytes
+        return self._caller_limits().max_body_bytes
 
     def _own_counts(self) -> tuple[dict, dict, dict]:
         return (
--- a/celerypulley/hosts/host.py
+++ b/celerypulley/hosts/host.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import secrets
+from functools import partial
 
 import aiohttp
 from mode import Service
 
 from celerypulley import __version__
+from celerypulley.client_limits.memory_account import (
+    MemoryAccount,
+    client_memory_bytes,
+    connection_limit,
+)
 from celerypulley.clock import Clock
+from celerypulley.contracts.desired_state import CallerLimits
 from celerypulley.decision_log import DecisionLog
 from celerypulley.failure_domains.member import Member
 from celerypulley.fleet.crash_counts import CrashCounts
@@ -40,6 +47,7 @@
 from celerypulley.links.admin_server import AdminServer
 from celerypulley.links.backend_link import BackendLink
 from celerypulley.links.caller_server import CallerServer
+from celerypulley.links.client_connections import REFUSED_KINDS, ClientPolicy
 from celerypulley.links.cuts import CutTable
 from celerypulley.links.frame_stream import LinkConditions
 from celerypulley.links.peer_link import PeerIdentity
@@ -218,6 +226,11 @@
             self.backend_link,
             self.clock,
         )
+        policy = ClientPolicy(
+            MemoryAccount(client_memory_bytes(settings.memory_mb)),
+            CallerLimits,
+            self.clock,
+        )
         self.callers = CallerServer(
             settings.caller_address,
             entry,
@@ -225,7 +238,14 @@
             self.clock,
             settings.body_limit_bytes,
             settings.shutdown_ms,
+            connection_limit(settings.max_descriptors),
+            policy,
         )
+        gauges = self.metrics.gauges
+        gauges["client_connections"] = lambda: self.callers.connections.count
+        gauges["client_held_bytes"] = lambda: policy.account.held_bytes
+        for kind in REFUSED_KINDS:
+            gauges[f"clients_refused_{kind}"] = partial(policy.closed.__getitem__, kind)
         self.configuration.on_change.append(self.callers.drop_withdrawn)
         peer_dispatcher = PeerDispatcher(
             self.shards,
--- a/celerypulley/hosts/owner_router.py
+++ b/celerypulley/hosts/owner_router.py
@@ -138,6 +138,12 @@
         """Append a part of the report."""
         self.chunks.append(data)
 
+    async def reserve_response(self, length: int) -> None:
+        """Do not wait, since nothing is charged here."""
+
+    def hold_response(self, count: int) -> None:
+        """Charge nothing: reports are small."""
+
 
 async def _forward_reply(reply: object, sink: ResponseSink) -> None:
     if isinstance(reply, Chunk):
--- a/celerypulley/hosts/peer_dispatcher.py
+++ b/celerypulley/hosts/peer_dispatcher.py
@@ -35,6 +35,12 @@
         """Send a part of the body."""
         await self._send(messages.Chunk(data))
 
+    async def reserve_response(self, length: int) -> None:
+        """Do not wait, since nothing is charged here."""
+
+    def hold_response(self, count: int) -> None:
+        """Charge nothing: the host that the caller called does."""
+
     async def _send(self, message: object) -> None:
         try:
             await self.call.reply(message)
--- a/celerypulley/hosts/plain_forwarder.py
+++ b/celerypulley/hosts/plain_forwarder.py
@@ -16,6 +16,7 @@
     try_servers,
 )
 from celerypulley.links.forward_server import ForwardSink
+from celerypulley.links.header_text import parse_whole_number
 
 __all__ = ["PlainForwarder"]
 
@@ -61,7 +62,10 @@
         head, metadata = await context.read_head(call, server, admitted)
         if metadata.not_run:
             return not_run_attempt(server, head, metadata)
-        body = await call.read_body()
+        if admitted.request.method != "HEAD":
+            length = parse_whole_number(head.headers.get("Content-Length", ""))
+            await sink.reserve_response(length or 0)
+        body = await call.read_body(sink.hold_response)
         call.release()
         if (
             head.status >= 500
--- a/celerypulley/hosts/stall_monitor.py
+++ b/celerypulley/hosts/stall_monitor.py
@@ -52,6 +52,8 @@
             await self.sleep(_CHECK_PERIOD_S)
             now_ms = self.clock.now_ms()
             for monitored in list(self._calls):
+                if monitored.call.is_unread:
+                    continue
                 silent_ms = monitored.server.silent_ms(monitored.started_ms, now_ms)
                 if silent_ms < STALL_TIMEOUT_MS:
                     continue
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -3,13 +3,20 @@
 from mode import Service
 
 from celerypulley import __version__
+from celerypulley.client_limits.memory_account import (
+    MemoryAccount,
+    client_memory_bytes,
+    connection_limit,
+)
 from celerypulley.clock import Clock
+from celerypulley.contracts.desired_state import CallerLimits
 from celerypulley.decision_log import DecisionLog
 from celerypulley.fleet.disk_list import Disk, DiskList
 from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.record_service import RecordService
 from celerypulley.hosts.record_store import RecordStore
+from celerypulley.links.client_connections import REFUSED_KINDS, ClientPolicy
 from celerypulley.links.key_value import KeyValueStore
 from celerypulley.links.probe_server import ProbeServer
 from celerypulley.links.storage_messages import RecordsNotStored, StoreRecords
@@ -62,9 +69,25 @@
             settings.tolerated_disk_losses,
             clock,
         )
-        self.server = StorageServer(settings.ip, settings.fleet_port, self._handle)
+        self.client_policy = ClientPolicy(
+            MemoryAccount(client_memory_bytes(settings.memory_mb)),
+            CallerLimits,
+            clock,
+        )
+        max_connections = connection_limit(settings.max_descriptors)
+        self.server = StorageServer(
+            settings.ip,
+            settings.fleet_port,
+            max_connections,
+            self.client_policy,
+            self._handle,
+        )
         self.metrics_server = ProbeServer(
-            settings.ip, settings.metrics_port, {"/metrics": self._metrics_response}
+            settings.ip,
+            settings.metrics_port,
+            {"/metrics": self._metrics_response},
+            self.client_policy,
+            max_connections // 2,
         )
 
     async def on_start(self) -> None:
@@ -119,6 +142,11 @@
             "is_listed": int(self.is_listed()),
             "records_with_one_copy": restorer.records_with_one_copy,
             "copies_compared_ms": round(restorer.compared_ms),
+            "client_held_bytes": self.client_policy.account.held_bytes,
+            **{
+                f"clients_refused_{kind}": self.client_policy.closed[kind]
+                for kind in REFUSED_KINDS
+            },
         }
 
     def _metrics_response(self) -> tuple[int, str]:
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -48,9 +48,9 @@
 class _Turn:
     """A streaming request in progress.
 
-    `body` is sent to servers and holds history and new input. `output` is the data of
-    the events that were forwarded. `last_event_id` is the event after which another
-    server resumes.
+    `body` is sent to servers and holds history and new input. `event_count` events were
+    forwarded; `output` is their data where it becomes history. `last_event_id` is the
+    event after which another server resumes.
     """
 
     admitted: AdmittedRequest
@@ -60,13 +60,9 @@
     reservation: TurnBudget | None
     last_event_id: str
     output: list[bytes] = attrs.Factory(list)
+    event_count: int = 0
     head_sent: bool = False
 
-    @property
-    def event_count(self) -> int:
-        """Return the number of forwarded events."""
-        return len(self.output)
-
 
 def _choose(
     call: EngineCall, servers: list[EngineState], avoid: frozenset[str]
@@ -96,6 +92,8 @@
     async def run(self, admitted: AdmittedRequest, sink: ForwardSink) -> str:
         """Forward a stream; return the server's name or raise CallRefusedError."""
         history = await self._load_history(admitted)
+        if history:
+            sink.hold_history(history)
         if admitted.continues_history:
             admitted = admitted.with_history(history)
             self.context.crash_trials.check(admitted.fingerprint)
@@ -226,7 +224,7 @@
         if metadata.not_run:
             return not_run_attempt(server, head, metadata)
         if head.status != 200:
-            body = await call.read_body()
+            body = await call.read_body(sink.hold_response)
             call.release()
             if turn.head_sent:
                 raise ServerCallError(f"resumption got status {head.status}", True)
@@ -241,7 +239,7 @@
             if not turn.head_sent:
                 turn.head_sent = True
                 await sink.head(head.status, head.reason, metadata.headers)
-            self._record_events(turn, events)
+            self._record_events(turn, events, sink)
             await sink.chunk(b"".join(event.raw for event in events))
         if reader.pending:
             raise ServerCallError("stream ended within an event", True)
@@ -262,9 +260,14 @@
         await self._archive_turn(turn)
         return None
 
-    def _record_events(self, turn: _Turn, events: list[Event]) -> None:
+    def _record_events(
+        self, turn: _Turn, events: list[Event], sink: ForwardSink
+    ) -> None:
+        turn.event_count += len(events)
         for event in events:
-            turn.output.append(event.data)
+            if turn.admitted.route.prepends_history:
+                turn.output.append(event.data)
+                sink.hold_output(len(event.data))
             turn.last_event_id = event.event_id or turn.last_event_id
         if turn.reservation is not None:
             turn.reservation.record_spent(len(events) * turn.tokens_per_event)
--- a/celerypulley/links/backend_link.py
+++ b/celerypulley/links/backend_link.py
@@ -6,6 +6,8 @@
 import attrs
 import orjson
 
+from celerypulley.links.response_sink import ResponseSink
+
 __all__ = ["BackendError", "BackendLink", "PlainResponse"]
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -84,28 +86,40 @@
         content_type: str,
         request_id: str,
         timeout_s: float,
+        sink: ResponseSink | None = None,
     ) -> PlainResponse:
-        """Send one call over its own connection; raise BackendError."""
+        """Send one call over its own connection; raise BackendError.
+
+        The response is charged to the caller of `sink`.
+        """
         headers = {"X-Request-Id": request_id}
         if content_type:
             headers["Content-Type"] = content_type
         timeout = aiohttp.ClientTimeout(
             total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
         )
+        chunks: list[bytes] = []
         try:
             async with self.unpooled_session.post(
                 f"http://{address}{path}", data=body, headers=headers, timeout=timeout
             ) as response:
-                response_body = await response.read()
+                if sink is not None:
+                    await sink.reserve_response(response.content_length or 0)
+                async for chunk in response.content.iter_any():
+                    chunks.append(chunk)
+                    if sink is not None:
+                        sink.hold_response(len(chunk))
                 return PlainResponse(
                     response.status,
                     response.headers.get("Content-Type", ""),
-                    response_body,
+                    b"".join(chunks),
                 )
         except aiohttp.ClientConnectorError as error:
             raise BackendError(repr(error), sent=False) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise BackendError(repr(error), sent=True) from error
+        finally:
+            chunks.clear()  # exceptions refer to this frame
 
     async def read_json(self, address: str, path: str, timeout_s: float) -> dict | list:
         """Return a JSON report of a server; raise BackendError."""
--- a/celerypulley/links/caller_server.py
+++ b/celerypulley/links/caller_server.py
@@ -16,6 +16,13 @@
 from celerypulley.hosts.entry import Caller, Entry
 from celerypulley.hosts.metrics import HostMetrics
 from celerypulley.hosts.program_rules import require_configuration
+from celerypulley.links.client_connections import (
+    WRITE_BYTES,
+    ClientConnections,
+    ClientPolicy,
+    protocol_of,
+    read_body,
+)
 from celerypulley.links.header_text import sendable_text
 from celerypulley.links.peer_messages import OpenProgram, RunCall, RunTurn
 from celerypulley.links.response_sink import CallerDisconnectedError
@@ -30,6 +37,7 @@
 _BUDGET_HEADER = "X-Celerypulley-Budget-Tokens"
 _IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 _MAX_HEADER_CHARS = 200
+_BODY = web.RequestKey("body", bytes)
 _SHUTDOWN_POLL_S = 0.1
 _log = DecisionLog("caller")
 
@@ -42,6 +50,7 @@
         self.request = request
         self.request_id = request_id
         self.response: web.StreamResponse | None = None
+        self._held_bytes = 0
 
     async def head(self, status: int, headers: dict[str, str]) -> None:
         """Send status and headers; raise CallerDisconnectedError."""
@@ -54,13 +63,26 @@
         except OSError as error:
             raise CallerDisconnectedError(str(error)) from None
 
+    def hold_response(self, count: int) -> None:
+        """Charge `count` more bytes of a response; raise CallerDisconnectedError."""
+        self._held_bytes += count
+        protocol_of(self.request).hold_response(self._held_bytes)
+        # Handlers of this server go on after their caller's connection has closed.
+        if self.request.transport is None:
+            raise CallerDisconnectedError("the connection closed during the call")
+
+    async def reserve_response(self, length: int) -> None:
+        """Wait until the host has room for a response of `length` bytes."""
+        await protocol_of(self.request).reserve_response(length)
+
     async def chunk(self, data: bytes) -> None:
         """Send a part of the body; raise CallerDisconnectedError."""
         assert self.response is not None, "the head is sent before the body"
         if not data:
             return
         try:
-            await self.response.write(data)
+            for start in range(0, len(data), WRITE_BYTES):
+                await self.response.write(data[start : start + WRITE_BYTES])
         except OSError as error:
             raise CallerDisconnectedError(str(error)) from None
 
@@ -76,11 +98,14 @@
         clock: Clock,
         body_limit_bytes: int,
         shutdown_ms: int,
+        max_connections: int,
+        policy: ClientPolicy,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         """Pass authenticated requests to `entry`.
 
         `body_limit_bytes` limits the body of a request; `shutdown_ms` limits `drain`.
+        `policy` limits what at most `max_connections` callers may hold.
         """
         super().__init__()
         self.address = address
@@ -89,14 +114,17 @@
         self.clock = clock
         self.body_limit_bytes = body_limit_bytes
         self.shutdown_ms = shutdown_ms
-        self.tls = tls
+        self.policy = policy
+        self.connections = ClientConnections(
+            address.ip, address.port, max_connections, policy, tls
+        )
         self.draining = False
         self.active_requests: dict[asyncio.Task, Caller | None] = {}
         self._runner: web.AppRunner | None = None
 
     async def on_start(self) -> None:
         """Open the listening socket."""
-        app = web.Application(client_max_size=self.body_limit_bytes)
+        app = web.Application()
         app.router.add_post(
             "/v1/chat/completions", self._make_handler(self._complete_chat)
         )
@@ -111,17 +139,12 @@
         app.router.add_route("*", "/{tail:.*}", self._make_handler(self._call_plain))
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
         await self._runner.setup()
-        site = web.TCPSite(
-            self._runner,
-            self.address.ip,
-            self.address.port,
-            ssl_context=self.tls,
-            reuse_address=True,
-        )
-        await site.start()
+        assert self._runner.server is not None, "the runner has been set up"
+        self.connections.start(self._runner.server)
 
     async def on_stop(self) -> None:
         """Close the socket; call `drain` first to let requests finish."""
+        await self.connections.stop()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -197,18 +220,30 @@
                 )
             caller = self.entry.authenticate(_bearer_key(request))
             self.active_requests[task] = caller
+            await self._read_body(request)
             await handle(request, caller, sink)
         except CallRefusedError as error:
             return error.refusal
-        except web.HTTPRequestEntityTooLarge:
-            detail = f"the request body exceeds {self.body_limit_bytes} bytes"
-            return Refusal(ErrorKind.BODY_TOO_LARGE, detail)
         except CallerDisconnectedError as error:
             return Refusal(ErrorKind.OUTCOME_UNKNOWN, str(error))
         except asyncio.CancelledError:
             return self._cancellation_refusal(task)
         return None
 
+    async def _read_body(self, request: web.Request) -> None:
+        """Read the body into the request; raise CallRefusedError."""
+        body = await read_body(request, self.body_limit_bytes)
+        if body is None:
+            raise CallRefusedError.of(
+                ErrorKind.BODY_TOO_LARGE,
+                f"the request body exceeds {self.body_limit_bytes} bytes",
+            )
+        request[_BODY] = body
+        if not protocol_of(request).has_room():
+            raise CallRefusedError.of(
+                ErrorKind.OVERLOADED, "this host has no memory left for the request"
+            )
+
     def _cancellation_refusal(self, task: asyncio.Task) -> Refusal:
         caller = self.active_requests.get(task)
         keys = require_configuration(self.entry.configuration).keys
@@ -226,7 +261,7 @@
             turn=_integer_header(request, _TURN_HEADER),
             receipt=_single_header(request, _RECEIPT_HEADER),
             stream=False,
-            body=await request.read(),
+            body=request[_BODY],
             request_id=sink.request_id,
         )
         await self.entry.chat(caller, message, sink)
@@ -286,7 +321,7 @@
             program=_single_header(request, _PROGRAM_HEADER),
             path=request.path,
             content_type=_single_header(request, "Content-Type"),
-            body=await request.read(),
+            body=request[_BODY],
             request_id=sink.request_id,
         )
         key = _single_header(request, _IDEMPOTENCY_KEY_HEADER)
--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -3,16 +3,21 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from typing import Any
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 from mode import Service
 
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
-from celerypulley.errors import ErrorKind, Refusal
+from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.links.caller_server import error_response
+from celerypulley.links.client_connections import (
+    WRITE_BYTES,
+    ClientConnections,
+    ClientPolicy,
+    protocol_of,
+    read_body,
+)
 from celerypulley.links.forward_dialect import Dialect
 from celerypulley.links.header_text import sendable_text
 from celerypulley.links.response_sink import CallerDisconnectedError
@@ -25,37 +30,13 @@
 _MAX_HEADER_LINES = _MAX_HEADER_BYTES // len("a:\r\n")
 _IDLE_TIMEOUT_S = 75.0  # longer than any idle timeout that operators set, 15 s
 _ABORT_TIMEOUT_S = 0.5  # for responses that are still being written
-_LISTEN_BACKLOG = 1_024  # a dropped SYN delays its sender by seconds
 _MAX_LOGGED_CHARS = 100
 _STEPS_TO_HANDLER = 5  # of the event loop, from the bytes of a request to its handler
+_NO_MEMORY = "this host has no memory left for further requests"
 _BARE_LAST_CHUNK = b"\r\n0\r\n\r\n"  # the end of a body in chunks without trailers
 _log = DecisionLog("callers")
 
 
-class _CallerProtocol(RequestHandler):
-    """aiohttp's server protocol, which also keeps the last bytes that came."""
-
-    __slots__ = ("last_bytes",)
-
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        """Create the protocol of a new connection."""
-        super().__init__(*arguments, **options)
-        self.last_bytes = b""
-
-    def data_received(self, data: bytes) -> None:
-        """Keep the end of `data` and parse it."""
-        kept_bytes = len(_BARE_LAST_CHUNK)
-        self.last_bytes = (self.last_bytes + data[-kept_bytes:])[-kept_bytes:]
-        super().data_received(data)
-
-
-class _CallerProtocols(web.Server):
-    """aiohttp's factory of protocols, for `_CallerProtocol`."""
-
-    def __call__(self) -> _CallerProtocol:
-        return _CallerProtocol(self, loop=self._loop, **self._kwargs)
-
-
 class ForwardSink:
     """The response to one caller: complete, or a head followed by chunks.
 
@@ -72,6 +53,31 @@
         self.caller_left = False
         self.chunk_count = 0
         self.body_bytes = 0
+        self.body = b""  # of a long response, which is written in parts
+        self._held_bytes = 0
+
+    def hold_history(self, history: bytes) -> None:
+        """Charge a history to the caller's connection; raise CallRefusedError.
+
+        It is refused, without having run, if the host has no memory for it.
+        """
+        protocol = protocol_of(self.request)
+        protocol.hold_history(len(history))
+        if not protocol.has_room():
+            raise CallRefusedError.of(ErrorKind.OVERLOADED, _NO_MEMORY)
+
+    def hold_output(self, count: int) -> None:
+        """Charge `count` more bytes of a response that are kept for its history."""
+        protocol_of(self.request).hold_history(count)
+
+    def hold_response(self, count: int) -> None:
+        """Charge `count` more bytes of a response that is read from a server."""
+        self._held_bytes += count
+        protocol_of(self.request).hold_response(self._held_bytes)
+
+    async def reserve_response(self, length: int) -> None:
+        """Wait until the host has room for a response of `length` bytes."""
+        await protocol_of(self.request).reserve_response(length)
 
     async def respond(
         self,
@@ -81,8 +87,16 @@
         body: bytes,
     ) -> None:
         """Set the complete response, which is sent once the handler returns."""
-        response = web.Response(status=status, reason=sendable_text(reason), body=body)
-        response.headers.popall("Content-Type", None)
+        self.hold_response(len(body) - self._held_bytes)
+        text = sendable_text(reason)
+        response: web.StreamResponse
+        if len(body) > WRITE_BYTES:
+            response = web.StreamResponse(status=status, reason=text)
+            response.content_length = len(body)
+            self.body = body
+        else:
+            response = web.Response(status=status, reason=text, body=body)
+            response.headers.popall("Content-Type", None)
         self._add_headers(response, headers)
         self.response = response
 
@@ -140,13 +154,16 @@
         body_limit: Callable[[], int],
         redirects_callers: Callable[[], bool],
         drain_ms: float,
+        max_connections: int,
+        policy: ClientPolicy,
         clock: Clock,
     ) -> None:
         """Pass decoded requests to `run`; it responds, or returns a refusal.
 
         `body_limit()` returns the current maximum size of a body in bytes.
         `redirects_callers()` returns whether callers should reconnect, so that they
-        reach another host. `drain_ms` limits `drain`.
+        reach another host. `drain_ms` limits `drain`. `policy` limits what at most
+        `max_connections` callers may hold.
         """
         super().__init__()
         self.address = address
@@ -162,11 +179,13 @@
         self._is_idle = asyncio.Event()
         self._is_idle.set()
         self._runner: web.ServerRunner | None = None
-        self._site: web.TCPSite | None = None
+        self.connections = ClientConnections(
+            address.ip, address.port, max_connections, policy
+        )
 
     async def on_start(self) -> None:
         """Open the listening socket."""
-        server = _CallerProtocols(
+        server = web.Server(
             self._serve_request,
             handler_cancellation=True,
             access_log=None,
@@ -178,10 +197,7 @@
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=_ABORT_TIMEOUT_S)
         await self._runner.setup()
-        self._site = web.TCPSite(
-            self._runner, self.address.ip, self.address.port, backlog=_LISTEN_BACKLOG
-        )
-        await self._site.start()
+        self.connections.start(server)
 
     async def on_stop(self) -> None:
         """Drain the server, which closes the socket and every connection."""
@@ -195,9 +211,9 @@
         is closing, also the rest of a body. What was read before has its response.
         """
         runner, self._runner = self._runner, None
-        if runner is None or runner.server is None or self._site is None:
+        if runner is None or runner.server is None:
             return
-        await self._site.stop()
+        await self.connections.stop_accepting()
         drain_s = self.drain_ms / 1000
         with suppress(TimeoutError):
             async with asyncio.timeout(drain_s):
@@ -207,6 +223,7 @@
                 await runner.server.shutdown(drain_s)
         self._is_closing = True
         await runner.cleanup()
+        await self.connections.stop()
 
     async def _wait_until_idle(self) -> None:
         """Wait until no request is active, nor one that was read before that."""
@@ -223,7 +240,7 @@
         self._count_active(1)
         try:
             response = await self._respond(request, sink, received_ms)
-            if not sink.is_aborted and not await _finish(request, response):
+            if not sink.is_aborted and not await _finish(request, response, sink):
                 _log_cut(sink, "caller", "it closed before the end of its response")
             return response
         except asyncio.CancelledError:
@@ -238,7 +255,7 @@
     ) -> web.StreamResponse:
         limit = self.body_limit()
         await _send_continue(request)
-        body = await _read_body(request, limit)
+        body = await read_body(request, limit)
         if _may_have_trailers(request):
             sink.closing = True
         if body is None:
@@ -246,6 +263,10 @@
             return self._final_response(
                 sink, Refusal(ErrorKind.BODY_TOO_LARGE, detail), ""
             )
+        if not protocol_of(request).has_room():
+            refusal = Refusal(ErrorKind.OVERLOADED, _NO_MEMORY)
+            request_id = request.headers.get("Request-Id", "")
+            return self._final_response(sink, refusal, request_id)
         decoded = self.dialect.decode(request, body, received_ms)
         refusal = await self.run(decoded, sink)
         return self._final_response(sink, refusal, decoded.request_id)
@@ -290,7 +311,9 @@
     )
 
 
-async def _finish(request: web.BaseRequest, response: web.StreamResponse) -> bool:
+async def _finish(
+    request: web.BaseRequest, response: web.StreamResponse, sink: ForwardSink
+) -> bool:
     """Return once all of a response is in the kernel; False if the caller has left.
 
     aiohttp finishes responses, too, but after the request has ended for this server.
@@ -300,6 +323,10 @@
     request.transport.set_write_buffer_limits(high=0)
     try:
         await response.prepare(request)
+        if sink.body and response is sink.response:
+            protocol_of(request).keep_response(len(sink.body))
+            for start in range(0, len(sink.body), WRITE_BYTES):
+                await response.write(sink.body[start : start + WRITE_BYTES])
         await response.write_eof()
     except OSError:
         return False
@@ -322,22 +349,4 @@
     """
     if "Transfer-Encoding" not in request.headers:
         return False
-    protocol = request.protocol
-    assert isinstance(protocol, _CallerProtocol), "the server creates no others"
-    return protocol.last_bytes != _BARE_LAST_CHUNK
-
-
-async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
-    """Return the complete body, or None if it exceeds `limit` bytes."""
-    if not request.can_read_body:
-        return b""
-    chunks = []
-    size = 0
-    while True:
-        chunk = await request.content.readany()
-        if not chunk:
-            return b"".join(chunks)
-        size += len(chunk)
-        if size > limit:
-            return None
-        chunks.append(chunk)
+    return protocol_of(request).last_bytes != _BARE_LAST_CHUNK
--- a/celerypulley/links/frame_stream.py
+++ b/celerypulley/links/frame_stream.py
@@ -1,7 +1,7 @@
 """A TCP stream of msgpack frames, with simulated cuts and delays for tests."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import attrs
 import msgpack
@@ -44,6 +44,9 @@
         self.peer_names: tuple[str, ...] = ()
         self.sent_bytes = 0
         self.received_bytes = 0
+        # Told the size of the unfinished frame that has been read.
+        self.on_unfinished: Callable[[int], None] = lambda _count: None
+        self._unfinished_bytes = 0
         self._has_lost_frames = False
         self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_FRAME_BYTES)
 
@@ -71,7 +74,12 @@
             self.received_bytes += len(data)
             if delay_s:
                 await asyncio.sleep(delay_s)
-            for frame in self._unpack(data):
+            frames = self._unpack(data)
+            self._unfinished_bytes += len(data)
+            if frames:
+                self._unfinished_bytes = 0
+            self.on_unfinished(self._unfinished_bytes)
+            for frame in frames:
                 yield decode(frame)
 
     def _drops_frames(self) -> bool:
--- a/celerypulley/links/probe_server.py
+++ b/celerypulley/links/probe_server.py
@@ -5,20 +5,31 @@
 from aiohttp import web
 from mode import Service
 
+from celerypulley.links.client_connections import ClientConnections, ClientPolicy
+
 __all__ = ["ProbeServer"]
 
+_MAX_CONNECTIONS = 32
+
 
 class ProbeServer(Service):
     """Serve plain-text pages by path, each produced by its own function."""
 
     def __init__(
-        self, ip: str, port: int, pages: dict[str, Callable[[], tuple[int, str]]]
+        self,
+        ip: str,
+        port: int,
+        pages: dict[str, Callable[[], tuple[int, str]]],
+        policy: ClientPolicy,
+        max_connections: int = _MAX_CONNECTIONS,
     ) -> None:
-        """Serve `pages`, which maps paths to functions that return status and text."""
+        """Serve `pages`, which maps paths to functions that return status and text.
+
+        `policy` limits what at most `max_connections` clients may hold.
+        """
         super().__init__()
-        self.ip = ip
-        self.port = port
         self.pages = pages
+        self.connections = ClientConnections(ip, port, max_connections, policy)
         self._runner: web.ServerRunner | None = None
 
     async def on_start(self) -> None:
@@ -26,10 +37,11 @@
         server = web.Server(self._respond, access_log=None)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
-        await web.TCPSite(self._runner, self.ip, self.port).start()
+        self.connections.start(server)
 
     async def on_stop(self) -> None:
         """Close the socket."""
+        await self.connections.stop()
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/celerypulley/links/response_sink.py
+++ b/celerypulley/links/response_sink.py
@@ -17,3 +17,12 @@
 
     async def chunk(self, data: bytes) -> None:
         """Send a part of the body; raise CallerDisconnectedError."""
+
+    async def reserve_response(self, length: int) -> None:
+        """Wait until the host has room for a response of `length` bytes."""
+
+    def hold_response(self, count: int) -> None:
+        """Charge `count` more bytes that are kept until the caller has taken them.
+
+        Raise CallerDisconnectedError.
+        """
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import attrs
 
@@ -74,7 +74,7 @@
         self.response: ResponseParser | None = None
         self.error = ""
         self._waiter: asyncio.Future[None] | None = None
-        self._is_paused = False
+        self.is_paused = False
 
     @property
     def is_open(self) -> bool:
@@ -100,14 +100,14 @@
         self._wake()
         if response.has_strays:
             self._end_for_strays("bytes behind a complete response")
-        elif response.buffered_bytes > _MAX_BUFFERED_BYTES and not self._is_paused:
-            self._is_paused = True
+        elif response.buffered_bytes > _MAX_BUFFERED_BYTES and not self.is_paused:
+            self.is_paused = True
             self.transport.pause_reading()
 
     def resume_reading(self) -> None:
         """Read on after the buffered part of the body has been taken."""
-        if self._is_paused and self.transport is not None:
-            self._is_paused = False
+        if self.is_paused and self.transport is not None:
+            self.is_paused = False
             self.transport.resume_reading()
 
     def eof_received(self) -> None:
@@ -249,18 +249,27 @@
                 )
             await protocol.wait()
 
-    async def read_body(self) -> bytes:
-        """Return the complete body; raise ServerCallError if cut off or too long."""
+    async def read_body(
+        self, on_bytes: Callable[[int], None] = lambda _count: None
+    ) -> bytes:
+        """Return the complete body; raise ServerCallError if cut off or too long.
+
+        `on_bytes` is told the size of each part that has come.
+        """
         chunks = []
         size = 0
-        async for chunk in self.iter_chunks():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > _MAX_BODY_BYTES:
-                raise ServerCallError(
-                    f"the body exceeds {_MAX_BODY_BYTES} bytes", sent=True
-                )
-        return b"".join(chunks)
+        try:
+            async for chunk in self.iter_chunks():
+                chunks.append(chunk)
+                size += len(chunk)
+                on_bytes(len(chunk))
+                if size > _MAX_BODY_BYTES:
+                    raise ServerCallError(
+                        f"the body exceeds {_MAX_BODY_BYTES} bytes", sent=True
+                    )
+            return b"".join(chunks)
+        finally:
+            chunks.clear()  # exceptions refer to this frame
 
     def release(self) -> None:
         """Return the connection to the pool after a complete response, or close it."""
@@ -290,6 +299,11 @@
             and bool(identity.identifiers_of(head.headers))
         )
 
+    @property
+    def is_unread(self) -> bool:
+        """Return whether the caller's slow reading keeps the server from sending."""
+        return self.connection.protocol.is_paused
+
     def abort(self) -> None:
         """Close the connection at once, so that the server stops its work."""
         self.connection.protocol.abort()
--- a/celerypulley/platform/desired_state.py
+++ b/celerypulley/platform/desired_state.py
@@ -111,8 +111,14 @@
 
 
 def _decode_limits(row: dict) -> CallerLimits:
+    default = CallerLimits()
     return CallerLimits(
-        max_body_bytes=int(row.get("maxBodyBytes") or CallerLimits().max_body_bytes)
+        max_body_bytes=int(row.get("maxBodyBytes") or default.max_body_bytes),
+        max_header_bytes=int(row.get("maxHeaderBytes") or default.max_header_bytes),
+        header_timeout_ms=float(
+            row.get("headerTimeoutMs") or default.header_timeout_ms
+        ),
+        idle_timeout_ms=float(row.get("idleTimeoutMs") or default.idle_timeout_ms),
     )
 
 
--- a/celerypulley/platform/roles.py
+++ b/celerypulley/platform/roles.py
@@ -9,6 +9,7 @@
 import aiohttp
 import uvloop
 
+from celerypulley.allocator import return_large_blocks
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog, LogFormat
 from celerypulley.fleet_settings import FleetSettings
@@ -48,12 +49,14 @@
 def run_edge() -> None:
     """Serve callers until SIGTERM."""
     settings = _load_settings()
+    return_large_blocks()
     uvloop.run(_serve_edge(settings))
 
 
 def run_store() -> None:
     """Store turn records on this machine's disk until SIGTERM."""
     settings = _load_settings()
+    return_large_blocks()
     uvloop.run(_serve_store(settings))
 
 
--- a/celerypulley/platform/settings_file.py
+++ b/celerypulley/platform/settings_file.py
@@ -44,6 +44,8 @@
         server_drain_ms=_parse_number(values, "bounds.drainMs", 2_000.0),
         quota_window_ms=_parse_number(values, "bounds.quotaWindowS", 5.0) * 1000,
         evacuates_domains="bounds.evacuateMs" in values,
+        memory_mb=_parse_number(values, "limits.memoryMb", 128),
+        max_descriptors=int(_parse_number(values, "limits.maxFds", 1_024)),
         region=values.get("region", ""),
         region_of_domain={
             name.removeprefix(_REGION_PREFIX): region
--- a/celerypulley/process.py
+++ b/celerypulley/process.py
@@ -8,6 +8,7 @@
 from absl import logging
 from aiohttp import web
 
+from celerypulley.allocator import return_large_blocks
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog, LogFormat
 from celerypulley.hosts.host import Host
@@ -19,6 +20,7 @@
 def run_host(settings: Settings) -> None:
     """Run a host until SIGTERM or SIGINT, then drain its requests and stop."""
     _configure_logging(settings.log_format, settings.host_id)
+    return_large_blocks()
     uvloop.run(_serve_host(settings))
 
 
--- a/celerypulley/settings.py
+++ b/celerypulley/settings.py
@@ -129,6 +129,12 @@
         4 * 1024 * 1024,
         "largest request body, bytes",
     )
+    memory_mb: int = _setting(
+        _integer_between(64, 1_048_576), 512, "memory of this host's machine, MB"
+    )
+    max_descriptors: int = _setting(
+        _integer_between(160, 1_048_576), 4_096, "file descriptors of this host"
+    )
     peer_delay_ms: float = _setting(float, 0.0, "delay added to peer links, ms (tests)")
     faults_allowed: bool = _setting(
         _parse_boolean, False, "allow operators to cut links (tests only)"
--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -69,6 +69,16 @@
             _PLATFORM_PACKAGE,
         ),
     ),
+    Rule(
+        "celerypulley.client_limits",
+        (
+            *_ENCODING_LIBRARIES,
+            *_UPPER_LAYERS,
+            "celerypulley.links",
+            "celerypulley.clock",
+            _PLATFORM_PACKAGE,
+        ),
+    ),
     Rule("celerypulley.contracts", (_PLATFORM_PACKAGE,)),
     Rule("celerypulley.programs", (_PLATFORM_PACKAGE,)),
     Rule("celerypulley", ("dataclasses", "argparse", "tests", "tools")),
