--- /dev/null
+++ b/tests/test_client_limits.py
@@ -0,0 +1,155 @@
+"""What a host holds for its clients: the account, and what it does at each limit."""
+
+import asyncio
+
+import pytest
+
+from celerypulley.client_limits.memory_account import (
+    MemoryAccount,
+    Progress,
+    client_memory_bytes,
+    connection_limit,
+)
+from celerypulley.hosts.stall_monitor import STALL_TIMEOUT_MS
+from tests.fleet import desired_state, running_fleet, server_entry
+from tests.harness import free_address, wait_until
+from tests.test_kept_connections import connected, header_of, request_bytes
+from tests.test_untrusted_clients import SlowServer
+
+_KB = 1024
+_INCOMPLETE, _UNTAKEN, _RUNNING = Progress
+
+
+@pytest.mark.parametrize(
+    ("charges_kb", "limit_kb", "closed"),
+    [
+        ([(_INCOMPLETE, 300), (_RUNNING, 50)], 500, []),
+        ([(_INCOMPLETE, 100), (_INCOMPLETE, 300)], 300, [1]),
+        ([(_RUNNING, 900), (_UNTAKEN, 300), (_INCOMPLETE, 100)], 950, [2, 1]),
+        ([(_RUNNING, 900), (_RUNNING, 400)], 600, [0]),
+        ([(_RUNNING, 200)] * 9, 600, []),
+        ([(_INCOMPLETE, 30), (_UNTAKEN, 40), (_RUNNING, 900)], 100, [2]),
+    ],
+    ids=["fits", "largest", "order", "running", "ordinary", "idle"],
+)
+def test_wrong_connection_is_closed_for_lack_of_memory(charges_kb, limit_kb, closed):
+    account = MemoryAccount(limit_kb * _KB)
+    charges = []
+    for progress, kb in charges_kb:
+        charge = account.open()
+        charge.progress = progress
+        account.change(charge, body_bytes=kb * _KB)
+        charges.append(charge)
+    assert [charges.index(each) for each in account.choose_evictions()] == closed
+    for charge in charges:
+        account.close(charge)
+        account.change(charge, body_bytes=1)
+    assert account.held_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "descriptors", "least_mb", "connections"),
+    [(128, 1_024, 25, 400), (64, 160, 8, 16), (256, 4_096, 90, 1_900)],
+)
+def test_limits_leave_no_room_for_ordinary_clients(
+    memory_mb, descriptors, least_mb, connections
+):
+    assert client_memory_bytes(memory_mb) >= least_mb * _KB * _KB
+    assert client_memory_bytes(memory_mb) < memory_mb * _KB * _KB
+    assert connection_limit(descriptors) >= connections
+
+
+_HEAD = b"POST /safe/x HTTP/1.1\r\nHost: agents.example\r\n"
+
+
+@pytest.mark.parametrize(
+    ("sent", "status", "kind"),
+    [
+        (_HEAD + b"a:", b" 408 ", "head"),
+        (_HEAD + b"Content-Length: 9\r\n\r\nbody", b" 408 ", "body"),
+        (_HEAD + b"a: " + b"x" * 30_000, b" 431 ", "head"),
+        (_HEAD + (b"a: " + b"x" * 9_000 + b"\r\n") * 3 + b"\r\n", b" 431 ", "head"),
+        (_HEAD + b"a: \0\r\n\r\n", b" 400 ", "invalid"),
+        (_HEAD + b"Transfer-Encoding: chunked\r\n\r\nx\r\n", b" 400 ", "invalid"),
+    ],
+    ids=["head", "body", "long line", "long head", "invalid", "chunk"],
+)
+async def test_client_beyond_a_limit_is_not_refused(sent, status, kind):
+    limits = {"headerTimeoutMs": 200, "idleTimeoutMs": 700}
+    async with running_fleet(state=desired_state(limits=limits)) as fleet:
+        (host,), (server,) = fleet.hosts, fleet.servers
+        async with connected(host) as client:
+            client.writer.write(sent)
+            response = await client.reader.read()
+        assert status in response.partition(b"\r\n")[0]
+        assert host.client_policy.closed[kind] == 1
+        assert not server.received
+        assert f"celerypulley_clients_refused_{kind} 1\n" in host.metrics.text()
+
+
+async def test_pipelined_request_is_lost_or_served_before_its_turn():
+    async with running_fleet() as fleet:
+        (host,), (server,) = fleet.hosts, fleet.servers
+        server.response_delay_s = 0.1
+        requests = [request_bytes("/safe/x", b"%d" % number) for number in range(4)]
+        async with connected(host) as client:
+            client.writer.write(b"".join(requests[:3])[:-1])
+            await wait_until(lambda: server.received)
+            client.writer.write(b"".join(requests)[len(b"".join(requests[:3])) - 1 :])
+            for number in range(4):
+                status, head, _ = await client.read_response()
+                assert (status, header_of(head, b"Request-Id")) == (200, b"%d" % number)
+                assert len(server.received) <= number + 2
+        await wait_until(lambda: not host.server.connections.count)
+        assert host.client_policy.account.held_bytes == 0
+
+
+async def test_request_that_finds_no_memory_runs():
+    async with running_fleet() as fleet:
+        (host,), (server,) = fleet.hosts, fleet.servers
+        host.client_policy.account.limit_bytes = 10 * _KB
+        async with connected(host) as client:
+            client.writer.write(request_bytes("/safe/x"))
+            status, headers, _ = await client.read_response()
+        assert status == 503 and b"Retry-After" in headers
+        assert not server.received
+        assert host.client_policy.closed["memory"] == 1
+
+
+async def test_slow_reader_of_a_stream_makes_its_server_count_as_stalled():
+    async with running_fleet() as fleet:
+        (host,) = fleet.hosts
+        slow = SlowServer(free_address())
+        await slow.start()
+        fleet.store.put("servers/server-0", server_entry(addr=str(slow.address)))
+        servers = host.directory.servers
+        await wait_until(lambda: servers["server-0"].address == str(slow.address))
+        server = servers["server-0"]
+        async with connected(host, receive_buffer_bytes=4_096) as client:
+            client.writer.write(request_bytes("/resumable/long", deadline_ms=b"9000"))
+            await client.reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(2 * STALL_TIMEOUT_MS / 1000)
+            assert server.consecutive_failures == 0
+            assert not client.reader.at_eof()
+        slow.stop()
+
+
+async def test_connections_beyond_the_descriptors_are_lost():
+    """They wait until others close, and are served then."""
+    async with running_fleet(max_descriptors=1) as fleet:
+        (host,) = fleet.hosts
+        limit = connection_limit(1)
+        address = host.settings.caller_address
+        idle = [
+            await asyncio.open_connection(address.ip, address.port)
+            for _ in range(limit)
+        ]
+        await wait_until(lambda: host.server.connections.count == limit)
+        async with connected(host) as client:
+            client.writer.write(request_bytes("/safe/x"))
+            await asyncio.sleep(0.1)
+            assert host.server.connections.count == limit
+            idle[0][1].close()
+            assert (await client.read_response())[0] == 200
+        for _, writer in idle:
+            writer.close()
