--- a/celerypulley/fleet_settings.py
+++ b/celerypulley/fleet_settings.py
@@ -25,7 +25,8 @@
     If `evacuates_domains` is set, operators can mark failure domains whose servers get
     no requests. `region_of_domain` has the regions of all failure domains. In a second
     at most its rate times `cold_overrun` plus `cold_slack` requests are sent to a cold
-    server.
+    server. The machine has `memory_mb` of memory, and a process `max_descriptors` file
+    descriptors.
     """
 
     host_id: str
@@ -49,4 +50,6 @@
     evacuates_domains: bool = False
     cold_overrun: float = 1.5
     cold_slack: float = 5.0
+    memory_mb: float = 128.0
+    max_descriptors: int = 1_024
     region_of_domain: dict[str, str] = attrs.Factory(dict)
