--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -51,7 +51,7 @@
 from celerypulley.hosts.stream_forwarder import StreamForwarder
 from celerypulley.hosts.turn_archive import TurnArchive
 from celerypulley.hosts.turn_scheduler import TurnScheduler
-from celerypulley.links.client_connections import REFUSED_KINDS, ClientPolicy
+from celerypulley.links.client_policy import REFUSED_KINDS, ClientPolicy
 from celerypulley.links.forward_dialect import Dialect
 from celerypulley.links.forward_server import ForwardServer, ForwardSink
 from celerypulley.links.key_poller import KeyPoller
--- a/celerypulley/hosts/host.py
+++ b/celerypulley/hosts/host.py
@@ -47,7 +47,7 @@
 from celerypulley.links.admin_server import AdminServer
 from celerypulley.links.backend_link import BackendLink
 from celerypulley.links.caller_server import CallerServer
-from celerypulley.links.client_connections import REFUSED_KINDS, ClientPolicy
+from celerypulley.links.client_policy import REFUSED_KINDS, ClientPolicy
 from celerypulley.links.cuts import CutTable
 from celerypulley.links.frame_stream import LinkConditions
 from celerypulley.links.peer_link import PeerIdentity
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -16,7 +16,7 @@
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.record_service import RecordService
 from celerypulley.hosts.record_store import RecordStore
-from celerypulley.links.client_connections import REFUSED_KINDS, ClientPolicy
+from celerypulley.links.client_policy import REFUSED_KINDS, ClientPolicy
 from celerypulley.links.key_value import KeyValueStore
 from celerypulley.links.probe_server import ProbeServer
 from celerypulley.links.storage_messages import RecordsNotStored, StoreRecords
--- a/celerypulley/links/caller_server.py
+++ b/celerypulley/links/caller_server.py
@@ -19,10 +19,10 @@
 from celerypulley.links.client_connections import (
     WRITE_BYTES,
     ClientConnections,
-    ClientPolicy,
     protocol_of,
     read_body,
 )
+from celerypulley.links.client_policy import ClientPolicy
 from celerypulley.links.header_text import sendable_text
 from celerypulley.links.peer_messages import OpenProgram, RunCall, RunTurn
 from celerypulley.links.response_sink import CallerDisconnectedError
--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -14,10 +14,10 @@
 from celerypulley.links.client_connections import (
     WRITE_BYTES,
     ClientConnections,
-    ClientPolicy,
     protocol_of,
     read_body,
 )
+from celerypulley.links.client_policy import ClientPolicy
 from celerypulley.links.forward_dialect import Dialect
 from celerypulley.links.header_text import sendable_text
 from celerypulley.links.response_sink import CallerDisconnectedError
--- a/celerypulley/links/probe_server.py
+++ b/celerypulley/links/probe_server.py
@@ -5,7 +5,8 @@
 from aiohttp import web
 from mode import Service
 
-from celerypulley.links.client_connections import ClientConnections, ClientPolicy
+from celerypulley.links.client_connections import ClientConnections
+from celerypulley.links.client_policy import ClientPolicy
 
 __all__ = ["ProbeServer"]
 
--- a/celerypulley/links/storage_server.py
+++ b/celerypulley/links/storage_server.py
@@ -6,8 +6,8 @@
 from mode import Service
 
 from celerypulley.decision_log import DecisionLog
-from celerypulley.links.client_connections import ClientPolicy
 from celerypulley.links.client_listener import ClientListener
+from celerypulley.links.client_policy import ClientPolicy
 from celerypulley.links.codec import CodecError
 from celerypulley.links.cuts import CutTable
 from celerypulley.links.frame_stream import FrameStream, LinkConditions
