Build costs only where they are learned, and forget slots of engines that left

Each log line and each attempt built the properties of a call again where the constants apply; the two refusals in try_servers stood twice; identities of slots whose engine had left stayed until their release came, which may be lost. No behaviour changes otherwise.

--- a/celerypulley/hosts/forward_context.py
+++ b/celerypulley/hosts/forward_context.py
@@ -179,9 +179,7 @@
         self, admitted: AdmittedRequest, server: EngineState, reason: str
     ) -> None:
         """Log the server of a slot that was assigned to a request."""
-        self.directory.record_choice(
-            next(iter(server.models)), admitted.request.request_id
-        )
+        self.directory.record_choice(_service_of(server), admitted.request.request_id)
         waited_ms = self.clock.now_ms() - admitted.request.received_ms
         self._log_server(admitted, server, reason, waited_ms=round(waited_ms, 1))
 
@@ -208,9 +206,11 @@
         self, admitted: AdmittedRequest, server: EngineState, now_ms: float
     ) -> dict[str, object]:
         """Return the log fields of a call with learned costs."""
-        call = self.engine_call(admitted, _service_of(server))
-        if call.costs is None:
+        service = _service_of(server)
+        if not self.costs.is_learned(service):
             return {}
+        call = self.engine_call(admitted, service)
+        assert call.costs is not None, "the costs of the service are learned"
         remaining_ms = server.remaining_work_ms(now_ms, call.costs.typical_ms)
         return {
             "expected_ms": round(expected_duration_ms(call, server), 1),
@@ -371,9 +371,10 @@
         self, admitted: AdmittedRequest, service: str, server: EngineState
     ) -> RunningCall | None:
         """Return the call with its learned duration, None with constant costs."""
-        call = self.engine_call(admitted, service)
-        if call.costs is None:
+        if not self.costs.is_learned(service):
             return None
+        call = self.engine_call(admitted, service)
+        assert call.costs is not None, "the costs of the service are learned"
         expected_ms = expected_duration_ms(call, server)
         rest_ms = expected_ms * call.costs.rest_fraction
         return RunningCall(call.now_ms, expected_ms, rest_ms)
--- a/celerypulley/hosts/server_attempts.py
+++ b/celerypulley/hosts/server_attempts.py
@@ -160,21 +160,17 @@
                 failure = quarantined
                 break
         slot = None
-        if acquire_slot is not None:
-            try:
+        try:
+            if acquire_slot is not None:
                 slot = await acquire_slot(avoid, was_shed)
-            except CallRefusedError as error:
-                failure = error.refusal
-                break
-        if slot is not None:
-            server = slot.server
-            context.log_slot(admitted, server, slot.reason)
-        else:
-            try:
+            if slot is not None:
+                server = slot.server
+                context.log_slot(admitted, server, slot.reason)
+            else:
                 server = await _choose(context, admitted, service, avoid, chooser)
-            except CallRefusedError as error:
-                failure = error.refusal
-                break
+        except CallRefusedError as error:
+            failure = error.refusal
+            break
         if server is None:
             break
         avoid = avoid | {server.name}
--- a/celerypulley/turn_scheduling/engine_slots.py
+++ b/celerypulley/turn_scheduling/engine_slots.py
@@ -115,6 +115,11 @@
                 engine.state.report, memory_tokens=memory_tokens
             )
             engines[server.name] = engine
+        for name, engine in self._engines.items():
+            if engines.get(name) is engine:
+                continue
+            for identity in engine.assignments:
+                self._servers.pop(identity, None)
         self._engines = engines
 
     @property
--- a/celerypulley/turn_scheduling/turn_dispatcher.py
+++ b/celerypulley/turn_scheduling/turn_dispatcher.py
@@ -74,9 +74,9 @@
     weight: float = 0.0
     updated_ms: float = -math.inf
 
-    def add(self, now_ms: float, amount: float = 1.0) -> None:
+    def add(self, now_ms: float) -> None:
         """Count an event."""
-        self.weight = self.current(now_ms) + amount
+        self.weight = self.current(now_ms) + 1.0
         self.updated_ms = now_ms
 
     def current(self, now_ms: float) -> float:
