--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -217,7 +217,7 @@
                 self.directory,
                 self.datagrams,
                 self.gossip,
-                lambda: self.desired_state.state,
+                self._service_rule,
                 clock,
             )
         self.forwarder = self._make_forwarder(schema.dialect)
--- a/celerypulley/hosts/turn_scheduler.py
+++ b/celerypulley/hosts/turn_scheduler.py
@@ -18,7 +18,7 @@
 from celerypulley.backend_servers.engine_state import EngineState
 from celerypulley.backend_servers.routing import EngineCall
 from celerypulley.clock import NEVER_MS, Clock
-from celerypulley.contracts.desired_state import DesiredState
+from celerypulley.contracts.desired_state import ServiceRule
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.failure_domains.placement import rendezvous
@@ -90,16 +90,19 @@
         directory: ServerDirectory,
         datagrams: FleetDatagrams,
         gossip: FleetGossip,
-        read_state: Callable[[], DesiredState | None],
+        read_rule: Callable[[str], ServiceRule | None],
         clock: Clock,
     ) -> None:
-        """Handle the requests of other hosts for slots of `domain`."""
+        """Handle the requests of other hosts for slots of `domain`.
+
+        `read_rule(service)` returns the rule of a service in the desired state.
+        """
         super().__init__()
         self.domain = domain
         self.directory = directory
         self.datagrams = datagrams
         self.gossip = gossip
-        self.read_state = read_state
+        self.read_rule = read_rule
         self.clock = clock
         self.retry_budget = RetryBudget(clock)
         self.unanswered = 0
@@ -327,8 +330,7 @@
 
         None for a service that the desired state doesn't have.
         """
-        state = self.read_state()
-        rule = state.services.get(service) if state is not None else None
+        rule = self.read_rule(service)
         if rule is None:
             self._dispatchers.pop(service, None)
             return None
