Crowds of clients on machines of the sheets' sizes

What callers would see: on the sizes of the site sheets a crowd takes an edge or a storage host to several times its memory, where the machine ends the process.

The earlier tests lower descriptors to 512, so that 192 connections are the most that a crowd can open, and their bound is that of the smallest machine. Here a process has the memory and descriptors of the sheets, or less memory at the same ratio, and turns go to three storage hosts.

--- /dev/null
+++ b/tests/test_crowds.py
@@ -0,0 +1,378 @@
+"""Crowds of clients on machines of the sizes of the site sheets.
+
+Real processes: an edge that is attacked, and three storage hosts that keep its turns.
+Crowds and bounds were fixed before the product was changed; none judges elapsed time.
+"""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from itertools import cycle, islice
+from pathlib import Path
+
+import attrs
+import orjson
+import pytest
+
+from celerypulley.links.codec import encode
+from celerypulley.links.storage_messages import GetChain, GetState
+from celerypulley.settings import Address
+from tests.fleet import API_KEY, desired_state, running_store, server_entry
+from tests.harness import free_address
+from tests.real_hosts import (
+    HOLD_S,
+    METRICS_PORT,
+    SEND_S,
+    MachineSize,
+    Target,
+    loopback_ip,
+    peak_mb,
+    running_process,
+    send_unread,
+    wait_ready,
+    wait_until_answered,
+    write_settings,
+)
+from tests.test_kept_connections import header_of
+
+_EDGE = MachineSize(150, 4_100)  # Aguapunto's sheet
+_LARGE_EDGE = MachineSize(300, 4_100)  # the sheet of the Dirección
+_LOWERED_EDGE = MachineSize(100, 2_700)  # as many descriptors for each MB as _EDGE
+_STORAGE_HOST = MachineSize(170, 8_200)
+_DOMAINS = ("a", "b", "c")
+_READ_BYTES = 200  # by a slow reader, each second
+_SLOW_S = 60.0  # a route that takes longer than the test
+_TURN_TIMEOUT_S = 20.0  # only ends a failing test
+_PIECES_OF_HISTORY = 10
+_SLOTS = 4_000
+_MAX_RESPONSE_BYTES = 8_000_000  # that the test reads to its end
+
+
+@attrs.define(eq=False)
+class Engine:
+    """A server whose path says what it responds with: `COUNTxBYTES` events, or late."""
+
+    address: Address
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(
+            self._serve, self.address.ip, self.address.port
+        )
+
+    def stop(self) -> None:
+        assert self._server is not None, "the server has not been started"
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                path = head.split(b" ", 2)[1]
+                if path.endswith(b"/slow"):
+                    await asyncio.sleep(_SLOW_S)
+                await reader.readexactly(int(header_of(head, b"Content-Length") or 0))
+                await _respond(writer, path, header_of(head, b"Request-Id"))
+        writer.close()
+
+
+async def _respond(
+    writer: asyncio.StreamWriter, path: bytes, request_id: bytes
+) -> None:
+    head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: s\r\n" % request_id
+    count, _, size = path.rpartition(b"/")[2].partition(b"x")
+    if not size:
+        writer.write(head + b"Content-Length: 2\r\n\r\n{}")
+        return
+    writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
+    for number in range(int(count)):
+        event = b"id: %d\ndata: %s\n\n" % (number, b"y" * int(size))
+        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+
+
+@attrs.define(eq=False)
+class Deployment:
+    """An edge, three storage hosts, and the sockets of the crowd."""
+
+    target: Target
+    edge_size: MachineSize
+    storage_hosts: list[asyncio.subprocess.Process]
+    frame_address: Address
+    sockets: list[socket.socket] = attrs.Factory(list)
+
+    def peaks_mb(self) -> list[tuple[float, int]]:
+        """Return the peak of each process and the bound on it."""
+        edge = (peak_mb(self.target.process), self.edge_size.memory_mb)
+        peaks = [peak_mb(each) for each in self.storage_hosts]
+        return [edge, *((peak, _STORAGE_HOST.memory_mb) for peak in peaks)]
+
+    def turn(
+        self, path: str, name: str, previous: str = "", body: bytes = b"b"
+    ) -> bytes:
+        """Return the bytes of a turn's request."""
+        lines = f"Request-Id: {name}\r\n"
+        if previous:
+            lines += f"Previous-Turn: {previous}\r\n"
+        request = self.target.request(path, lines.encode(), body)
+        return request.replace(b"Request-Id: r\r\n", b"")
+
+    async def run_turn(self, path: str, name: str, body: bytes) -> None:
+        """Run a turn to its end, so that it can be continued."""
+        address = self.target.address
+        reader, writer = await asyncio.open_connection(
+            address.ip, address.port, limit=_MAX_RESPONSE_BYTES
+        )
+        writer.write(self.turn(path, name, body=body))
+        async with asyncio.timeout(_TURN_TIMEOUT_S):
+            await reader.readuntil(b"\r\n0\r\n\r\n")
+        writer.close()
+
+    async def send_all(self, address: Address, loads: Iterable[bytes]) -> None:
+        """Send each load on a connection of its own; none is read."""
+        senders = [
+            asyncio.create_task(send_unread(address, data, self.sockets))
+            for data in loads
+        ]
+        try:
+            await asyncio.wait(senders, timeout=SEND_S)
+        finally:
+            for sender in senders:
+                sender.cancel()
+            await asyncio.gather(*senders, return_exceptions=True)
+
+    async def read_slowly(self) -> None:
+        """Read a little of each connection each second."""
+        while True:
+            for each in self.sockets:
+                with suppress(OSError):
+                    each.recv(_READ_BYTES)
+            await asyncio.sleep(1.0)
+
+
+Crowd = Callable[[Deployment], Awaitable[None]]
+
+
+def _clients(count: int, load: Callable[[Deployment, int], bytes]) -> Crowd:
+    """Return a crowd of clients of the edge, with the load of each by its number."""
+
+    async def attack(deployment: Deployment) -> None:
+        loads = (load(deployment, number) for number in range(count))
+        await deployment.send_all(deployment.target.address, loads)
+
+    return attack
+
+
+def _streams(count: int, path: str) -> Crowd:
+    return _clients(count, lambda each, n: each.turn(path, f"stream-{n}"))
+
+
+def _whole_bodies(deployment: Deployment, _number: int) -> bytes:
+    return deployment.target.request("/unsafe/slow", body=b"x" * 100_000)
+
+
+def _unfinished_bodies(deployment: Deployment, _number: int) -> bytes:
+    return deployment.target.request("/unsafe/slow", body=b"x" * 24_000)[:-1]
+
+
+def _tiny_chunks(deployment: Deployment, _number: int) -> bytes:
+    request = deployment.target.request(
+        "/unsafe/slow", b"Transfer-Encoding: chunked\r\n"
+    )
+    return request.replace(b"Content-Length: 0\r\n", b"") + b"1\r\nx\r\n" * 60_000
+
+
+def _long_extensions(deployment: Deployment, _number: int) -> bytes:
+    request = deployment.target.request(
+        "/unsafe/slow", b"Transfer-Encoding: chunked\r\n"
+    )
+    chunk = b"1;e=%s\r\nx\r\n" % (b"e" * 1_000)
+    return request.replace(b"Content-Length: 0\r\n", b"") + chunk * 300
+
+
+def _short_lines(deployment: Deployment, _number: int) -> bytes:
+    return deployment.target.request("/unsafe/slow", b"a:\r\n" * 3_800)
+
+
+def _pipelined(deployment: Deployment, _number: int) -> bytes:
+    return deployment.target.request("/unsafe/slow") * 500
+
+
+def _continuations(count: int, turns: int) -> Crowd:
+    """Continue `turns` turns of 1 MB each; their responses are not read."""
+
+    async def attack(deployment: Deployment) -> None:
+        size = 1_000_000 // _PIECES_OF_HISTORY
+        names = [f"first-{number}" for number in range(turns)]
+        for name in names:
+            await deployment.run_turn(f"/turns/{_PIECES_OF_HISTORY}x{size}", name, b"b")
+        loads = (
+            deployment.turn("/turns/4x50000", f"next-{number}", name)
+            for number, name in enumerate(islice(cycle(names), count))
+        )
+        await deployment.send_all(deployment.target.address, loads)
+
+    return attack
+
+
+def _stored_turns(count: int, body_bytes: int) -> Crowd:
+    """Run turns one after another, as clients inside all limits do."""
+
+    async def attack(deployment: Deployment) -> None:
+        for number in range(count):
+            await deployment.run_turn("/turns/1x10", f"t-{number}", b"x" * body_bytes)
+
+    return attack
+
+
+def _peers(count: int, requests: int) -> Crowd:
+    """Ask a storage host for a record of 1 MB, and read no reply."""
+
+    async def attack(deployment: Deployment) -> None:
+        size = 1_000_000 // _PIECES_OF_HISTORY
+        await deployment.run_turn(f"/turns/{_PIECES_OF_HISTORY}x{size}", "big", b"b")
+        load = encode(1, GetChain("turns/kiosks/big")) * requests
+        await deployment.send_all(deployment.frame_address, [load] * count)
+
+    return attack
+
+
+async def _state_requests(deployment: Deployment) -> None:
+    load = encode(1, GetState()) * 20_000
+    await deployment.send_all(deployment.frame_address, [load] * 200)
+
+
+async def _mixed(deployment: Deployment) -> None:
+    await _continuations(300, 1)(deployment)
+    loads = [
+        *(deployment.turn("/turns/100x40000", f"stream-{n}") for n in range(300)),
+        *(_long_extensions(deployment, n) for n in range(300)),
+    ]
+    await deployment.send_all(deployment.target.address, loads)
+
+
+_CROWDS: dict[str, tuple[MachineSize, Crowd]] = {
+    "150 long streams": (_EDGE, _streams(150, "/resumable/100x40000")),
+    "600 long streams": (_EDGE, _streams(600, "/resumable/100x40000")),
+    "1,900 long streams": (_LARGE_EDGE, _streams(1_900, "/resumable/100x40000")),
+    "60 long streams, lowered": (_LOWERED_EDGE, _streams(60, "/turns/100x40000")),
+    "600 short turns": (_EDGE, _streams(600, "/turns/4x50000")),
+    "200 short turns, lowered": (_LOWERED_EDGE, _streams(200, "/turns/4x50000")),
+    "1,900 whole bodies": (_EDGE, _clients(1_900, _whole_bodies)),
+    "600 whole bodies, lowered": (_LOWERED_EDGE, _clients(600, _whole_bodies)),
+    "1,900 unfinished bodies": (_EDGE, _clients(1_900, _unfinished_bodies)),
+    "900 bodies in tiny chunks": (_EDGE, _clients(900, _tiny_chunks)),
+    "900 long extensions": (_EDGE, _clients(900, _long_extensions)),
+    "900 heads of short lines": (_EDGE, _clients(900, _short_lines)),
+    "900 pipelines": (_EDGE, _clients(900, _pipelined)),
+    "900 continuations": (_EDGE, _continuations(900, 1)),
+    "900 continuations of many": (_EDGE, _continuations(900, 40)),
+    "900 of each kind": (_EDGE, _mixed),
+    "1,200 stored turns": (_EDGE, _stored_turns(1_200, 200_000)),
+    "150 unread peers": (_EDGE, _peers(150, 4_000)),
+    "1,500 unread peers": (_EDGE, _peers(1_500, 40)),
+    "200 peers with short requests": (_EDGE, _state_requests),
+}
+
+
+@asynccontextmanager
+async def _running_storage_host(
+    folder: Path, store_address: str, number: int
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, Address]]:
+    name, ip = f"storage-{number}", loopback_ip(10 + number)
+    address = Address(ip, free_address().port)
+    environment = write_settings(
+        folder,
+        store_address,
+        f"portRange={address.port},{address.port}",
+        f"dataDir={folder / name}",
+        "bootstrap=true",
+        size=_STORAGE_HOST,
+        name=name,
+        ip=ip,
+        domain=_DOMAINS[number],
+    )
+    arguments = ("celerypulley", "platform", "store")
+    async with running_process(folder, environment, *arguments) as process:
+        await wait_ready(Address(ip, METRICS_PORT), "/metrics")
+        yield process, address
+
+
+@asynccontextmanager
+async def _running_deployment(
+    folder: Path, edge_size: MachineSize
+) -> AsyncIterator[Deployment]:
+    engine = Engine(free_address())
+    await engine.start()
+    async with AsyncExitStack() as stack:
+        store, store_address = await stack.enter_async_context(running_store())
+        state = desired_state()
+        for route in state["routes"]:
+            route["timeoutMs"] = 60_000
+        store.put("op/config", orjson.dumps(state))
+        entry = server_entry(addr=str(engine.address), slots=_SLOTS)
+        store.put("servers/s", entry)
+        storage_hosts = [
+            await stack.enter_async_context(
+                _running_storage_host(folder, store_address, number)
+            )
+            for number in range(len(_DOMAINS))
+        ]
+        address, ready_address = free_address(), free_address()
+        port = free_address().port
+        environment = write_settings(
+            folder,
+            store_address,
+            f"portRange={port},{port}",
+            f"listen.front={address}",
+            f"listen.readyAddr={ready_address}",
+            size=edge_size,
+        )
+        process = await stack.enter_async_context(
+            running_process(folder, environment, "celerypulley", "platform", "edge")
+        )
+        await wait_ready(ready_address, "/readyz")
+        target = Target(
+            process,
+            address,
+            {"Host": "agents.example", "Api-Key": API_KEY, "Deadline-Ms": "60000"},
+            "/unsafe/slow",
+            "/safe/1x4000000",
+            "/resumable/100x40000",
+            ("POST", "/turns/4x100"),
+        )
+        processes = [each for each, _ in storage_hosts]
+        yield Deployment(target, edge_size, processes, storage_hosts[0][1])
+    engine.stop()
+
+
+@pytest.mark.parametrize(("edge_size", "attack"), _CROWDS.values(), ids=_CROWDS)
+async def test_crowd_takes_a_process_beyond_its_machine(
+    edge_size, attack, tmp_path, capsys
+):
+    async with _running_deployment(tmp_path, edge_size) as deployment:
+        target = deployment.target
+        await wait_until_answered(target)
+        watch = asyncio.create_task(target.watch_descriptors())
+        readers = asyncio.create_task(deployment.read_slowly())
+        try:
+            await attack(deployment)
+            await asyncio.sleep(HOLD_S)
+        finally:
+            readers.cancel()
+            for client in deployment.sockets:
+                client.close()
+        await wait_until_answered(target)
+        watch.cancel()
+        peaks_mb = deployment.peaks_mb()
+        with capsys.disabled():
+            peaks = ", ".join(f"{peak:.0f} of {bound}" for peak, bound in peaks_mb)
+            print(f"\npeaks {peaks} MB; {target.most_descriptors} descriptors")
+        processes = [target.process, *deployment.storage_hosts]
+        assert [each.returncode for each in processes] == [None] * len(processes)
+        assert all(0 < peak <= bound for peak, bound in peaks_mb)
+        assert target.most_descriptors <= edge_size.max_descriptors
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -5,9 +5,7 @@
 """
 
 import asyncio
-import os
 import socket
-import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from pathlib import Path
@@ -33,19 +31,22 @@
     run_clock,
     start_app,
 )
+from tests.real_hosts import (
+    HOLD_S,
+    METRICS_PORT,
+    SEND_S,
+    SMALLEST_MACHINE,
+    Target,
+    loopback_ip,
+    running_process,
+    send_unread,
+    wait_ready,
+    wait_until_answered,
+    write_settings,
+)
 from tests.test_kept_connections import header_of
 
-_ROOT = Path(__file__).resolve().parent.parent
-_MEMORY_MB = 128  # the smallest hosts
-_MAX_DESCRIPTORS = 512
-# The port for metrics is fixed, so runs beside each other need addresses of their own.
-_LOOPBACK_IP = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.9"
-_METRICS_PORT = 9464
-_READY_S = 30.0
-_SEND_S = 10.0  # for clients that the host doesn't read to the end
-_ANSWER_S = 60.0  # the time-out only ends a failing test
 _LONG_BODY = b"x" * 4_000_000
-_HOLD_S = 2.0  # until all clients have been accepted
 _SLOW_S = 60.0  # a route that takes longer than the test
 
 
@@ -102,68 +103,6 @@
     writer.write(b"0\r\n\r\n")
 
 
-@attrs.define(eq=False)
-class Target:
-    """A process that clients can reach.
-
-    `headers` lets a request pass; `slow` and `long` are paths whose responses are late
-    or long, and `stream` one of events. `ordinary` is the method and path of a request
-    that gets 200, and `most_lines` what its parser takes as a head. Loads of frames go
-    to `frame_address`.
-    """
-
-    process: asyncio.subprocess.Process
-    address: Address
-    headers: dict[str, str]
-    slow: str
-    long: str
-    stream: str
-    ordinary: tuple[str, str]
-    most_lines: int = 120
-    frame_address: Address | None = None
-    most_descriptors: int = 0
-
-    def request(self, path: str, extra: bytes = b"", body: bytes = b"") -> bytes:
-        """Return the bytes of a request; `extra` are further header lines."""
-        lines = [f"{name}: {value}" for name, value in self.headers.items()]
-        head = "\r\n".join([f"POST {path} HTTP/1.1", "Request-Id: r", *lines])
-        length = b"\r\nContent-Length: %d\r\n" % len(body)
-        return head.encode() + length + extra + b"\r\n" + body
-
-    async def is_answered(self, extra: dict[str, str], body: bytes) -> bool:
-        """Return whether one ordinary request gets 200."""
-        method, path = self.ordinary
-        url = f"http://{self.address}{path}"
-        timeout = aiohttp.ClientTimeout(total=10.0)
-        headers = {"Request-Id": "ordinary", **self.headers, **extra}
-        with suppress(aiohttp.ClientError, TimeoutError, OSError):
-            async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
-                session.request(
-                    method, url, headers=headers, data=body or None
-                ) as response,
-            ):
-                await response.read()
-                return response.status == 200
-        return False
-
-    def peak_kb(self) -> int:
-        """Return the most memory that the process has had, 0 if it has ended."""
-        with suppress(OSError):
-            status = Path(f"/proc/{self.process.pid}/status").read_text()
-            for line in status.splitlines():
-                if line.startswith("VmHWM:"):
-                    return int(line.split()[1])
-        return 0
-
-    async def watch_descriptors(self) -> None:
-        while True:
-            with suppress(OSError):
-                count = len(os.listdir(f"/proc/{self.process.pid}/fd"))
-                self.most_descriptors = max(self.most_descriptors, count)
-            await asyncio.sleep(0.05)
-
-
 Load = Callable[[Target], list[bytes]]
 
 
@@ -222,51 +161,6 @@
     ]
 
 
-async def _wait_ready(address: Address, path: str) -> None:
-    async with asyncio.timeout(_READY_S), aiohttp.ClientSession() as session:
-        while True:
-            with suppress(aiohttp.ClientError, OSError):
-                async with session.get(f"http://{address}{path}") as response:
-                    if response.status == 200:
-                        return
-            await asyncio.sleep(0.1)
-
-
-@asynccontextmanager
-async def _running_process(
-    folder: Path, environment: dict[str, str], *arguments: str
-) -> AsyncIterator[asyncio.subprocess.Process]:
-    with (folder / "process.log").open("ab") as log:
-        process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", *arguments),
-            env={**os.environ, **environment},
-            cwd=_ROOT,
-            stdout=log,
-            stderr=log,
-        )
-    try:
-        yield process
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
-
-
-def _write_settings(folder: Path, store_address: str, *lines: str) -> dict[str, str]:
-    path = folder / "host.conf"
-    settings = [
-        "nodeName=host-0",
-        f"ip={_LOOPBACK_IP}",
-        "zone=a",
-        f"platform.addr={store_address}",
-        f"limits.memoryMb={_MEMORY_MB}",
-        f"limits.maxFds={_MAX_DESCRIPTORS}",
-        *lines,
-    ]
-    path.write_text("\n".join(settings) + "\n", encoding="utf-8")
-    return {"CELERYPULLEY_CONFIG": str(path)}
-
-
 @asynccontextmanager
 async def _running_edge(folder: Path) -> AsyncIterator[Target]:
     server = SlowServer(free_address())
@@ -280,7 +174,7 @@
         store.put("servers/s", entry)
         address, ready_address = free_address(), free_address()
         port = free_address().port
-        environment = _write_settings(
+        environment = write_settings(
             folder,
             store_address,
             f"portRange={port},{port}",
@@ -288,8 +182,8 @@
             f"listen.readyAddr={ready_address}",
         )
         arguments = ("celerypulley", "platform", "edge")
-        async with _running_process(folder, environment, *arguments) as process:
-            await _wait_ready(ready_address, "/readyz")
+        async with running_process(folder, environment, *arguments) as process:
+            await wait_ready(ready_address, "/readyz")
             yield Target(
                 process,
                 address,
@@ -306,8 +200,8 @@
 @asynccontextmanager
 async def _running_storage_host(folder: Path) -> AsyncIterator[Target]:
     async with running_store() as (_store, store_address):
-        frame_address = Address(_LOOPBACK_IP, free_address().port)
-        environment = _write_settings(
+        frame_address = Address(loopback_ip(), free_address().port)
+        environment = write_settings(
             folder,
             store_address,
             f"portRange={frame_address.port},{frame_address.port}",
@@ -315,9 +209,9 @@
             "bootstrap=true",
         )
         arguments = ("celerypulley", "platform", "store")
-        async with _running_process(folder, environment, *arguments) as process:
-            address = Address(_LOOPBACK_IP, _METRICS_PORT)
-            await _wait_ready(address, "/metrics")
+        async with running_process(folder, environment, *arguments) as process:
+            address = Address(loopback_ip(), METRICS_PORT)
+            await wait_ready(address, "/metrics")
             page = "/metrics"
             yield Target(
                 process,
@@ -361,15 +255,15 @@
                 "CELERYPULLEY_PLATFORM_ADDRESS": str(platform_address),
                 "CELERYPULLEY_PEER_SECRET": PEER_SECRET,
                 "CELERYPULLEY_SHARDS_PER_DOMAIN": "2",
-                "CELERYPULLEY_MEMORY_MB": str(_MEMORY_MB),
-                "CELERYPULLEY_MAX_DESCRIPTORS": str(_MAX_DESCRIPTORS),
+                "CELERYPULLEY_MEMORY_MB": str(SMALLEST_MACHINE.memory_mb),
+                "CELERYPULLEY_MAX_DESCRIPTORS": str(SMALLEST_MACHINE.max_descriptors),
             }
             process = await stack.enter_async_context(
-                _running_process(folder, environment, "celerypulley.cli", "serve")
+                running_process(folder, environment, "celerypulley.cli", "serve")
             )
             if number == 0:
                 first = process
-        await _wait_ready(admin_address, "/readyz")
+        await wait_ready(admin_address, "/readyz")
         yield Target(
             first,
             addresses[0],
@@ -383,24 +277,6 @@
     server.stop()
 
 
-async def _send(address: Address, data: bytes, sockets: list[socket.socket]) -> None:
-    """Send bytes on a new connection that is kept open and never read."""
-    loop = asyncio.get_running_loop()
-    client = socket.socket()
-    client.setblocking(False)
-    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-    sockets.append(client)
-    with suppress(OSError):
-        await loop.sock_connect(client, (address.ip, address.port))
-        await loop.sock_sendall(client, data)
-
-
-async def _wait_until_answered(target: Target) -> None:
-    async with asyncio.timeout(_ANSWER_S):
-        while not await target.is_answered({}, b""):
-            await asyncio.sleep(0.2)
-
-
 _EDGE_LOADS = [
     *(_short_lines, _long_lines, _unfinished_heads, _pipelined, _pipelined_small),
     *(_slow_readers, _unfinished_bodies, _idle, _mix),
@@ -427,17 +303,18 @@
     run_host, load, tmp_path, capsys
 ):
     async with run_host(tmp_path) as target:
-        await _wait_until_answered(target)
+        await wait_until_answered(target)
         watch = asyncio.create_task(target.watch_descriptors())
         address = target.frame_address if load is _frames else target.address
         sockets: list[socket.socket] = []
         senders = [
-            asyncio.create_task(_send(address, data, sockets)) for data in load(target)
+            asyncio.create_task(send_unread(address, data, sockets))
+            for data in load(target)
         ]
         try:
-            await asyncio.wait(senders, timeout=_SEND_S)
-            await asyncio.sleep(_HOLD_S)
-            await _wait_until_answered(target)
+            await asyncio.wait(senders, timeout=SEND_S)
+            await asyncio.sleep(HOLD_S)
+            await wait_until_answered(target)
         finally:
             for sender in senders:
                 sender.cancel()
@@ -452,10 +329,10 @@
                     f"{target.most_descriptors} descriptors, "
                     f"exit status {target.process.returncode}"
                 )
-        await _wait_until_answered(target)
+        await wait_until_answered(target)
         assert target.process.returncode is None
-        assert peak_mb <= _MEMORY_MB
-        assert target.most_descriptors <= _MAX_DESCRIPTORS
+        assert peak_mb <= SMALLEST_MACHINE.memory_mb
+        assert target.most_descriptors <= SMALLEST_MACHINE.max_descriptors
 
 
 _FOUR_BYTE_LINES = {f"a{number}": "" for number in range(1_000)}
@@ -473,4 +350,4 @@
 async def test_single_request_inside_the_limits_is_refused(headers, body, tmp_path):
     async with _running_edge(tmp_path) as target:
         assert await target.is_answered(headers, body)
-        assert target.peak_kb() <= _MEMORY_MB * 1_024
+        assert target.peak_kb() <= SMALLEST_MACHINE.memory_mb * 1_024
