Let what counts as an ordinary connection follow from their number

What callers saw: the account never closed a connection of up to 64 KiB, or 256 KiB with a request under way, whatever the sum. On 4,100 descriptors 1,986 of them are up to 500 MB, on a machine that leaves 39 MB for clients.

What counts as ordinary is now halved until all connections fit, and as many connections are accepted as half of the account holds by themselves (1,664 on 150 MB). Connections that hold hardly more than themselves are never closed, so a small request gets its answer or its refusal.

--- a/celerypulley/client_limits/memory_account.py
+++ b/celerypulley/client_limits/memory_account.py
@@ -21,6 +21,7 @@
 _ACCOUNT_FRACTION = 0.5
 _MIN_ACCOUNT_MB = 8
 _CONNECTION_BYTES = 12 * 1024  # 9.4 KB with aiohttp 3.14.5, and the socket
+_CONNECTIONS_FRACTION = 0.5  # of the account, for connections without a request
 # With aiohttp 3.14.5, lines of 4 to 35 bytes take 180 to 410 bytes once parsed, and are
 # copied when the request is forwarded.
 _HEADER_LINE_BYTES = 512
@@ -34,9 +35,15 @@
     return int(max(_MIN_ACCOUNT_MB, spare_mb) * _MB)
 
 
-def connection_limit(max_descriptors: int) -> int:
-    """Return how many clients may be connected, if each needs a server connection."""
-    return max(_MIN_CONNECTIONS, (max_descriptors - _RESERVED_DESCRIPTORS) // 2)
+def connection_limit(max_descriptors: int, memory_mb: float) -> int:
+    """Return how many clients may be connected.
+
+    Each may need a connection to a server, and memory on a machine of `memory_mb`.
+    """
+    by_descriptors = (max_descriptors - _RESERVED_DESCRIPTORS) // 2
+    memory_bytes = client_memory_bytes(memory_mb) * _CONNECTIONS_FRACTION
+    by_memory = int(memory_bytes) // _CONNECTION_BYTES
+    return max(_MIN_CONNECTIONS, min(by_descriptors, by_memory))
 
 
 def head_memory_bytes(lines: int, wire_bytes: int) -> int:
@@ -56,12 +63,14 @@
     RUNNING = 2
 
 
-# A connection that holds no more is never closed: a request of 20 kB holds 60 kB.
+# A connection that holds no more is closed only where closing the others is not enough:
+# a request of 20 kB holds 60 kB.
 _ORDINARY_BYTES = {
     Progress.INCOMPLETE: 64 * 1024,
     Progress.UNTAKEN: 64 * 1024,
     Progress.RUNNING: 256 * 1024,
 }
+_NEVER_CLOSED_BYTES = 16 * 1024  # as many connections as are accepted fit
 
 
 @attrs.define(eq=False)
@@ -134,19 +143,29 @@
         """Return the connections to close so that the others fit.
 
         The lowest progress comes first, then the largest charge. Connections that hold
-        no more than ordinary ones are never among them.
+        no more than ordinary ones come after all others: what counts as ordinary is
+        halved until the rest fits, but connections that hold hardly more than
+        themselves are never closed.
         """
         excess_bytes = self.held_bytes - self.limit_bytes
         chosen: list[ClientCharge] = []
         if excess_bytes <= 0:
             return chosen
-        for charge in sorted(
+        remaining = sorted(
             self._charges, key=lambda each: (each.progress, -each.total_bytes)
-        ):
-            if excess_bytes <= 0:
-                break
-            if charge.total_bytes <= _ORDINARY_BYTES[charge.progress]:
-                continue
-            chosen.append(charge)
-            excess_bytes -= charge.total_bytes
+        )
+        divisor = 1
+        while excess_bytes > 0 and remaining:
+            kept: list[ClientCharge] = []
+            for charge in remaining:
+                ordinary_bytes = _ORDINARY_BYTES[charge.progress] // divisor
+                if charge.total_bytes <= _NEVER_CLOSED_BYTES:
+                    continue
+                if excess_bytes <= 0 or charge.total_bytes <= ordinary_bytes:
+                    kept.append(charge)
+                    continue
+                chosen.append(charge)
+                excess_bytes -= charge.total_bytes
+            remaining = kept
+            divisor *= 2
         return chosen
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -233,7 +233,7 @@
             self._body_limit,
             lambda: not self._was_ready,
             settings.shutdown_grace_ms - _LEAVE_BALANCER_MS - _STOP_MARGIN_MS,
-            connection_limit(settings.max_descriptors),
+            connection_limit(settings.max_descriptors, settings.memory_mb),
             self.client_policy,
             clock,
         )
--- a/celerypulley/hosts/host.py
+++ b/celerypulley/hosts/host.py
@@ -237,7 +237,7 @@
             self.clock,
             settings.body_limit_bytes,
             settings.shutdown_ms,
-            connection_limit(settings.max_descriptors),
+            connection_limit(settings.max_descriptors, settings.memory_mb),
             policy,
         )
         gauges = self.metrics.gauges
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -74,7 +74,7 @@
             CallerLimits,
             clock,
         )
-        max_connections = connection_limit(settings.max_descriptors)
+        max_connections = connection_limit(settings.max_descriptors, settings.memory_mb)
         self.server = StorageServer(
             settings.ip,
             settings.fleet_port,
