Keep the descriptors free that the platform reserves for files

What callers would see: on 4,100 descriptors 1,986 callers were accepted, each with a connection to a server. The platform keeps 200 of them for files, so that further connections to servers, the store and peers fail.

Connections are now limited to half of what is left after 200 for files and 96 for listeners, probes, store and peers.

--- a/celerypulley/client_limits/memory_account.py
+++ b/celerypulley/client_limits/memory_account.py
@@ -25,7 +25,8 @@
 # With aiohttp 3.14.5, lines of 4 to 35 bytes take 180 to 410 bytes once parsed, and are
 # copied when the request is forwarded.
 _HEADER_LINE_BYTES = 512
-_RESERVED_DESCRIPTORS = 128  # listeners, probes, store, peers, log and disk
+_FILE_DESCRIPTORS = 200  # which the platform keeps for files
+_OTHER_DESCRIPTORS = 96  # listeners, probes, store, peers, log and disk
 _MIN_CONNECTIONS = 16
 
 
@@ -40,7 +41,7 @@
 
     Each may need a connection to a server, and memory on a machine of `memory_mb`.
     """
-    by_descriptors = (max_descriptors - _RESERVED_DESCRIPTORS) // 2
+    by_descriptors = (max_descriptors - _FILE_DESCRIPTORS - _OTHER_DESCRIPTORS) // 2
     memory_bytes = client_memory_bytes(memory_mb) * _CONNECTIONS_FRACTION
     by_memory = int(memory_bytes) // _CONNECTION_BYTES
     return max(_MIN_CONNECTIONS, min(by_descriptors, by_memory))
