Stop reading a server while the caller of its stream does not read

What callers saw: 600 callers that read long streams at 200 B/s took an edge to 386 MB of its 150, and 1,900 took one to 2,313 MB of 300; the machine ends the process and every other caller's connection with it.

Cause: of a stream only what becomes history was charged. Between the server's connection and the caller's lay up to 128 KB and one read of 256 KB unparsed, the parsed events twice, their join and a copy in the write buffer, and all of them were referred to while the caller was waited for: over 1 MB a stream.

Now the server is read in parts of 16 KB into one shared buffer, the next part is taken only once the caller's write buffer is below 16 KB, no event is kept while the caller is waited for, and what lies in between is charged, so that the account closes those that hold most.

--- a/celerypulley/client_limits/memory_account.py
+++ b/celerypulley/client_limits/memory_account.py
@@ -83,6 +83,7 @@
     body_bytes: int = 0
     history_bytes: int = 0
     response_bytes: int = 0
+    stream_bytes: int = 0
     ahead_bytes: int = 0
     is_closed: bool = False
 
@@ -95,6 +96,7 @@
             + self.body_bytes
             + self.history_bytes
             + self.response_bytes
+            + self.stream_bytes
             + self.ahead_bytes
         )
 
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -276,17 +276,18 @@
             await sink.respond(head.status, head.reason, metadata.headers, body)
             return None
         reader = EventReader()
-        async for chunk in call.iter_chunks():
+        while chunk := await call.read_chunk():
             server.last_received_ms = context.clock.now_ms()
             events = _complete_events(reader, chunk)
-            if not events:
-                continue
-            if not turn.head_sent:
-                turn.head_sent = True
-                await sink.head(head.status, head.reason, metadata.headers)
-            measured.record_events(server.last_received_ms, len(events))
-            self._record_events(turn, events, sink)
-            await sink.chunk(b"".join(event.raw for event in events))
+            if events:
+                if not turn.head_sent:
+                    turn.head_sent = True
+                    await sink.head(head.status, head.reason, metadata.headers)
+                measured.record_events(server.last_received_ms, len(events))
+                self._record_events(turn, events, sink)
+                await sink.chunk(b"".join(event.raw for event in events))
+            del chunk, events  # the caller may take long to read them
+            await sink.wait_until_taken(len(reader.pending))
         if reader.pending:
             raise ServerCallError("stream ended within an event", True)
         call.release()
--- a/celerypulley/links/client_connections.py
+++ b/celerypulley/links/client_connections.py
@@ -22,6 +22,7 @@
 )
 from celerypulley.links.client_listener import ClientListener
 from celerypulley.links.client_policy import ClientPolicy
+from celerypulley.links.server_connection import READ_AHEAD_BYTES
 
 __all__ = [
     "WRITE_BYTES",
@@ -219,6 +220,7 @@
             body_bytes=0,
             history_bytes=0,
             response_bytes=0,
+            stream_bytes=0,
             ahead_bytes=self._tail_bytes + len(ahead),
         )
         if self._force_close or self._close or self.transport is None:
@@ -247,6 +249,18 @@
         held = self._charge.history_bytes + _BODY_COPIES * count
         self._policy.change(self._charge, history_bytes=held)
 
+    def hold_stream(self, pending_bytes: int) -> None:
+        """Charge what is kept of a stream that is being forwarded.
+
+        That is `pending_bytes` of an unfinished event and, if the client doesn't read,
+        what lies in the write buffer and what its server may send meanwhile.
+        """
+        held = pending_bytes
+        if self.writing_paused and self.transport is not None:
+            held += self.transport.get_write_buffer_size() + READ_AHEAD_BYTES
+        if held != self._charge.stream_bytes:
+            self._policy.change(self._charge, stream_bytes=held)
+
     async def reserve_response(self, count: int) -> None:
         """Wait until there is room for a response of `count` bytes, and charge it."""
         await self._policy.reserve(self._charge, _RESPONSE_COPIES * count)
--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -31,6 +31,7 @@
 _IDLE_TIMEOUT_S = 75.0  # longer than any idle timeout that operators set, 15 s
 _ABORT_TIMEOUT_S = 0.5  # for responses that are still being written
 _MAX_LOGGED_CHARS = 100
+_STREAM_BUFFER_BYTES = 16 * 1024  # of a stream; its server is read no further then
 _STEPS_TO_HANDLER = 5  # of the event loop, from the bytes of a request to its handler
 _NO_MEMORY = "this host has no memory left for further requests"
 _BARE_LAST_CHUNK = b"\r\n0\r\n\r\n"  # the end of a body in chunks without trailers
@@ -109,6 +110,8 @@
         if self.request.version >= (1, 1):
             response.enable_chunked_encoding()
         self.response = response
+        if self.request.transport is not None:
+            self.request.transport.set_write_buffer_limits(high=_STREAM_BUFFER_BYTES)
         try:
             await response.prepare(self.request)
         except OSError as error:
@@ -116,16 +119,35 @@
             raise CallerDisconnectedError(str(error)) from error
 
     async def chunk(self, data: bytes) -> None:
-        """Send a chunk of the body; raise CallerDisconnectedError."""
+        """Send a chunk of the body, without waiting until the caller has taken it.
+
+        Raise CallerDisconnectedError.
+        """
         assert self.response is not None, "the head is sent before the body"
         try:
-            await self.response.write(data)
+            await self.request.writer.write(data, drain=False)
         except OSError as error:
             self.caller_left = True
             raise CallerDisconnectedError(str(error)) from error
         self.chunk_count += 1
         self.body_bytes += len(data)
 
+    async def wait_until_taken(self, pending_bytes: int) -> None:
+        """Wait while the caller doesn't read the stream; raise CallerDisconnectedError.
+
+        `pending_bytes` are those of the stream that are kept, but not yet sent.
+        """
+        protocol = protocol_of(self.request)
+        protocol.hold_stream(pending_bytes)
+        if not protocol.writing_paused:
+            return
+        try:
+            await self.request.writer.drain()
+        except OSError as error:
+            self.caller_left = True
+            raise CallerDisconnectedError(str(error)) from error
+        protocol.hold_stream(pending_bytes)
+
     def abort(self) -> None:
         """Close the connection so that a partial response cannot look complete."""
         self.is_aborted = True
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import enum
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import attrs
 
@@ -22,6 +22,7 @@
 from celerypulley.links.response_status import InvalidResponseError
 
 __all__ = [
+    "READ_AHEAD_BYTES",
     "Reachability",
     "ServerCall",
     "ServerCallError",
@@ -35,8 +36,12 @@
 _IDLE_MARGIN_MS = 1_000.0  # before the keep-alive timeout that a server states
 _DEFAULT_IDLE_MS = 1_000.0  # if no timeout is stated: the smallest that could be
 _MAX_REQUESTS_CARRIED = 1_000  # bounds the memory for their identifiers
-_MAX_BUFFERED_BYTES = 128 * 1024  # of a body, until its reader has taken them
+_READ_BYTES = 16 * 1024  # of a connection at once
+_MAX_BUFFERED_BYTES = 16 * 1024  # of a body, until its reader has taken them
+READ_AHEAD_BYTES = _MAX_BUFFERED_BYTES + _READ_BYTES
 _MAX_BODY_BYTES = 4 * 1024 * 1024  # a thirtieth of the memory of the smallest host
+# Shared by all connections, since what is read is parsed before the next read.
+_read_buffer = memoryview(bytearray(_READ_BYTES))
 _log = DecisionLog("server-link")
 
 
@@ -60,11 +65,12 @@
     SILENT = "does not answer"
 
 
-class _ServerProtocol(asyncio.Protocol):
+class _ServerProtocol(asyncio.BufferedProtocol):
     """One connection to a server: bytes in, and what ended it.
 
     Bytes that come while no response is awaited belong to no request, and end the
-    connection. `error` tells what ended it before the response was complete.
+    connection. `error` tells what ended it before the response was complete. At most
+    READ_AHEAD_BYTES of a body are kept until its reader takes them.
     """
 
     def __init__(self, address: str) -> None:
@@ -85,8 +91,13 @@
         """Store the transport."""
         self.transport = transport
 
-    def data_received(self, data: bytes) -> None:
-        """Parse `data` if a response is awaited."""
+    def get_buffer(self, _size_hint: int) -> memoryview:
+        """Return the buffer that the next bytes are read into."""
+        return _read_buffer
+
+    def buffer_updated(self, count: int) -> None:
+        """Parse the `count` bytes that were read, if a response is awaited."""
+        data = bytes(_read_buffer[:count])
         response = self.response
         if response is None or response.is_complete:
             self._end_for_strays(f"{len(data)} bytes while no request was under way")
@@ -245,21 +256,22 @@
             await protocol.wait()
         return self._response.head
 
-    async def iter_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives; raise ServerCallError if it is cut off."""
+    async def read_chunk(self) -> bytes:
+        """Return the next part of the body, empty at its end.
+
+        Raise ServerCallError if it is cut off. The server is read on only once all that
+        has come was returned, so that a caller who waits holds little.
+        """
         response, protocol = self._response, self.connection.protocol
         while True:
             data = response.take_body()
-            if data:
-                protocol.resume_reading()
-                yield data
-                continue
-            if response.is_complete:
-                return
+            if data or response.is_complete:
+                return data
             if protocol.error:
                 raise ServerCallError(
                     f"the response was cut off: {protocol.error}", True
                 )
+            protocol.resume_reading()
             await protocol.wait()
 
     async def read_body(
@@ -272,7 +284,7 @@
         chunks = []
         size = 0
         try:
-            async for chunk in self.iter_chunks():
+            while chunk := await self.read_chunk():
                 chunks.append(chunk)
                 size += len(chunk)
                 on_bytes(len(chunk))
