--- a/celerypulley/storage/record_journal.py
+++ b/celerypulley/storage/record_journal.py
@@ -96,9 +96,14 @@
         )
         assert self._descriptor is not None, "a segment is open"
         view = memoryview(data)
-        while view:
-            view = view[os.write(self._descriptor, view) :]
-        os.fdatasync(self._descriptor)
+        try:
+            while view:
+                view = view[os.write(self._descriptor, view) :]
+            os.fdatasync(self._descriptor)
+        except OSError:
+            # What follows a frame that was cut short would not be read again.
+            self._close_segment()
+            raise
         segment.size += len(data)
         return segment.number
 
@@ -111,9 +116,13 @@
                 self._segments.remove(segment)
         return len(full) + 1 - len(self._segments)
 
-    def _open_segment(self) -> None:
+    def _close_segment(self) -> None:
         if self._descriptor is not None:
             os.close(self._descriptor)
+            self._descriptor = None
+
+    def _open_segment(self) -> None:
+        self._close_segment()
         number = self._segments[-1].number + 1 if self._segments else 1
         path = self.directory / f"{number:010}{_SEGMENT_SUFFIX}"
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -1,6 +1,7 @@
 """Turn records on disks: torn writes, lost disks, draining and unresponsive hosts."""
 
 import asyncio
+import os
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -72,6 +73,26 @@
     assert set(reopened_again.records) == {*reopened.records, "turns/o/9"}
 
 
+async def test_records_behind_a_write_that_failed_are_lost(tmp_path, monkeypatch):
+    record_store = RecordStore(RecordJournal(tmp_path), run_clock())
+    await record_store.write([record(1)])
+    write = os.write
+
+    def write_half(descriptor: int, data: memoryview) -> int:
+        write(descriptor, data[: len(data) // 2])
+        raise OSError("no space is left on the disk")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", write_half)
+        with pytest.raises(OSError, match="no space"):
+            await record_store.write([record(2)])
+    await record_store.write([record(3)])
+    reopened = RecordStore(RecordJournal(tmp_path), run_clock())
+    for each in (record_store, reopened):
+        assert set(each.records) == {"turns/o/1", "turns/o/3"}
+        assert each.chain("turns/o/3", True).parts == [[b"in 3 ", b"out 3\n"]]
+
+
 async def test_one_sync_serves_all_waiting_writes(tmp_path):
     record_store = RecordStore(RecordJournal(tmp_path), run_clock())
     await asyncio.gather(
