Hold the newest records of a storage host in memory, and others on disk

What callers saw: 1,200 turns of 200 KB, run one after another by a client inside all limits, took a storage host to 288 MB of its 170. The machine ends it, and with it a copy of every turn that it keeps.

Cause: a storage host has a disk of 390 MB and held every record in memory until it expired, whatever they came to.

A record is now an entry with its place on disk, and its content only while it is among the newest. Contents and 1 KB an entry take at most 0.35 of the memory above 60 MB (38 MB on 170). Others are read from disk when a chain or a page asks for them; copies for other hosts are read in batches of 256 KB. Once entries alone fill that, records are refused and edges use the platform's store. The rest of the memory, less the reserves, is shared with the account as before.

--- a/celerypulley/client_limits/memory_account.py
+++ b/celerypulley/client_limits/memory_account.py
@@ -11,6 +11,7 @@
     "client_memory_bytes",
     "connection_limit",
     "head_memory_bytes",
+    "record_memory_bytes",
 ]
 
 _MB = 1024 * 1024
@@ -20,6 +21,8 @@
 # is freed, and for estimates that are too low.
 _ACCOUNT_FRACTION = 0.5
 _MIN_ACCOUNT_MB = 8
+_RECORDS_FRACTION = 0.35  # the account has half of the rest
+_MIN_RECORDS_MB = 8
 _CONNECTION_BYTES = 12 * 1024  # 9.4 KB with aiohttp 3.14.5, and the socket
 _CONNECTIONS_FRACTION = 0.5  # of the account, for connections without a request
 # With aiohttp 3.14.5, lines of 4 to 35 bytes take 180 to 410 bytes once parsed, and are
@@ -36,6 +39,12 @@
     return int(max(_MIN_ACCOUNT_MB, spare_mb) * _MB)
 
 
+def record_memory_bytes(memory_mb: float) -> int:
+    """Return what a storage host of `memory_mb` may hold of its records."""
+    spare_mb = (memory_mb - _PROCESS_MB) * _RECORDS_FRACTION
+    return int(max(_MIN_RECORDS_MB, spare_mb) * _MB)
+
+
 def connection_limit(max_descriptors: int, memory_mb: float) -> int:
     """Return how many clients may be connected.
 
--- a/celerypulley/hosts/copy_restorer.py
+++ b/celerypulley/hosts/copy_restorer.py
@@ -1,7 +1,7 @@
 """Copy the records again that have too few copies, after a storage host has left."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
 import xxhash
@@ -12,7 +12,7 @@
 from celerypulley.failure_domains.placement import rendezvous
 from celerypulley.fleet.disk_list import Disk
 from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMembers
-from celerypulley.hosts.record_store import RecordStore, TurnRecord
+from celerypulley.hosts.record_store import RecordStore
 from celerypulley.hosts.storage_peers import StoragePeer, StoragePeers
 from celerypulley.links.storage_link import StorageLinkError
 from celerypulley.links.storage_messages import (
@@ -194,19 +194,17 @@
             if counts_own and not self._is_sender(key, holders[key]):
                 continue
             lacking.append(key)
-        batches: dict[str, list[TurnRecord]] = {
-            each.disk.disk_id: [] for each in targets
-        }
+        copied_to: dict[str, list[str]] = {each.disk.disk_id: [] for each in targets}
         for key in lacking:
             while not has_enough(holders[key]):
                 target = _choose_target(key, holders[key], targets)
                 if target is None:
                     break
                 holders[key].append(target)
-                batches[target.disk_id].append(self.record_store.records[key])
+                copied_to[target.disk_id].append(key)
         counts.single += sum(len(holders[key]) < copies for key in lacking)
         for peer in targets:
-            await self._send(peer, batches[peer.disk.disk_id], counts)
+            await self._send(peer, copied_to[peer.disk.disk_id], counts)
         return counts
 
     async def _find_holders(
@@ -239,17 +237,37 @@
         return rendezvous(key, [each.disk_id for each in holders]) == own_id
 
     async def _send(
-        self, peer: StoragePeer, records: list[TurnRecord], counts: CopyCounts
+        self, peer: StoragePeer, keys: list[str], counts: CopyCounts
     ) -> None:
-        for batch in _split(records):
-            request = StoreRecords([each.to_row() for each in batch])
-            size_bytes = sum(each.size_bytes() for each in batch)
+        for batch in self._split(keys):
+            try:
+                records = [self.record_store.read(key) for key in batch]
+            except OSError as error:
+                raise StorageLinkError(f"no copies were read: {error}") from error
+            request = StoreRecords([each.to_row() for each in records])
+            size_bytes = sum(each.size_bytes() for each in records)
             reply = await self._request(peer, request, size_bytes)
             if not isinstance(reply, RecordsStored):
                 raise StorageLinkError(f"{peer.disk.host} stored no copies: {reply}")
             counts.sent += len(batch)
             counts.sent_bytes += size_bytes
 
+    def _split(self, keys: list[str]) -> Iterator[list[str]]:
+        """Yield the keys of records that are still stored, of about `_BATCH_BYTES`."""
+        batch: list[str] = []
+        size_bytes = 0
+        for key in keys:
+            stored = self.record_store.records.get(key)
+            if stored is None:
+                continue
+            batch.append(key)
+            size_bytes += stored.place.length_bytes
+            if size_bytes >= _BATCH_BYTES:
+                yield batch
+                batch, size_bytes = [], 0
+        if batch:
+            yield batch
+
     async def _request(
         self, peer: StoragePeer, request: object, size_bytes: int
     ) -> object:
@@ -350,16 +368,3 @@
     other = [disk_id for disk_id, disk in free.items() if disk.domain not in domains]
     chosen = rendezvous(key, other or free)
     return free[chosen] if chosen else None
-
-
-def _split(records: list[TurnRecord]) -> list[list[TurnRecord]]:
-    """Return the records in batches of about `_BATCH_BYTES`."""
-    batches: list[list[TurnRecord]] = []
-    size_bytes = 0
-    for record in records:
-        if not batches or size_bytes >= _BATCH_BYTES:
-            batches.append([])
-            size_bytes = 0
-        batches[-1].append(record)
-        size_bytes += record.size_bytes()
-    return batches
--- a/celerypulley/hosts/record_service.py
+++ b/celerypulley/hosts/record_service.py
@@ -26,6 +26,7 @@
     GetState,
     ListRecords,
     MissingKeys,
+    RecordsNotRead,
     RecordsNotStored,
     RecordsStored,
     StorageState,
@@ -92,10 +93,8 @@
         """Return the reply to a request."""
         if isinstance(request, StoreRecords):
             return await self._store_records(request)
-        if isinstance(request, GetChain):
-            return self.record_store.chain(request.key, self.is_complete)
-        if isinstance(request, ListRecords):
-            return self.record_store.page(request.after, self.is_complete)
+        if isinstance(request, GetChain | ListRecords):
+            return self._read_records(request)
         if isinstance(request, FindMissing):
             return MissingKeys(self.record_store.missing_keys(request.keys))
         if isinstance(request, GetState):
@@ -108,9 +107,20 @@
             )
         return RecordsNotStored(f"unexpected request of type {type(request).__name__}")
 
+    def _read_records(self, request: GetChain | ListRecords) -> object:
+        try:
+            if isinstance(request, ListRecords):
+                return self.record_store.page(request.after, self.is_complete)
+            return self.record_store.chain(request.key, self.is_complete)
+        except OSError as error:
+            _log.write("records not read", repr(error))
+            return RecordsNotRead(repr(error))
+
     async def _store_records(self, request: StoreRecords) -> object:
         if self.is_draining or self.is_leaving:
             return RecordsNotStored("this storage host is draining or leaving")
+        if not self.record_store.has_room():
+            return RecordsNotStored("this storage host has no memory for more records")
         try:
             records = [TurnRecord.from_row(row) for row in request.records]
             await self.record_store.write(records)
--- a/celerypulley/hosts/record_store.py
+++ b/celerypulley/hosts/record_store.py
@@ -1,7 +1,8 @@
-"""The records of one storage host: by key in memory, and in a journal on disk."""
+"""The records of one storage host: on disk, and the newest also in memory."""
 
 import asyncio
 import heapq
+from collections import OrderedDict
 from concurrent.futures import ThreadPoolExecutor
 
 import attrs
@@ -10,12 +11,14 @@
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.links.storage_messages import RecordPage, StoredChain
-from celerypulley.storage.record_journal import RecordJournal
+from celerypulley.storage.record_journal import RecordJournal, RecordPlace
 
-__all__ = ["RecordStore", "TurnRecord"]
+__all__ = ["RecordStore", "StoredRecord", "TurnRecord"]
 
 _PAGE_BYTES = 256 * 1024  # 4 to 140 ms on a link of 600 to 15 Mbit/s
 _EXPIRY_PERIOD_MS = 10_000.0
+_ENTRY_BYTES = 1_024  # of a record without its content: key, place and dictionaries
+_MEMORY_BYTES = 32 * 1024 * 1024  # of a store that is given no limit
 _log = DecisionLog("shelf")
 
 
@@ -50,6 +53,20 @@
         return cls(key, kept_until_ms, previous, turn_input, output)
 
 
+@attrs.define(eq=False)
+class StoredRecord:
+    """What is known of a record on disk; `content` only while it is in memory, too.
+
+    It is kept until `kept_until_ms`, for longer than its content says if a later turn
+    of its chain is.
+    """
+
+    kept_until_ms: float
+    previous: str
+    place: RecordPlace
+    content: TurnRecord | None
+
+
 @attrs.define(eq=False)
 class _PendingWrite:
     records: list[TurnRecord]
@@ -57,25 +74,38 @@
 
 
 class RecordStore:
-    """Store records durably; one sync serves all pending writes."""
+    """Store records durably; one sync serves all pending writes.
+
+    `records` has an entry for each record. Contents are dropped from memory, oldest
+    first, when they and the entries exceed the limit, and read from disk again when
+    they are asked for.
+    """
 
-    def __init__(self, journal: RecordJournal, clock: Clock) -> None:
-        """Read the records in `journal`."""
+    def __init__(
+        self, journal: RecordJournal, clock: Clock, memory_bytes: int = _MEMORY_BYTES
+    ) -> None:
+        """Read the records in `journal`; hold at most `memory_bytes` of them."""
         self.journal = journal
         self.clock = clock
-        self.records: dict[str, TurnRecord] = {}
+        self.memory_bytes = memory_bytes
+        self.records: dict[str, StoredRecord] = {}
         self.syncs = 0
+        self._content_bytes: OrderedDict[str, int] = OrderedDict()  # of each in memory
+        self._held_bytes = 0  # their sum
         self._pending_writes: list[_PendingWrite] = []
         self._writer_task: asyncio.Task | None = None
         self._executor = ThreadPoolExecutor(1, "journal")
         self._last_expiry_ms = clock.now_ms()
-        self._segment_of: dict[str, int] = {}
-        for segment, raw in journal.read_all():
+        for place, raw in journal.read_all():
             try:
-                self._apply(TurnRecord.from_row(msgpack.unpackb(raw)), segment)
+                self._apply(TurnRecord.from_row(msgpack.unpackb(raw)), place)
             except (ValueError, msgpack.UnpackException) as error:
                 _log.write("record skipped", f"invalid on disk: {error}")
 
+    def has_room(self) -> bool:
+        """Return whether there is memory for the entries of further records."""
+        return len(self.records) * _ENTRY_BYTES < self.memory_bytes
+
     async def write(self, records: list[TurnRecord]) -> None:
         """Write records; return when they are on disk, raise OSError if that fails."""
         pending_write = _PendingWrite(
@@ -93,18 +123,18 @@
             records = [record for each in batch for record in each.records]
             rows = [msgpack.packb(record.to_row()) for record in records]
             error = None
-            segment = 0
+            places: list[RecordPlace] = []
             try:
-                segment = await loop.run_in_executor(
+                places = await loop.run_in_executor(
                     self._executor, self.journal.append, rows
                 )
             except OSError as caught:
                 _log.write("write failed", repr(caught), records=len(records))
                 error = caught
+            del rows
             self.syncs += 1
-            if error is None:
-                for record in records:
-                    self._apply(record, segment)
+            for record, place in zip(records, places, strict=False):
+                self._apply(record, place)
             for each in batch:
                 if each.done.done():
                     continue
@@ -114,17 +144,46 @@
                     each.done.set_result(None)
             self._drop_expired()
 
-    def _apply(self, record: TurnRecord, segment: int) -> None:
+    def _apply(self, record: TurnRecord, place: RecordPlace) -> None:
         """Apply a record, and retain the earlier turns of its chain for as long."""
-        previous_copy = self.records.get(record.key)
-        if previous_copy is None or previous_copy.kept_until_ms < record.kept_until_ms:
-            self.records[record.key] = record
-            self._segment_of[record.key] = segment
+        known = self.records.get(record.key)
+        if known is None or known.kept_until_ms < record.kept_until_ms:
+            self.records[record.key] = StoredRecord(
+                record.kept_until_ms, record.previous, place, record
+            )
+            self._count_content(record)
         previous = self.records.get(record.previous)
         while previous is not None and previous.kept_until_ms < record.kept_until_ms:
-            extended = attrs.evolve(previous, kept_until_ms=record.kept_until_ms)
-            self.records[extended.key] = extended
-            previous = self.records.get(extended.previous)
+            previous.kept_until_ms = record.kept_until_ms
+            previous = self.records.get(previous.previous)
+
+    def _count_content(self, record: TurnRecord) -> None:
+        """Count a content that is in memory, and drop the oldest beyond the limit."""
+        self._forget_content(record.key)
+        self._content_bytes[record.key] = record.size_bytes()
+        self._held_bytes += record.size_bytes()
+        limit_bytes = self.memory_bytes - len(self.records) * _ENTRY_BYTES
+        while self._held_bytes > limit_bytes and self._content_bytes:
+            key = next(iter(self._content_bytes))
+            self._forget_content(key)
+            dropped = self.records.get(key)
+            if dropped is not None:
+                dropped.content = None
+
+    def _forget_content(self, key: str) -> None:
+        self._held_bytes -= self._content_bytes.pop(key, 0)
+
+    def read(self, key: str) -> TurnRecord:
+        """Return a record with its content; raise KeyError, or OSError."""
+        stored = self.records[key]
+        content = stored.content
+        if content is None:
+            try:
+                row = msgpack.unpackb(self.journal.read(stored.place))
+                content = TurnRecord.from_row(row)
+            except (ValueError, msgpack.UnpackException) as error:
+                raise OSError(f"{key} is invalid on disk: {error}") from error
+        return attrs.evolve(content, kept_until_ms=stored.kept_until_ms)
 
     def _drop_expired(self) -> None:
         now_ms = self.clock.now_ms()
@@ -137,25 +196,25 @@
         ]
         for key in expired:
             del self.records[key]
-            del self._segment_of[key]
-        files = self.journal.drop_unused(set(self._segment_of.values()))
+            self._forget_content(key)
+        segments = {each.place.segment for each in self.records.values()}
+        files = self.journal.drop_unused(segments)
         if expired:
             _log.write("deleted", "records expired", records=len(expired), files=files)
 
     def chain(self, key: str, is_complete: bool) -> StoredChain:
-        """Return the part of the chain ending with `key` that is stored here."""
+        """Return the part of the chain ending with `key` that is stored here.
+
+        Raise OSError if it can't be read from disk.
+        """
         parts = []
-        record = self.records.get(key)
-        found = record is not None
-        missing = "" if found else key
-        while record is not None:
+        found = key in self.records
+        while key in self.records:
+            record = self.read(key)
             parts.append([record.input, record.output])
-            missing = record.previous
-            record = self.records.get(record.previous)
-            if record is not None:
-                missing = ""
+            key = record.previous
         parts.reverse()
-        return StoredChain(found, parts, missing, is_complete)
+        return StoredChain(found, parts, key, is_complete)
 
     def page(self, after: str, is_complete: bool) -> RecordPage:
         """Return the next page of records, those with keys above `after`."""
@@ -165,7 +224,7 @@
         for key in keys:
             if size > _PAGE_BYTES:
                 return RecordPage(rows, True, is_complete)
-            record = self.records[key]
+            record = self.read(key)
             rows.append(record.to_row())
             size += record.size_bytes()
         return RecordPage(rows, False, is_complete)
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -7,6 +7,7 @@
     MemoryAccount,
     client_memory_bytes,
     connection_limit,
+    record_memory_bytes,
 )
 from celerypulley.clock import Clock
 from celerypulley.contracts.desired_state import CallerLimits
@@ -25,6 +26,7 @@
 
 __all__ = ["StorageHost"]
 
+_MB = 1024 * 1024
 _SUMMARY_PERIOD_S = 10.0
 _LIST_CHECK_PERIOD_S = 0.1
 _log = DecisionLog("host")
@@ -57,7 +59,8 @@
             settings.fleet_port,
         )
         self.disk_list = DiskList(store, clock)
-        self.record_store = RecordStore(journal, clock)
+        record_bytes = record_memory_bytes(settings.memory_mb)
+        self.record_store = RecordStore(journal, clock, record_bytes)
         self.members = FleetMembers(own_member, store, clock)
         self.record_service = RecordService(
             self.record_store,
@@ -70,7 +73,7 @@
             clock,
         )
         self.client_policy = ClientPolicy(
-            MemoryAccount(client_memory_bytes(settings.memory_mb)),
+            MemoryAccount(client_memory_bytes(settings.memory_mb - record_bytes / _MB)),
             CallerLimits,
             clock,
         )
--- a/celerypulley/links/storage_messages.py
+++ b/celerypulley/links/storage_messages.py
@@ -9,6 +9,7 @@
     "ListRecords",
     "MissingKeys",
     "RecordPage",
+    "RecordsNotRead",
     "RecordsNotStored",
     "RecordsStored",
     "StorageState",
@@ -112,3 +113,10 @@
     is_draining: bool
     compared_with: int
     covered: list
+
+
+@message(81)
+class RecordsNotRead:
+    """The requested records couldn't be read from the disk; `reason` says why."""
+
+    reason: str
--- a/celerypulley/storage/record_journal.py
+++ b/celerypulley/storage/record_journal.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-__all__ = ["RecordJournal"]
+__all__ = ["RecordJournal", "RecordPlace"]
 
 _FRAME_HEADER = struct.Struct("<II")
 _MAX_FRAME_BYTES = 16 * 1024 * 1024
@@ -27,6 +27,15 @@
 _IDENTITY_BYTES = 8
 
 
+@attrs.frozen
+class RecordPlace:
+    """Where a record lies on the disk: its segment, and its bytes in that file."""
+
+    segment: int
+    offset_bytes: int
+    length_bytes: int
+
+
 @attrs.define
 class _Segment:
     path: Path
@@ -43,15 +52,24 @@
         self._segments: list[_Segment] = []
         self._descriptor: int | None = None
 
-    def read_all(self) -> Iterator[tuple[int, bytes]]:
-        """Yield segment number and record, oldest first; call this before `append`."""
+    def read_all(self) -> Iterator[tuple[RecordPlace, bytes]]:
+        """Yield each record and its place, oldest first; call this before `append`."""
         for path in sorted(self.directory.glob(f"*{_SEGMENT_SUFFIX}")):
             segment = _Segment(path, int(path.stem))
             self._segments.append(segment)
             raw = path.read_bytes()
             segment.size = len(raw)
-            for record in _intact_frames(raw):
-                yield segment.number, record
+            for offset_bytes, record in _intact_frames(raw):
+                yield RecordPlace(segment.number, offset_bytes, len(record)), record
+
+    def read(self, place: RecordPlace) -> bytes:
+        """Return the record at `place`; raise OSError if it can't be read."""
+        with self._segment_path(place.segment).open("rb") as file:
+            file.seek(place.offset_bytes)
+            record = file.read(place.length_bytes)
+        if len(record) != place.length_bytes:
+            raise OSError(f"segment {place.segment} ends within a record")
+        return record
 
     def disk_id(self) -> str:
         """Return the identity of this disk; draw it durably if there is none."""
@@ -86,8 +104,8 @@
             os.close(descriptor)
         self._sync_directory()
 
-    def append(self, records: list[bytes]) -> int:
-        """Write records, sync, and return the number of their segment."""
+    def append(self, records: list[bytes]) -> list[RecordPlace]:
+        """Write records, sync, and return their places."""
         if self._descriptor is None or self._segments[-1].size > _MAX_SEGMENT_BYTES:
             self._open_segment()
         segment = self._segments[-1]
@@ -104,8 +122,12 @@
             # What follows a frame that was cut short would not be read again.
             self._close_segment()
             raise
-        segment.size += len(data)
-        return segment.number
+        places = []
+        for each in records:
+            offset_bytes = segment.size + _FRAME_HEADER.size
+            places.append(RecordPlace(segment.number, offset_bytes, len(each)))
+            segment.size = offset_bytes + len(each)
+        return places
 
     def drop_unused(self, segments_in_use: set[int]) -> int:
         """Remove the full segments not in `segments_in_use`; return their count."""
@@ -124,13 +146,16 @@
     def _open_segment(self) -> None:
         self._close_segment()
         number = self._segments[-1].number + 1 if self._segments else 1
-        path = self.directory / f"{number:010}{_SEGMENT_SUFFIX}"
+        path = self._segment_path(number)
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         self._descriptor = os.open(path, flags, 0o644)
         os.fsync(self._descriptor)
         self._sync_directory()
         self._segments.append(_Segment(path, number))
 
+    def _segment_path(self, number: int) -> Path:
+        return self.directory / f"{number:010}{_SEGMENT_SUFFIX}"
+
     def _sync_directory(self) -> None:
         descriptor = os.open(self.directory, os.O_RDONLY | os.O_DIRECTORY)
         try:
@@ -139,7 +164,8 @@
             os.close(descriptor)
 
 
-def _intact_frames(raw: bytes) -> Iterator[bytes]:
+def _intact_frames(raw: bytes) -> Iterator[tuple[int, bytes]]:
+    """Yield offset and content of the frames up to the first that isn't intact."""
     position = 0
     while position + _FRAME_HEADER.size <= len(raw):
         length, checksum = _FRAME_HEADER.unpack_from(raw, position)
@@ -148,5 +174,5 @@
         is_intact = 0 < length <= _MAX_FRAME_BYTES and len(record) == length
         if not is_intact or zlib.crc32(record) != checksum:
             return
-        yield record
+        yield begin, record
         position = begin + length
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -73,8 +73,31 @@
     assert set(reopened_again.records) == {*reopened.records, "turns/o/9"}
 
 
+@pytest.mark.parametrize(
+    ("memory_bytes", "kept_count", "has_room"),
+    [(3 * 1_024 + 30, 2, True), (3 * 1_024, 0, False), (100_000, 3, True)],
+    ids=["two contents", "entries only", "all"],
+)
+async def test_record_that_memory_has_no_room_for_is_lost(
+    tmp_path, memory_bytes, kept_count, has_room
+):
+    def open_store() -> RecordStore:
+        return RecordStore(RecordJournal(tmp_path), run_clock(), memory_bytes)
+
+    record_store = open_store()
+    for number in range(1, 4):
+        await record_store.write([record(number, previous=number - 1)])
+    for each in (record_store, open_store()):
+        contents = [stored.content for stored in each.records.values()]
+        assert sum(content is not None for content in contents) == kept_count
+        assert each.has_room() is has_room
+        parts = [[b"in %d " % number, b"out %d\n" % number] for number in range(1, 4)]
+        assert each.chain("turns/o/3", True).parts == parts
+        assert len(each.page("", True).records) == 3
+
+
 async def test_records_behind_a_write_that_failed_are_lost(tmp_path, monkeypatch):
-    record_store = RecordStore(RecordJournal(tmp_path), run_clock())
+    record_store = RecordStore(RecordJournal(tmp_path), run_clock(), 0)
     await record_store.write([record(1)])
     write = os.write
 
