Answer the requests of a connection to a storage host one after another

Cause: each frame of a connection started a task, all frames of a read were decoded at once, replies were encoded and written whether or not the ones before were taken, and none of it was charged. An idle connection held 50 KB, 48 of them the stack of its decoder.

Now the next request is decoded once the reply to the one before is in the kernel. Replies take turns in the account, by the length that the index gives before the records are read. Records are stored side by side, in a quarter of the account. A chain of over 1 MB is returned in parts. The decoder is kept only within a frame. An evicted connection's task ends at once, and choosing evictions makes room for a sixteenth more, since a choice for each byte of a crowd held up the host.

--- a/celerypulley/client_limits/memory_account.py
+++ b/celerypulley/client_limits/memory_account.py
@@ -81,6 +81,9 @@
     Progress.RUNNING: 256 * 1024,
 }
 _NEVER_CLOSED_BYTES = 16 * 1024  # as many connections as are accepted fit
+# Of the limit, by which more is closed than needed, so that not every byte of a crowd
+# makes another choice necessary. Requests under way are never closed for it.
+_EVICTION_MARGIN = 1 / 16
 
 
 @attrs.define(eq=False)
@@ -95,19 +98,13 @@
     stream_bytes: int = 0
     ahead_bytes: int = 0
     is_closed: bool = False
+    total_bytes: int = _CONNECTION_BYTES  # the parts and the connection itself
 
-    @property
-    def total_bytes(self) -> int:
-        """Return the sum of the parts and of the connection itself."""
-        return (
-            _CONNECTION_BYTES
-            + self.head_bytes
-            + self.body_bytes
-            + self.history_bytes
-            + self.response_bytes
-            + self.stream_bytes
-            + self.ahead_bytes
-        )
+    def replace(self, **parts: int) -> None:
+        """Replace parts of the charge by `parts`."""
+        for name, count in parts.items():
+            self.total_bytes += count - getattr(self, name)
+            setattr(self, name, count)
 
 
 class MemoryAccount:
@@ -142,8 +139,7 @@
         if charge.is_closed:
             return
         self.held_bytes -= charge.total_bytes
-        for name, count in parts.items():
-            setattr(charge, name, count)
+        charge.replace(**parts)
         self.held_bytes += charge.total_bytes
 
     @property
@@ -157,27 +153,29 @@
         The lowest progress comes first, then the largest charge. Connections that hold
         no more than ordinary ones come after all others: what counts as ordinary is
         halved until the rest fits, but connections that hold hardly more than
-        themselves are never closed.
+        themselves are never closed. Some more are closed than needed.
         """
-        excess_bytes = self.held_bytes - self.limit_bytes
         chosen: list[ClientCharge] = []
-        if excess_bytes <= 0:
+        if not self.is_exceeded:
             return chosen
+        margin_bytes = int(self.limit_bytes * _EVICTION_MARGIN)
+        kept_bytes = self.held_bytes
         remaining = sorted(
-            self._charges, key=lambda each: (each.progress, -each.total_bytes)
+            (each for each in self._charges if each.total_bytes > _NEVER_CLOSED_BYTES),
+            key=lambda each: (each.progress, -each.total_bytes),
         )
         divisor = 1
-        while excess_bytes > 0 and remaining:
+        while kept_bytes > self.limit_bytes and remaining:
             kept: list[ClientCharge] = []
             for charge in remaining:
+                is_running = charge.progress is Progress.RUNNING
+                target_bytes = self.limit_bytes - (0 if is_running else margin_bytes)
                 ordinary_bytes = _ORDINARY_BYTES[charge.progress] // divisor
-                if charge.total_bytes <= _NEVER_CLOSED_BYTES:
-                    continue
-                if excess_bytes <= 0 or charge.total_bytes <= ordinary_bytes:
+                if kept_bytes <= target_bytes or charge.total_bytes <= ordinary_bytes:
                     kept.append(charge)
                     continue
                 chosen.append(charge)
-                excess_bytes -= charge.total_bytes
+                kept_bytes -= charge.total_bytes
             remaining = kept
             divisor *= 2
         return chosen
--- a/celerypulley/hosts/record_service.py
+++ b/celerypulley/hosts/record_service.py
@@ -107,6 +107,14 @@
             )
         return RecordsNotStored(f"unexpected request of type {type(request).__name__}")
 
+    def reply_bytes(self, request: object) -> int:
+        """Return about how long the reply to a request that reads records is."""
+        if isinstance(request, GetChain):
+            return self.record_store.chain_bytes(request.key)
+        if isinstance(request, ListRecords):
+            return self.record_store.page_bytes()
+        return 0
+
     def _read_records(self, request: GetChain | ListRecords) -> object:
         try:
             if isinstance(request, ListRecords):
--- a/celerypulley/hosts/record_store.py
+++ b/celerypulley/hosts/record_store.py
@@ -16,6 +16,7 @@
 __all__ = ["RecordStore", "StoredRecord", "TurnRecord"]
 
 _PAGE_BYTES = 256 * 1024  # 4 to 140 ms on a link of 600 to 15 Mbit/s
+_CHAIN_BYTES = 1024 * 1024  # of one reply; the rest of a chain is asked for again
 _EXPIRY_PERIOD_MS = 10_000.0
 _ENTRY_BYTES = 1_024  # of a record without its content: key, place and dictionaries
 _MEMORY_BYTES = 32 * 1024 * 1024  # of a store that is given no limit
@@ -202,20 +203,36 @@
         if expired:
             _log.write("deleted", "records expired", records=len(expired), files=files)
 
+    def chain_bytes(self, key: str) -> int:
+        """Return about how long the reply is that `chain` returns."""
+        size = 0
+        while key in self.records and size < _CHAIN_BYTES:
+            stored = self.records[key]
+            size += stored.place.length_bytes
+            key = stored.previous
+        return size
+
     def chain(self, key: str, is_complete: bool) -> StoredChain:
-        """Return the part of the chain ending with `key` that is stored here.
+        """Return the newest part of the chain ending with `key` that is stored here.
 
-        Raise OSError if it can't be read from disk.
+        It ends with the turn that exceeds `_CHAIN_BYTES`. Raise OSError if it can't be
+        read from disk.
         """
         parts = []
+        size = 0
         found = key in self.records
-        while key in self.records:
+        while key in self.records and size < _CHAIN_BYTES:
             record = self.read(key)
             parts.append([record.input, record.output])
+            size += record.size_bytes()
             key = record.previous
         parts.reverse()
         return StoredChain(found, parts, key, is_complete)
 
+    def page_bytes(self) -> int:
+        """Return about how long a page is at most, if its last record isn't long."""
+        return 2 * _PAGE_BYTES
+
     def page(self, after: str, is_complete: bool) -> RecordPage:
         """Return the next page of records, those with keys above `after`."""
         rows = []
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -84,6 +84,7 @@
             max_connections,
             self.client_policy,
             self._handle,
+            self.record_service.reply_bytes,
         )
         self.metrics_server = ProbeServer(
             settings.ip,
--- a/celerypulley/links/client_policy.py
+++ b/celerypulley/links/client_policy.py
@@ -17,8 +17,8 @@
 
 __all__ = ["REFUSED_KINDS", "ClientPolicy"]
 
-_SMALL_RESPONSE_BYTES = 256 * 1024
-_WAITING_BYTES = 192 * 1024  # read from a server before it is made to wait
+_SMALL_RESPONSE_BYTES = 16 * 1024
+_WAITING_BYTES = 32 * 1024  # read from a server before it is made to wait
 _MAX_WAIT_S = 2.5  # servers cut a response that stays unread for some seconds
 _LOG_PERIOD_MS = 1_000.0  # for each kind of closed connection
 # What a client may exceed: see docs/OPERATIONS.md.
--- a/celerypulley/links/frame_stream.py
+++ b/celerypulley/links/frame_stream.py
@@ -1,7 +1,7 @@
 """A TCP stream of msgpack frames, with simulated cuts and delays for tests."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import attrs
 import msgpack
@@ -13,6 +13,7 @@
 
 _READ_BYTES = 256 * 1024
 _MAX_FRAME_BYTES = 64 * 1024 * 1024
+_UNPACKER_BUFFER_BYTES = 16 * 1024  # grows with what is fed
 
 
 @attrs.frozen
@@ -44,11 +45,12 @@
         self.peer_names: tuple[str, ...] = ()
         self.sent_bytes = 0
         self.received_bytes = 0
-        # Told the size of the unfinished frame that has been read.
-        self.on_unfinished: Callable[[int], None] = lambda _count: None
-        self._unfinished_bytes = 0
+        # Told the size of what has been read and not yet yielded as a frame.
+        self.on_buffered: Callable[[int], None] = lambda _count: None
+        self._unpacker: msgpack.Unpacker | None = None
+        self._fed_bytes = 0  # to the unpacker
+        self._yielded_bytes = 0  # of them, as frames
         self._has_lost_frames = False
-        self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_FRAME_BYTES)
 
     def send(self, stream_id: int, message: object) -> None:
         """Write a frame to the send buffer; `drain` applies flow control."""
@@ -74,12 +76,7 @@
             self.received_bytes += len(data)
             if delay_s:
                 await asyncio.sleep(delay_s)
-            frames = self._unpack(data)
-            self._unfinished_bytes += len(data)
-            if frames:
-                self._unfinished_bytes = 0
-            self.on_unfinished(self._unfinished_bytes)
-            for frame in frames:
+            for frame in self._unpack(data):
                 yield decode(frame)
 
     def _drops_frames(self) -> bool:
@@ -94,9 +91,33 @@
         """Close the connection."""
         self.writer.close()
 
-    def _unpack(self, data: bytes) -> list:
-        self._unpacker.feed(data)
+    def abort(self) -> None:
+        """Close the connection at once, and drop what has been read."""
+        self._unpacker = None
+        self.writer.transport.abort()
+
+    def _unpack(self, data: bytes) -> Iterator[object]:
+        """Yield the frames that `data` completes, one after another.
+
+        The unpacker is kept only within a frame, since its stack takes 48 KB.
+        """
+        if self._unpacker is None:
+            self._fed_bytes = self._yielded_bytes = 0
+            self._unpacker = msgpack.Unpacker(
+                read_size=_UNPACKER_BUFFER_BYTES, max_buffer_size=_MAX_FRAME_BYTES
+            )
         try:
-            return list(self._unpacker)
+            self._unpacker.feed(data)
+            self._fed_bytes += len(data)
+            while self._unpacker is not None:
+                frame = self._unpacker.unpack()
+                self._yielded_bytes = self._unpacker.tell()
+                self.on_buffered(self._fed_bytes - self._yielded_bytes)
+                yield frame
+        except msgpack.OutOfData:
+            pass
         except (msgpack.UnpackException, ValueError) as error:
             raise CodecError(f"malformed msgpack data: {error}") from error
+        if self._fed_bytes == self._yielded_bytes:
+            self._unpacker = None
+        self.on_buffered(self._fed_bytes - self._yielded_bytes)
--- a/celerypulley/links/storage_messages.py
+++ b/celerypulley/links/storage_messages.py
@@ -15,6 +15,7 @@
     "StorageState",
     "StoreRecords",
     "StoredChain",
+    "payload_bytes",
 ]
 
 
@@ -120,3 +121,13 @@
     """The requested records couldn't be read from the disk; `reason` says why."""
 
     reason: str
+
+
+def payload_bytes(request: StoreRecords) -> int:
+    """Return the size of the texts in a request, whatever its rows hold."""
+    size = 0
+    for row in request.records:
+        if not isinstance(row, list | tuple):
+            continue
+        size += sum(len(each) for each in row if isinstance(each, bytes | str))
+    return size
--- a/celerypulley/links/storage_server.py
+++ b/celerypulley/links/storage_server.py
@@ -5,21 +5,33 @@
 
 from mode import Service
 
+from celerypulley.client_limits.byte_semaphore import ByteSemaphore
+from celerypulley.client_limits.memory_account import ClientCharge, Progress
 from celerypulley.decision_log import DecisionLog
 from celerypulley.links.client_listener import ClientListener
 from celerypulley.links.client_policy import ClientPolicy
 from celerypulley.links.codec import CodecError
 from celerypulley.links.cuts import CutTable
 from celerypulley.links.frame_stream import FrameStream, LinkConditions
+from celerypulley.links.storage_messages import StoreRecords, payload_bytes
 
 __all__ = ["StorageServer"]
 
 _BUFFER_FACTOR = 2  # msgpack's buffer grows by doubling
+_UNPACKER_BYTES = 64 * 1024  # which a connection has within a frame
+_REPLY_COPIES = 3  # read from disk, decoded, and encoded
+_RECORD_COPIES = 2  # received, and encoded for the disk
+_TASK_BYTES = 4 * 1024
+_WRITES_FRACTION = 0.25  # of the account, for records that are being stored
 _log = DecisionLog("keeper-server")
 
 
 class StorageServer(Service):
-    """Pass each request to a handler and send the reply that it returns."""
+    """Pass each request to a handler and send the reply that it returns.
+
+    The requests of a connection are answered one after another, except that records
+    are stored side by side.
+    """
 
     def __init__(
         self,
@@ -28,14 +40,19 @@
         max_connections: int,
         policy: ClientPolicy,
         handle: Callable[[object], Awaitable[object]],
+        reply_bytes: Callable[[object], int],
     ) -> None:
         """Listen on `ip` and `port`; `handle` returns the reply to a message.
 
-        `policy` limits what at most `max_connections` may hold.
+        `reply_bytes` returns how long that reply will be. `policy` limits what at most
+        `max_connections` may hold.
         """
         super().__init__()
         self.policy = policy
         self.handle = handle
+        self.reply_bytes = reply_bytes
+        limit_bytes = int(policy.account.limit_bytes * _WRITES_FRACTION)
+        self._writes = ByteSemaphore(limit_bytes)
         self._listener = ClientListener(
             ip, port, max_connections, policy.record_accept_error
         )
@@ -63,16 +80,28 @@
     ) -> None:
         self._writers.add(writer)
         stream = FrameStream(reader, writer, LinkConditions(CutTable()))
-        charge = self.policy.open(writer.transport.abort)
-        stream.on_unfinished = lambda count: self.policy.change(
-            charge, body_bytes=_BUFFER_FACTOR * count
-        )
+        task = asyncio.current_task()
+        assert task is not None, "a connection is served inside a task"
+
+        def close() -> None:
+            stream.abort()
+            task.cancel()
+
+        charge = self.policy.open(close)
+
+        def charge_buffer(count: int) -> None:
+            held_bytes = _UNPACKER_BYTES + _BUFFER_FACTOR * count if count else 0
+            self.policy.change(charge, body_bytes=held_bytes)
+
+        stream.on_buffered = charge_buffer
         try:
             async for number, message in stream.frames():
-                task = asyncio.create_task(self._serve_request(stream, number, message))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
-        except (OSError, CodecError) as error:
+                if isinstance(message, StoreRecords):
+                    await self._start_write(stream, charge, number, message)
+                else:
+                    await self._reply(stream, charge, number, message)
+        except (OSError, RuntimeError, CodecError) as error:
+            # uvloop raises RuntimeError on a closed transport.
             _log.write("connection closed", repr(error))
         finally:
             self._writers.discard(writer)
@@ -80,13 +109,49 @@
             self._listener.release()
             writer.close()
 
-    async def _serve_request(
-        self, stream: FrameStream, number: int, message: object
+    async def _reply(
+        self, stream: FrameStream, charge: ClientCharge, number: int, message: object
+    ) -> None:
+        """Send the reply to a request once there is room, and wait until it is taken.
+
+        The next request of the connection is read after that.
+        """
+        charge.progress = Progress.RUNNING
+        await self.policy.reserve(charge, _REPLY_COPIES * self.reply_bytes(message))
+        stream.send(number, await self.handle(message))
+        charge.progress = Progress.UNTAKEN
+        untaken_bytes = stream.writer.transport.get_write_buffer_size()
+        self.policy.change(charge, response_bytes=untaken_bytes)
+        await stream.drain()
+        charge.progress = Progress.INCOMPLETE
+        self.policy.change(charge, response_bytes=0)
+
+    async def _start_write(
+        self,
+        stream: FrameStream,
+        charge: ClientCharge,
+        number: int,
+        message: StoreRecords,
+    ) -> None:
+        """Begin to store records once there is room for them.
+
+        One sync serves all that are written at a time, so they run side by side.
+        """
+        held_bytes = _RECORD_COPIES * payload_bytes(message) + _TASK_BYTES
+        self.policy.change(charge, history_bytes=held_bytes)
+        await self._writes.acquire(held_bytes)
+        self.policy.change(charge, history_bytes=0)
+        task = asyncio.create_task(self._write(stream, number, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _task: self._writes.release(held_bytes))
+
+    async def _write(
+        self, stream: FrameStream, number: int, message: StoreRecords
     ) -> None:
         reply = await self.handle(message)
         try:
             stream.send(number, reply)
             await stream.drain()
         except (OSError, RuntimeError) as error:
-            # uvloop raises RuntimeError on a closed transport.
             _log.write("reply not sent", repr(error))
