Read 16 KB of a client at a time, and refuse bodies that are mostly chunk sizes

What callers saw: 900 clients with bodies in one-byte chunks took an edge to 242 MB of its 150, and kept it from answering others while it parsed them.

Cause: uvloop reads 256 KB of a connection at once and goes on while there is more. That is 43,000 chunks, each an object and an offset, before the first of them is charged, and they were charged by their length, one byte each. What a closed connection had in its body's buffer stayed until its task ended.

Now 16 KB of a connection are read in a step of the event loop, chunks are charged by their number, and a closed connection's body is freed at once; its handler gets an error, never a shorter body. A body whose framing takes 16 KB more than its content is refused with 400, as the parser spends a microsecond on each chunk: with the reads alone bounded, no ordinary request was answered for a minute. Chunks of five bytes or more never come to that, nor do 3,000 of one.

--- a/celerypulley/links/client_connections.py
+++ b/celerypulley/links/client_connections.py
@@ -20,6 +20,7 @@
     Progress,
     head_memory_bytes,
 )
+from celerypulley.links.bounded_reads import BoundedReads
 from celerypulley.links.client_listener import ClientListener
 from celerypulley.links.client_policy import ClientPolicy
 from celerypulley.links.server_connection import READ_AHEAD_BYTES
@@ -37,11 +38,19 @@
 _REQUEST_LINE_BYTES = 4_096  # beside the header lines
 _BARE_LAST_CHUNK = b"\r\n0\r\n\r\n"  # the end of a body in chunks without trailers
 _BODY_COPIES = 2  # bodies are joined, then encoded
+_PIECE_BYTES = 96  # of a chunk of a body beside its bytes, until it is taken
 _RESPONSE_COPIES = 2  # they are joined, then written in parts
 WRITE_BYTES = 128 * 1024  # aiohttp waits until a client has taken so much
 _PARSED_AHEAD = 1
 _UNBOUNDED = 2**31  # aiohttp's own queue; the parser emits one message at a time
-_REASONS = {408: b"Request Timeout", 431: b"Request Header Fields Too Large"}
+# Of chunks, with their extensions, beyond the length of what they hold. Parsing takes a
+# microsecond for each chunk.
+_MAX_FRAMING_BYTES = 16 * 1024
+_REASONS = {
+    400: b"Bad Request",
+    408: b"Request Timeout",
+    431: b"Request Header Fields Too Large",
+}
 
 
 class ClientProtocol(RequestHandler):
@@ -131,6 +140,12 @@
             return
         self._feed(data)
 
+    def read_on(self) -> None:
+        """Read on, unless what has come can't be taken yet."""
+        if self._reading_paused or self._buffer_paused or self._force_close:
+            return
+        self._resume_transport_reading()
+
     def _is_complete(self) -> bool:
         return self._payload is not None and self._payload.is_eof()
 
@@ -165,9 +180,16 @@
             if self._payload.is_eof():
                 self._end_request()
             return
-        if self._payload.is_eof() and charge.progress is Progress.INCOMPLETE:
-            charge.progress = Progress.RUNNING
-        self._policy.change(charge, body_bytes=_BODY_COPIES * self._payload.total_bytes)
+        if self._payload.is_eof():
+            if charge.progress is Progress.INCOMPLETE:
+                charge.progress = Progress.RUNNING
+        elif self._tail_bytes > _MAX_FRAMING_BYTES + self._payload.total_bytes:
+            self._refuse(400, "its body is in too many or too long chunks", "body")
+            return
+        if self._payload is not EMPTY_PAYLOAD:
+            pieces_bytes = _PIECE_BYTES * len(self._payload._buffer)
+            body_bytes = _BODY_COPIES * self._payload.total_bytes
+            self._policy.change(charge, body_bytes=body_bytes + pieces_bytes)
 
     def _header_limit(self) -> int:
         return self._policy.limits().max_header_bytes + _REQUEST_LINE_BYTES
@@ -327,7 +349,7 @@
             return
         if not self._payload.is_eof():
             if waited_ms > limits.idle_timeout_ms and not self._has_ended:
-                self._refuse(408, "its body was not complete in time")
+                self._refuse(408, "its body was not complete in time", "body")
             return
         self._check_untaken(now_ms, limits.idle_timeout_ms)
 
@@ -342,17 +364,26 @@
             self._policy.record("response", f"{untaken_bytes} bytes were not read")
             self._abort()
 
-    def _refuse(self, status: int, reason: str) -> None:
+    def _refuse(self, status: int, reason: str, kind: str = "head") -> None:
         """Close the connection with a response; no request of it is being served."""
-        kind = "body" if self._payload is not None and status == 408 else "head"
         self._policy.record(kind, reason)
         if self.transport is not None:
             self.transport.write(
                 b"HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
                 % (status, _REASONS[status])
             )
+        self._drop_body()
         self.force_close()
 
+    def _drop_body(self) -> None:
+        """Free what the handler has not taken of a body, and tell it so."""
+        if self._payload is None or self._payload is EMPTY_PAYLOAD:
+            return
+        self._payload.set_exception(ConnectionResetError("closed"))
+        self._payload._buffer.clear()
+        if self._payload._http_chunk_splits is not None:
+            self._payload._http_chunk_splits.clear()
+
     def _abort(self) -> None:
         """Close the connection and drop what it holds.
 
@@ -361,6 +392,7 @@
         self._force_close = True
         self._parser = None
         self._ahead = b""
+        self._drop_body()
         if self._messages:  # aiohttp has been told that it is there
             error = _ErrInfo(503, HttpProcessingError(message="closed"), "closed")
             self._messages[-1] = (error, EMPTY_PAYLOAD)
@@ -383,8 +415,14 @@
     size = 0
     try:
         while True:
-            chunk = await request.content.readany()
+            try:
+                chunk = await request.content.readany()
+            except RuntimeError as error:  # aiohttp's for a connection that has closed
+                raise ConnectionResetError(str(error)) from error
             if not chunk:
+                error = request.content.exception()
+                if error is not None:  # what had come may have been dropped
+                    raise error
                 return b"".join(chunks)
             size += len(chunk)
             if size > limit:
@@ -425,8 +463,9 @@
         options = server._kwargs  # as for the protocols that it makes itself
         loop = asyncio.get_running_loop()
 
-        def make_protocol() -> ClientProtocol:
-            return ClientProtocol(self, server, loop=loop, **options)
+        def make_protocol() -> BoundedReads:
+            protocol = ClientProtocol(self, server, loop=loop, **options)
+            return BoundedReads(protocol, protocol.read_on)
 
         self.listener.start(make_protocol)
         self._check = asyncio.create_task(self._end_overdue())
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -70,6 +70,8 @@
 
 
 _HEAD = b"POST /safe/x HTTP/1.1\r\nHost: agents.example\r\n"
+_CHUNKED_HEAD = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+_TINY_CHUNK = b"1\r\nx\r\n"
 
 
 @pytest.mark.parametrize(
@@ -81,8 +83,13 @@
         (_HEAD + (b"a: " + b"x" * 9_000 + b"\r\n") * 3 + b"\r\n", b" 431 ", "head"),
         (_HEAD + b"a: \0\r\n\r\n", b" 400 ", "invalid"),
         (_HEAD + b"Transfer-Encoding: chunked\r\n\r\nx\r\n", b" 400 ", "invalid"),
+        (_CHUNKED_HEAD + _TINY_CHUNK * 4_200, b" 400 ", "body"),
+        (_CHUNKED_HEAD + b"1;e=" + b"e" * 30_000, b" 400 ", "body"),
+    ],
+    ids=[
+        *("head", "body", "long line", "long head", "invalid", "chunk"),
+        *("tiny chunks", "long extension"),
     ],
-    ids=["head", "body", "long line", "long head", "invalid", "chunk"],
 )
 async def test_client_beyond_a_limit_is_not_refused(sent, status, kind):
     limits = {"headerTimeoutMs": 200, "idleTimeoutMs": 700}
@@ -114,6 +121,22 @@
         assert host.client_policy.account.held_bytes == 0
 
 
+@pytest.mark.parametrize(
+    ("chunk", "count"), [(_TINY_CHUNK, 3_000), (b"9;e=e\r\n123456789\r\n", 100_000)]
+)
+async def test_body_in_small_chunks_is_refused_in_calm(chunk, count):
+    async with running_fleet() as fleet:
+        (host,), (server,) = fleet.hosts, fleet.servers
+        async with connected(host) as client:
+            framing = b"Transfer-Encoding: chunked\r\n"
+            body = chunk * count + b"0\r\n\r\n"
+            client.writer.write(request_bytes("/safe/x", body=body, framing=framing))
+            status, _, _ = await client.read_response()
+        assert status == 200
+        data = chunk.split(b"\r\n")[1]
+        assert server.received[0].body == data * count
+
+
 async def test_request_that_finds_no_memory_runs():
     async with running_fleet() as fleet:
         (host,), (server,) = fleet.hosts, fleet.servers
