Refuse a request for lack of memory by its head, before its body is read

What callers saw: 1,900 requests of 100 KB to a slow engine took an edge to 188 MB of its 150, and most of them were refused with 503 after the whole body had been read and held.

Now a body whose copies find no room in the account is refused as soon as its head states the length: 503 with Retry-After, not run, connection closed. So is one that states more than maxBodyBytes, with 413. A quarter of the account is left to requests and responses of up to 64 KB, so that ordinary callers get in beside large ones, and while less than a quarter is held any single request inside the limits has room.

The new rows of test_client_limits.py got no response before, as the rest of the body was waited for.

--- a/celerypulley/client_limits/memory_account.py
+++ b/celerypulley/client_limits/memory_account.py
@@ -81,6 +81,9 @@
     Progress.RUNNING: 256 * 1024,
 }
 _NEVER_CLOSED_BYTES = 16 * 1024  # as many connections as are accepted fit
+_SMALL_BYTES = 64 * 1024
+_LARGE_FRACTION = 0.75  # of the limit, for requests and responses that aren't small
+_CALM_FRACTION = 0.25
 # Of the limit, by which more is closed than needed, so that not every byte of a crowd
 # makes another choice necessary. Requests under way are never closed for it.
 _EVICTION_MARGIN = 1 / 16
@@ -142,6 +145,19 @@
         charge.replace(**parts)
         self.held_bytes += charge.total_bytes
 
+    def fits(self, count: int) -> bool:
+        """Return whether there is room for `count` more bytes.
+
+        A quarter of the limit is left to small requests and responses. While little is
+        held, any single one has room.
+        """
+        if self.held_bytes <= self.limit_bytes * _CALM_FRACTION:
+            return True
+        limit_bytes = self.limit_bytes
+        if count > _SMALL_BYTES:
+            limit_bytes = int(limit_bytes * _LARGE_FRACTION)
+        return self.held_bytes + count <= limit_bytes
+
     @property
     def is_exceeded(self) -> bool:
         """Return whether more is held than allowed."""
--- a/celerypulley/links/caller_server.py
+++ b/celerypulley/links/caller_server.py
@@ -39,6 +39,7 @@
 _MAX_HEADER_CHARS = 200
 _BODY = web.RequestKey("body", bytes)
 _SHUTDOWN_POLL_S = 0.1
+_NO_MEMORY = "this host has no memory left for the request"
 _log = DecisionLog("caller")
 
 
@@ -232,6 +233,9 @@
 
     async def _read_body(self, request: web.Request) -> None:
         """Read the body into the request; raise CallRefusedError."""
+        protocol = protocol_of(request)
+        if not protocol.has_room(request.content_length or 0):
+            raise CallRefusedError.of(ErrorKind.OVERLOADED, _NO_MEMORY)
         body = await read_body(request, self.body_limit_bytes)
         if body is None:
             raise CallRefusedError.of(
@@ -239,10 +243,8 @@
                 f"the request body exceeds {self.body_limit_bytes} bytes",
             )
         request[_BODY] = body
-        if not protocol_of(request).has_room():
-            raise CallRefusedError.of(
-                ErrorKind.OVERLOADED, "this host has no memory left for the request"
-            )
+        if not protocol.has_room():
+            raise CallRefusedError.of(ErrorKind.OVERLOADED, _NO_MEMORY)
 
     def _cancellation_refusal(self, task: asyncio.Task) -> Refusal:
         caller = self.active_requests.get(task)
--- a/celerypulley/links/client_connections.py
+++ b/celerypulley/links/client_connections.py
@@ -297,9 +297,16 @@
         """Charge a response of `count` bytes that is complete and being written."""
         self._policy.change(self._charge, response_bytes=count)
 
-    def has_room(self) -> bool:
-        """Return whether the account allows this connection's request to run."""
-        if not self._policy.account.is_exceeded:
+    def has_room(self, body_bytes: int = 0) -> bool:
+        """Return whether the account allows this connection's request to run.
+
+        `body_bytes` are those of its body that are still to come.
+        """
+        account = self._policy.account
+        if body_bytes and not account.fits(_BODY_COPIES * body_bytes):
+            self._policy.record("memory", f"no body of {body_bytes} bytes fits")
+            return False
+        if not account.is_exceeded:
             return True
         self._policy.record("memory", "no request of ordinary size fits any more")
         return False
@@ -411,6 +418,8 @@
     """Return the complete body, or None if it exceeds `limit` bytes."""
     if not request.can_read_body:
         return b""
+    if (request.content_length or 0) > limit:
+        return None
     chunks: list[bytes] = []
     size = 0
     try:
--- a/celerypulley/links/client_policy.py
+++ b/celerypulley/links/client_policy.py
@@ -61,7 +61,7 @@
         Responses take turns. After `_MAX_WAIT_S`, connections whose clients don't read
         are closed for the first that waits, and those of the others behind it.
         """
-        has_room = not self._waiting and self._fits(response_bytes)
+        has_room = not self._waiting and self.account.fits(response_bytes)
         if response_bytes > _SMALL_RESPONSE_BYTES and not has_room:
             turn = asyncio.get_running_loop().create_future()
             waiting = (response_bytes, turn)
@@ -81,16 +81,12 @@
         self.change(charge, response_bytes=response_bytes)
         self._wake()
 
-    def _fits(self, response_bytes: int) -> bool:
-        account = self.account
-        return account.held_bytes + response_bytes <= account.limit_bytes
-
     def _wake(self) -> None:
         """Let the first response that waits go on if there is room for it."""
         if not self._waiting:
             return
         response_bytes, turn = self._waiting[0]
-        if self._fits(response_bytes) and not turn.done():
+        if self.account.fits(response_bytes) and not turn.done():
             turn.set_result(None)
 
     def change(self, charge: ClientCharge, **parts: int) -> None:
--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -276,6 +276,11 @@
         self, request: web.BaseRequest, sink: ForwardSink, received_ms: float
     ) -> web.StreamResponse:
         limit = self.body_limit()
+        request_id = request.headers.get("Request-Id", "")
+        if not protocol_of(request).has_room(request.content_length or 0):
+            sink.closing = True  # the body is not read
+            refusal = Refusal(ErrorKind.OVERLOADED, _NO_MEMORY)
+            return self._final_response(sink, refusal, request_id)
         await _send_continue(request)
         body = await read_body(request, limit)
         if _may_have_trailers(request):
@@ -287,7 +292,6 @@
             )
         if not protocol_of(request).has_room():
             refusal = Refusal(ErrorKind.OVERLOADED, _NO_MEMORY)
-            request_id = request.headers.get("Request-Id", "")
             return self._final_response(sink, refusal, request_id)
         decoded = self.dialect.decode(request, body, received_ms)
         refusal = await self.run(decoded, sink)
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -137,6 +137,23 @@
         assert server.received[0].body == data * count
 
 
+@pytest.mark.parametrize(
+    ("length", "limit_kb", "status"),
+    [(4_000_000, 40, 503), (5_000_000, 100_000, 413), (5, 40, 200)],
+)
+async def test_body_is_read_before_its_refusal(length, limit_kb, status):
+    async with running_fleet() as fleet:
+        (host,), (server,) = fleet.hosts, fleet.servers
+        host.client_policy.account.limit_bytes = limit_kb * _KB
+        framing = b"Content-Length: %d\r\n" % length
+        async with connected(host) as client:
+            client.writer.write(request_bytes("/safe/x", framing=framing))
+            answered, headers, _ = await client.read_response()
+        assert answered == status
+        assert (b"Retry-After" in headers) is (status == 503)
+        assert len(server.received) == (status == 200)
+
+
 async def test_request_that_finds_no_memory_runs():
     async with running_fleet() as fleet:
         (host,), (server,) = fleet.hosts, fleet.servers
