Read on from a server whose response came whole before its reader took it

What callers saw: a request had no response until its deadline, on a connection that had carried a response of 16 to 32 KB before.

A connection is now read on when it returns to the pool. The new test has no response on the second request without the change.

--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -303,6 +303,7 @@
             self.abort()
             return
         self.connection.protocol.response = None
+        self.connection.protocol.resume_reading()
         self.pool.release(self.connection, self._response.head)
 
     def _is_reusable(self) -> bool:
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -11,9 +11,11 @@
 from celerypulley.decision_log import DecisionLog, LogFormat
 from celerypulley.hosts import fleet_host
 from celerypulley.hosts.fleet_host import FleetHost
+from celerypulley.links.response_parser import RequestIdentity
+from celerypulley.links.server_connection import ServerLinks
 from celerypulley.stand_ins.opaque_server import Mode
 from tests.fleet import API_KEY, Fleet, desired_state, running_fleet
-from tests.harness import running_deployment, wait_until
+from tests.harness import run_clock, running_deployment, wait_until
 
 _READ_TIMEOUT_S = 5.0
 
@@ -476,3 +478,25 @@
             host, program, "hello", **{"X-Celerypulley-Receipt": "\u00b2.x"}
         )
         assert status == 400
+
+
+async def test_kept_connection_stays_paused_after_a_response():
+    """The whole body came before its reader took a part of it."""
+    length = 20_000
+    head = b"HTTP/1.1 200 OK\r\nRequest-Id: RID\r\nKeep-Alive: timeout=15\r\n"
+    body = b"Content-Length: %d\r\n\r\n" % length + b"x" * length
+    server = ByteServer(response=head + body)
+    await server.start()
+    links = ServerLinks(run_clock())
+    for name in ("first", "second"):
+        identity = RequestIdentity(name, "GET", lambda head: head.getall("Request-Id"))
+        call = await links.start_call(server.address, identity)
+        call.send(f"GET / HTTP/1.1\r\nRequest-Id: {name}\r\n\r\n".encode())
+        async with asyncio.timeout(_READ_TIMEOUT_S):
+            await call.read_head()
+            await wait_until(lambda call=call: call.is_unread)
+            assert len(await call.read_body()) == length
+        call.release()
+    assert links.opened_count == 1
+    links.close()
+    await server.stop()
