Charge the history of a turn while it is loaded, and refuse what finds no room

What callers saw: 900 clients that continue a turn of 1 MB took an edge to 535 MB of its 150, and 232 MB where the turns were many. At a history that was too long for the account, other requests under way were closed for it first.

Cause: a history was charged after all of it had been loaded, at two copies where it has three (joined with the request, then encoded), and its charge evicted others before the account was asked whether it fits.

Each part is now charged when it comes, at three copies, and only if the account has room; otherwise the load ends there with 503, not run.

--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -129,9 +129,7 @@
 
     async def run(self, admitted: AdmittedRequest, sink: ForwardSink) -> str:
         """Forward a stream; return the server's name or raise CallRefusedError."""
-        history = await self._load_history(admitted)
-        if history:
-            sink.hold_history(history)
+        history = await self._load_history(admitted, sink)
         if admitted.continues_history:
             admitted = admitted.with_history(history)
             self.context.crash_trials.check(admitted.fingerprint)
@@ -152,13 +150,17 @@
             if reservation is not None:
                 self._settle_budget(admitted, reservation)
 
-    async def _load_history(self, admitted: AdmittedRequest) -> bytes:
+    async def _load_history(
+        self, admitted: AdmittedRequest, sink: ForwardSink
+    ) -> bytes:
         request = admitted.request
         if not admitted.continues_history:
             return b""
         organisation = admitted.organisation_name
         try:
-            history = await self.archive.load(organisation, request.previous_turn)
+            history = await self.archive.load(
+                organisation, request.previous_turn, sink.hold_history
+            )
         except StoreUnavailableError as error:
             raise CallRefusedError.of(
                 ErrorKind.STATE_UNREACHABLE, f"previous turn unavailable: {error}"
--- a/celerypulley/hosts/turn_archive.py
+++ b/celerypulley/hosts/turn_archive.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 from collections import OrderedDict
+from collections.abc import Callable
 from urllib.parse import quote
 
 import attrs
@@ -65,10 +66,16 @@
         self._cache: OrderedDict[str, bytes] = OrderedDict()
         self._cached_bytes = 0
 
-    async def load(self, organisation: str, turn: str) -> bytes | None:
+    async def load(
+        self,
+        organisation: str,
+        turn: str,
+        on_bytes: Callable[[int], None] = lambda _count: None,
+    ) -> bytes | None:
         """Return the history that ends with `turn`, None if there is no such turn.
 
-        Raise StoreUnavailableError where that cannot be determined.
+        `on_bytes` is told the size of each part that has come; what it raises ends the
+        search. Raise StoreUnavailableError where it cannot be determined.
         """
         key = _turn_key(organisation, turn)
         if key is None:
@@ -79,15 +86,17 @@
             cached = self._cache.get(next_key)
             if cached is not None:
                 self._cache.move_to_end(next_key)
+                on_bytes(len(cached))
                 pieces.append(cached)
                 break
             chain, stored = await self._search(next_key)
             if chain is not None and chain.found:
-                parts = [turn_input + output for turn_input, output in chain.parts]
-                pieces.append(b"".join(parts))
+                on_bytes(sum(len(each) for part in chain.parts for each in part))
+                pieces.append(b"".join(each for part in chain.parts for each in part))
                 next_key = chain.missing
                 continue
             if stored is not None:
+                on_bytes(len(stored))
                 pieces.append(stored)
                 break
             if next_key == key and await self._is_ruled_out(chain):
@@ -95,7 +104,7 @@
             raise StoreUnavailableError(
                 f"cannot find {next_key} or rule out that it exists"
             )
-        history = b"".join(reversed(pieces))
+        history = pieces[0] if len(pieces) == 1 else b"".join(reversed(pieces))
         self._cache_history(key, history)
         return history
 
--- a/celerypulley/links/client_connections.py
+++ b/celerypulley/links/client_connections.py
@@ -39,6 +39,8 @@
 _BARE_LAST_CHUNK = b"\r\n0\r\n\r\n"  # the end of a body in chunks without trailers
 _BODY_COPIES = 2  # bodies are joined, then encoded
 _PIECE_BYTES = 96  # of a chunk of a body beside its bytes, until it is taken
+_HISTORY_COPIES = 3  # they are joined with the request, then encoded
+_OUTPUT_COPIES = 2  # they are joined for the record
 _RESPONSE_COPIES = 2  # they are joined, then written in parts
 WRITE_BYTES = 128 * 1024  # aiohttp waits until a client has taken so much
 _PARSED_AHEAD = 1
@@ -266,9 +268,19 @@
         if is_waiting and not self._ahead:
             self._charge.progress = Progress.RUNNING
 
-    def hold_history(self, count: int) -> None:
-        """Charge `count` more bytes of a history, which is joined with the request."""
-        held = self._charge.history_bytes + _BODY_COPIES * count
+    def hold_history(self, count: int) -> bool:
+        """Charge `count` more bytes of a history, if there is room for them."""
+        added = _HISTORY_COPIES * count
+        if not self._policy.account.fits(added):
+            self._policy.record("memory", f"no history of {count} bytes fits")
+            return False
+        held = self._charge.history_bytes + added
+        self._policy.change(self._charge, history_bytes=held)
+        return True
+
+    def hold_output(self, count: int) -> None:
+        """Charge `count` more bytes of a response that are kept for its history."""
+        held = self._charge.history_bytes + _OUTPUT_COPIES * count
         self._policy.change(self._charge, history_bytes=held)
 
     def hold_stream(self, pending_bytes: int) -> None:
--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -57,19 +57,17 @@
         self.body = b""  # of a long response, which is written in parts
         self._held_bytes = 0
 
-    def hold_history(self, history: bytes) -> None:
-        """Charge a history to the caller's connection; raise CallRefusedError.
+    def hold_history(self, count: int) -> None:
+        """Charge `count` more bytes of a history; raise CallRefusedError.
 
         It is refused, without having run, if the host has no memory for it.
         """
-        protocol = protocol_of(self.request)
-        protocol.hold_history(len(history))
-        if not protocol.has_room():
+        if not protocol_of(self.request).hold_history(count):
             raise CallRefusedError.of(ErrorKind.OVERLOADED, _NO_MEMORY)
 
     def hold_output(self, count: int) -> None:
         """Charge `count` more bytes of a response that are kept for its history."""
-        protocol_of(self.request).hold_history(count)
+        protocol_of(self.request).hold_output(count)
 
     def hold_response(self, count: int) -> None:
         """Charge `count` more bytes of a response that is read from a server."""
