Bound what turns hold while they are being saved

What callers saw: 600 clients that don't read turns of 200 KB took an edge to 410 MB of its 150, 200 of them one to 180 MB of 100.

Cause: a turn that ends is copied into its history, into the cache's, and into a message to each of two storage hosts, and, where these are late, twice more for the platform's store. None of it was charged, all turns did so at once, and messages outlasted the request and its connection.

Turns are now saved side by side only up to a fifth of what clients may hold, and records are sent up to a tenth, each held until its request to the storage host has ended. The others wait, in order, within their deadlines. A history is built only when its turn's time has come.

--- a/celerypulley/client_limits/byte_semaphore.py
+++ b/celerypulley/client_limits/byte_semaphore.py
@@ -21,7 +21,7 @@
     async def acquire(self, count: int) -> None:
         """Hold `count` bytes once there is room for them."""
         if not self._waiting and self._fits(count):
-            self.held_bytes += count
+            self.hold(count)
             return
         turn = asyncio.get_running_loop().create_future()
         self._waiting.append((count, turn))
@@ -35,6 +35,10 @@
                 self._wake()
             raise
 
+    def hold(self, count: int) -> None:
+        """Hold `count` bytes at once, also beyond the limit."""
+        self.held_bytes += count
+
     def release(self, count: int) -> None:
         """Give back `count` bytes."""
         self.held_bytes -= count
@@ -48,5 +52,5 @@
             count, turn = self._waiting.popleft()
             if turn.cancelled():
                 continue
-            self.held_bytes += count
+            self.hold(count)
             turn.set_result(None)
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -73,6 +73,10 @@
 _LARGE_FLEET_READ_PAUSE_MS = 500.0  # a sixth of the time in which a server is left
 _READINESS_PERIOD_S = 0.25  # the gossip period
 _SUMMARY_PERIOD_S = 10.0
+# Of what clients may hold, beside it: turns that are being saved, and their records in
+# messages to storage hosts, which end after the request.
+_SAVING_FRACTION = 0.2
+_SENDING_FRACTION = 0.1
 _DEFAULT_LIMITS = CallerLimits()
 _log = DecisionLog("host")
 
@@ -200,6 +204,7 @@
         self.disk_list = DiskList(store, clock)
         self.disk_list.follower.wait_to_retry = confirmer.wait_to_retry
         self.disk_list.follower.read_pause_ms = self._read_pause_ms
+        client_bytes = client_memory_bytes(settings.memory_mb)
         pool = None
         if settings.has_storage_hosts:
             pool = StorageHostPool(
@@ -208,8 +213,10 @@
                 settings.domain,
                 settings.tolerated_disk_losses + 1,
                 clock,
+                int(client_bytes * _SENDING_FRACTION),
             )
-        self.archive = TurnArchive(store, pool, clock)
+        saving_bytes = int(client_bytes * _SAVING_FRACTION)
+        self.archive = TurnArchive(store, pool, clock, saving_bytes)
         self.turn_scheduler: TurnScheduler | None = None
         if settings.schedules_turns:
             self.turn_scheduler = TurnScheduler(
@@ -222,7 +229,7 @@
             )
         self.forwarder = self._make_forwarder(schema.dialect)
         self.client_policy = ClientPolicy(
-            MemoryAccount(client_memory_bytes(settings.memory_mb)),
+            MemoryAccount(client_bytes),
             self._caller_limits,
             clock,
         )
--- a/celerypulley/hosts/storage_host_pool.py
+++ b/celerypulley/hosts/storage_host_pool.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from celerypulley.client_limits.byte_semaphore import ByteSemaphore
 from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.failure_domains.placement import rendezvous
@@ -25,6 +26,7 @@
 _REQUEST_TIMEOUT_MS = 300.0  # a tenth of a turn's deadline; a sync takes 5 ms
 _HEDGE_DELAY_MS = 40.0  # several syncs; another storage host is tried then
 _BACKOFF_MS = 1_000.0  # without writes to a storage host whose request failed
+_SENDING_BYTES = 4 * 1024 * 1024  # of a pool that is given no limit
 _log = DecisionLog("keepers")
 
 
@@ -54,11 +56,13 @@
         domain: str,
         copies: int,
         clock: Clock,
+        sending_bytes: int = _SENDING_BYTES,
     ) -> None:
         """Store each record on at least `copies` hosts in at least two domains.
 
         Records are written to registered `members` and searched on all disks of
-        `disk_list`, whether or not their hosts are registered.
+        `disk_list`, whether or not their hosts are registered. Those that are being
+        sent hold at most `sending_bytes`, others wait.
         """
         self.members = members
         self.disk_list = disk_list
@@ -69,6 +73,7 @@
         self._backoff_until_ms: dict[tuple[str, int], float] = {}
         self._unresponsive: set[tuple[str, int]] = set()
         self._abandoned_requests: set[asyncio.Task] = set()
+        self._writes = ByteSemaphore(sending_bytes)
 
     def _link(self, address: tuple[str, int]) -> StorageLink:
         link = self._links.get(address)
@@ -137,6 +142,7 @@
         if not self._has_enough_copies(candidates):
             return False
         request = StoreRecords([record.to_row()])
+        size_bytes = record.size_bytes()
         pending: dict[asyncio.Task, FleetMember] = {}
         stored_on: list[FleetMember] = []
 
@@ -144,10 +150,14 @@
             if candidates:
                 storage_host = candidates.pop(0)
                 task = asyncio.create_task(self._request(storage_host, request))
+                task.add_done_callback(lambda _task: self._writes.release(size_bytes))
                 pending[task] = storage_host
+                self._writes.hold(size_bytes)
 
+        await self._writes.acquire(self.copies * size_bytes)
         for _ in range(self.copies):
             send_next()
+        self._writes.release(self.copies * size_bytes)
         try:
             while pending:
                 done, _ = await asyncio.wait(
--- a/celerypulley/hosts/stream_forwarder.py
+++ b/celerypulley/hosts/stream_forwarder.py
@@ -370,6 +370,7 @@
             return
         request = turn.admitted.request
         output = b"".join(data + b"\n" for data in turn.output)
+        turn.output.clear()
         await self.archive.save(
             CompletedTurn(
                 turn.admitted.organisation_name,
@@ -377,7 +378,7 @@
                 request.previous_turn,
                 request.body,
                 output,
-                turn.body + output,
+                turn.body,
                 route.retention_ms,
                 self._may_use_storage_hosts(turn.admitted),
             )
--- a/celerypulley/hosts/turn_archive.py
+++ b/celerypulley/hosts/turn_archive.py
@@ -14,6 +14,7 @@
 import attrs
 import msgpack
 
+from celerypulley.client_limits.byte_semaphore import ByteSemaphore
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.hosts.record_store import TurnRecord
@@ -29,6 +30,8 @@
 _RETRY_MS = 40.0  # ten response times of a healthy store
 _STORE_HEDGE_DELAY_MS = 60.0  # the store is tried in parallel after this time
 _MAX_NAME_CHARS = 100  # keys have at most 200 bytes, with prefix and organisation
+_SAVING_BYTES = 8 * 1024 * 1024  # of an archive that is given no limit
+_HISTORY_COPIES = 3  # for the cache, and encoded twice for the store
 _log = DecisionLog("archive")
 
 
@@ -36,9 +39,9 @@
 class CompletedTurn:
     """A turn that an engine has completed.
 
-    `history` includes `input` and `output`. The turn must be available for
-    `retention_ms` after it is saved. Without `may_use_storage_hosts` only the store
-    keeps it.
+    `prompt` is what the engine was sent: the history of earlier turns and `input`. The
+    turn must be available for `retention_ms` after it is saved. Without
+    `may_use_storage_hosts` only the store keeps it.
     """
 
     organisation: str
@@ -46,18 +49,30 @@
     previous: str
     input: bytes = attrs.field(repr=False)
     output: bytes = attrs.field(repr=False)
-    history: bytes = attrs.field(repr=False)
+    prompt: bytes = attrs.field(repr=False)
     retention_ms: float
     may_use_storage_hosts: bool = True
 
+    @property
+    def history(self) -> bytes:
+        """Return a copy of the history that ends with this turn."""
+        return self.prompt + self.output
+
 
 class TurnArchive:
     """Save turns and load their histories, up to and including each turn."""
 
     def __init__(
-        self, store: KeyValueStore, pool: StorageHostPool | None, clock: Clock
+        self,
+        store: KeyValueStore,
+        pool: StorageHostPool | None,
+        clock: Clock,
+        saving_bytes: int = _SAVING_BYTES,
     ) -> None:
-        """Save turns through `pool`, or in `store` where there is no pool."""
+        """Save turns through `pool`, or in `store` where there is no pool.
+
+        Turns that are being saved hold at most `saving_bytes`, others wait.
+        """
         self.store = store
         self.pool = pool
         self.clock = clock
@@ -65,6 +80,7 @@
         self.saved_in_store = 0
         self._cache: OrderedDict[str, bytes] = OrderedDict()
         self._cached_bytes = 0
+        self._saves = ByteSemaphore(saving_bytes)
 
     async def load(
         self,
@@ -163,8 +179,13 @@
         kept_until_ms = self.clock.wall_ms() + turn.retention_ms + _RETENTION_MARGIN_MS
         previous = _turn_key(turn.organisation, turn.previous) if turn.previous else ""
         record = TurnRecord(key, kept_until_ms, previous or "", turn.input, turn.output)
-        await self._make_durable(record, turn)
-        self._cache_history(key, turn.history)
+        held_bytes = _HISTORY_COPIES * (len(turn.prompt) + len(turn.output))
+        await self._saves.acquire(held_bytes)
+        try:
+            await self._make_durable(record, turn)
+            self._cache_history(key, turn.history)
+        finally:
+            self._saves.release(held_bytes)
 
     async def _make_durable(self, record: TurnRecord, turn: CompletedTurn) -> None:
         if self.pool is None or not turn.may_use_storage_hosts:
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -200,8 +200,8 @@
     async def save(self, number: int, previous: int = 0) -> None:
         """Store a turn."""
         saved = record(number, previous)
-        history = self.histories.get(previous, b"") + saved.input + saved.output
-        self.histories[number] = history
+        prompt = self.histories.get(previous, b"") + saved.input
+        self.histories[number] = prompt + saved.output
         await self.archive.save(
             CompletedTurn(
                 "o",
@@ -209,7 +209,7 @@
                 str(previous) if previous else "",
                 saved.input,
                 saved.output,
-                history,
+                prompt,
                 RETENTION_MS,
             )
         )
