Read little of a response ahead of its reader in the own front end

What callers saw: 340 callers that don't read responses of 4 MB took a host of `celerypulley serve` to 300 MB of its 128, at as many descriptors for each MB as it has by itself.

Cause: responses wait for room in the account before they are read, but the client library had read up to 512 KB of each by then, and one read of 256 KB more.

The sessions for engines and plain services now have a read buffer of 16 KB, and sockets whose kernel buffer bounds a single read.

--- a/celerypulley/hosts/host.py
+++ b/celerypulley/hosts/host.py
@@ -99,8 +99,8 @@
 
     def _open_links(self) -> None:
         settings = self.settings
-        session = open_server_session()
-        unpooled_session = open_server_session(force_close=True)
+        session = open_server_session(reads_ahead=False)
+        unpooled_session = open_server_session(force_close=True, reads_ahead=False)
         self._sessions = [session, unpooled_session]
         platform_url = f"http://{settings.platform_address}"
         self.platform = PlatformLink(platform_url, session, self.cuts)
--- a/celerypulley/links/server_session.py
+++ b/celerypulley/links/server_session.py
@@ -3,9 +3,13 @@
 Everything that the product reads through aiohttp goes through such a session.
 """
 
+import socket
+
 import aiohttp
+from aiohttp import AddrInfoType
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
+from aiohttp.helpers import DEFAULT_CHUNK_SIZE
 from aiohttp.http import HttpProcessingError, RawResponseMessage
 
 from celerypulley.decision_log import DecisionLog
@@ -17,6 +21,7 @@
 
 __all__ = ["CheckedResponse", "describe_error", "open_server_session"]
 
+_READ_BYTES = 16 * 1024
 _HTTP_BAD_GATEWAY = 502  # of aiohttp's error, which is not passed on
 _log = DecisionLog("server-link")
 
@@ -64,10 +69,30 @@
         return message, payload
 
 
-def open_server_session(force_close: bool = False) -> aiohttp.ClientSession:
-    """Return a session; `force_close` opens a connection for each request."""
-    connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
-    return aiohttp.ClientSession(connector=connector, response_class=CheckedResponse)
+def open_server_session(
+    force_close: bool = False, reads_ahead: bool = True
+) -> aiohttp.ClientSession:
+    """Return a session; `force_close` opens a connection for each request.
+
+    Unless it `reads_ahead`, little of a response is read before its reader asks for it.
+    """
+    read_bytes = DEFAULT_CHUNK_SIZE if reads_ahead else _READ_BYTES
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        force_close=force_close,
+        socket_factory=None if reads_ahead else _open_small_socket,
+    )
+    return aiohttp.ClientSession(
+        connector=connector, response_class=CheckedResponse, read_bufsize=read_bytes
+    )
+
+
+def _open_small_socket(address: AddrInfoType) -> socket.socket:
+    """Return a socket whose kernel buffer bounds what one read returns."""
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _READ_BYTES)
+    return opened
 
 
 def describe_error(error: Exception) -> str:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -38,6 +38,7 @@
 
 _EDGE = MachineSize(150, 4_100)  # Aguapunto's sheet
 _LARGE_EDGE = MachineSize(300, 4_100)  # the sheet of the Dirección
+_SMALL_EDGE = MachineSize(128, 4_100)  # of the grown sheets
 _LOWERED_EDGE = MachineSize(100, 2_700)  # as many descriptors for each MB as _EDGE
 _STORAGE_HOST = MachineSize(170, 8_200)
 _DOMAINS = ("a", "b", "c")
@@ -264,6 +265,8 @@
     "150 long streams": (_EDGE, _streams(150, "/resumable/100x40000")),
     "600 long streams": (_EDGE, _streams(600, "/resumable/100x40000")),
     "1,900 long streams": (_LARGE_EDGE, _streams(1_900, "/resumable/100x40000")),
+    "1,900 long streams, small": (_SMALL_EDGE, _streams(1_900, "/turns/100x40000")),
+    "1,900 heads, small": (_SMALL_EDGE, _clients(1_900, _short_lines)),
     "60 long streams, lowered": (_LOWERED_EDGE, _streams(60, "/turns/100x40000")),
     "600 short turns": (_EDGE, _streams(600, "/turns/4x50000")),
     "200 short turns, lowered": (_LOWERED_EDGE, _streams(200, "/turns/4x50000")),
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -36,6 +36,7 @@
     METRICS_PORT,
     SEND_S,
     SMALLEST_MACHINE,
+    MachineSize,
     Target,
     loopback_ip,
     running_process,
@@ -145,6 +146,14 @@
     return [b""] * 700
 
 
+def _many_slow_readers(target: Target) -> list[bytes]:
+    return [target.request(target.long)] * 340
+
+
+def _whole_bodies(target: Target) -> list[bytes]:
+    return [target.request(target.slow, body=b"x" * 100_000)] * 340
+
+
 def _frames(_target: Target) -> list[bytes]:
     """Unfinished frames of the storage hosts' protocol."""
     return [msgpack.packb([1, [1, b"x" * 8_000_000]])[:-1]] * 30
@@ -162,7 +171,7 @@
 
 
 @asynccontextmanager
-async def _running_edge(folder: Path) -> AsyncIterator[Target]:
+async def _running_edge(folder: Path, size: MachineSize) -> AsyncIterator[Target]:
     server = SlowServer(free_address())
     await server.start()
     async with running_store() as (store, store_address):
@@ -180,6 +189,7 @@
             f"portRange={port},{port}",
             f"listen.front={address}",
             f"listen.readyAddr={ready_address}",
+            size=size,
         )
         arguments = ("celerypulley", "platform", "edge")
         async with running_process(folder, environment, *arguments) as process:
@@ -198,7 +208,9 @@
 
 
 @asynccontextmanager
-async def _running_storage_host(folder: Path) -> AsyncIterator[Target]:
+async def _running_storage_host(
+    folder: Path, size: MachineSize
+) -> AsyncIterator[Target]:
     async with running_store() as (_store, store_address):
         frame_address = Address(loopback_ip(), free_address().port)
         environment = write_settings(
@@ -207,6 +219,7 @@
             f"portRange={frame_address.port},{frame_address.port}",
             f"dataDir={folder / 'data'}",
             "bootstrap=true",
+            size=size,
         )
         arguments = ("celerypulley", "platform", "store")
         async with running_process(folder, environment, *arguments) as process:
@@ -226,7 +239,9 @@
 
 
 @asynccontextmanager
-async def _running_own_front_end(folder: Path) -> AsyncIterator[Target]:
+async def _running_own_front_end(
+    folder: Path, size: MachineSize
+) -> AsyncIterator[Target]:
     # The limits come from CELERYPULLEY_* variables.
     server = SlowServer(free_address())
     await server.start()
@@ -255,8 +270,8 @@
                 "CELERYPULLEY_PLATFORM_ADDRESS": str(platform_address),
                 "CELERYPULLEY_PEER_SECRET": PEER_SECRET,
                 "CELERYPULLEY_SHARDS_PER_DOMAIN": "2",
-                "CELERYPULLEY_MEMORY_MB": str(SMALLEST_MACHINE.memory_mb),
-                "CELERYPULLEY_MAX_DESCRIPTORS": str(SMALLEST_MACHINE.max_descriptors),
+                "CELERYPULLEY_MEMORY_MB": str(size.memory_mb),
+                "CELERYPULLEY_MAX_DESCRIPTORS": str(size.max_descriptors),
             }
             process = await stack.enter_async_context(
                 running_process(folder, environment, "celerypulley.cli", "serve")
@@ -281,28 +296,34 @@
     *(_short_lines, _long_lines, _unfinished_heads, _pipelined, _pipelined_small),
     *(_slow_readers, _unfinished_bodies, _idle, _mix),
 ]
+# As many descriptors for each MB as `celerypulley serve` has by itself.
+_DENSE_MACHINE = MachineSize(128, 1_024)
 _CASES = [
-    *((_running_edge, load) for load in _EDGE_LOADS),
-    *((_running_own_front_end, load) for load in _EDGE_LOADS),
+    *((_running_edge, load, SMALLEST_MACHINE) for load in _EDGE_LOADS),
+    *((_running_own_front_end, load, SMALLEST_MACHINE) for load in _EDGE_LOADS),
+    *(
+        (_running_own_front_end, load, _DENSE_MACHINE)
+        for load in (_many_slow_readers, _whole_bodies)
+    ),
     *(
-        (_running_storage_host, load)
+        (_running_storage_host, load, SMALLEST_MACHINE)
         for load in (_long_lines, _pipelined_small, _idle, _frames)
     ),
 ]
 
 
 @pytest.mark.parametrize(
-    ("run_host", "load"),
+    ("run_host", "load", "size"),
     _CASES,
     ids=[
         f"{run.__name__.removeprefix('_running_')}-{load.__name__[1:]}"
-        for run, load in _CASES
+        for run, load, _ in _CASES
     ],
 )
 async def test_host_outgrows_its_machine_or_stops_serving(
-    run_host, load, tmp_path, capsys
+    run_host, load, size, tmp_path, capsys
 ):
-    async with run_host(tmp_path) as target:
+    async with run_host(tmp_path, size) as target:
         await wait_until_answered(target)
         watch = asyncio.create_task(target.watch_descriptors())
         address = target.frame_address if load is _frames else target.address
@@ -331,8 +352,8 @@
                 )
         await wait_until_answered(target)
         assert target.process.returncode is None
-        assert peak_mb <= SMALLEST_MACHINE.memory_mb
-        assert target.most_descriptors <= SMALLEST_MACHINE.max_descriptors
+        assert peak_mb <= size.memory_mb
+        assert target.most_descriptors <= size.max_descriptors
 
 
 _FOUR_BYTE_LINES = {f"a{number}": "" for number in range(1_000)}
@@ -348,6 +369,6 @@
     ids=["long line", "many lines", "longest body"],
 )
 async def test_single_request_inside_the_limits_is_refused(headers, body, tmp_path):
-    async with _running_edge(tmp_path) as target:
+    async with _running_edge(tmp_path, SMALLEST_MACHINE) as target:
         assert await target.is_answered(headers, body)
         assert target.peak_kb() <= SMALLEST_MACHINE.memory_mb * 1_024
