Charge what runs a request, and what its server may send ahead

Cause: the tasks of a request and its server's connection, 10 KB, were charged to no one, nor the 32 KB that a stream's server may send before its caller has fallen behind. With 1,194 connections that is the machine's whole reserve.

A request is charged 12 KB more, a stream 32 KB from its start. What a small request holds, 28 KB, is what never gets a connection closed, so that such a request has its answer or its refusal; connections are limited to what three quarters of the account hold at that size: 768 on 128 MB, 1,069 on 150.

--- a/celerypulley/client_limits/memory_account.py
+++ b/celerypulley/client_limits/memory_account.py
@@ -12,6 +12,7 @@
     "connection_limit",
     "head_memory_bytes",
     "record_memory_bytes",
+    "request_memory_bytes",
 ]
 
 _MB = 1024 * 1024
@@ -24,7 +25,11 @@
 _RECORDS_FRACTION = 0.35  # the account has half of the rest
 _MIN_RECORDS_MB = 8
 _CONNECTION_BYTES = 12 * 1024  # 9.4 KB with aiohttp 3.14.5, and the socket
-_CONNECTIONS_FRACTION = 0.5  # of the account, for connections without a request
+_REQUEST_BYTES = 12 * 1024  # its tasks, and the connection to a server
+_SMALL_HEAD_BYTES = 4 * 1024
+# What a small request holds. Connections that hold no more are never closed.
+_NEVER_CLOSED_BYTES = _CONNECTION_BYTES + _REQUEST_BYTES + _SMALL_HEAD_BYTES
+_CONNECTIONS_FRACTION = 0.75  # of the account, if each connection has a small request
 # With aiohttp 3.14.5, lines of 4 to 35 bytes take 180 to 410 bytes once parsed, and are
 # copied when the request is forwarded.
 _HEADER_LINE_BYTES = 512
@@ -48,11 +53,12 @@
 def connection_limit(max_descriptors: int, memory_mb: float) -> int:
     """Return how many clients may be connected.
 
-    Each may need a connection to a server, and memory on a machine of `memory_mb`.
+    Each may need a connection to a server, and memory for a small request on a machine
+    of `memory_mb`.
     """
     by_descriptors = (max_descriptors - _FILE_DESCRIPTORS - _OTHER_DESCRIPTORS) // 2
     memory_bytes = client_memory_bytes(memory_mb) * _CONNECTIONS_FRACTION
-    by_memory = int(memory_bytes) // _CONNECTION_BYTES
+    by_memory = int(memory_bytes) // _NEVER_CLOSED_BYTES
     return max(_MIN_CONNECTIONS, min(by_descriptors, by_memory))
 
 
@@ -61,6 +67,11 @@
     return lines * _HEADER_LINE_BYTES + 2 * wire_bytes
 
 
+def request_memory_bytes(lines: int, wire_bytes: int) -> int:
+    """Return the memory of a request without its body, and of what runs it."""
+    return _REQUEST_BYTES + head_memory_bytes(lines, wire_bytes)
+
+
 class Progress(enum.IntEnum):
     """What a connection waits for; those of lower values are closed first.
 
@@ -80,7 +91,6 @@
     Progress.UNTAKEN: 64 * 1024,
     Progress.RUNNING: 256 * 1024,
 }
-_NEVER_CLOSED_BYTES = 16 * 1024  # as many connections as are accepted fit
 _SMALL_BYTES = 64 * 1024
 _LARGE_FRACTION = 0.75  # of the limit, for requests and responses that aren't small
 _CALM_FRACTION = 0.25
--- a/celerypulley/links/client_connections.py
+++ b/celerypulley/links/client_connections.py
@@ -19,6 +19,7 @@
     ClientCharge,
     Progress,
     head_memory_bytes,
+    request_memory_bytes,
 )
 from celerypulley.links.bounded_reads import BoundedReads
 from celerypulley.links.client_listener import ClientListener
@@ -217,7 +218,7 @@
             return
         self._policy.change(
             self._charge,
-            head_bytes=head_memory_bytes(len(lines), wire_bytes),
+            head_bytes=request_memory_bytes(len(lines), wire_bytes),
             ahead_bytes=self._tail_bytes,
         )
 
@@ -286,12 +287,12 @@
     def hold_stream(self, pending_bytes: int) -> None:
         """Charge what is kept of a stream that is being forwarded.
 
-        That is `pending_bytes` of an unfinished event and, if the client doesn't read,
-        what lies in the write buffer and what its server may send meanwhile.
+        That is `pending_bytes` of an unfinished event, what its server may send before
+        it is read on and, if the client doesn't read, the write buffer.
         """
-        held = pending_bytes
+        held = pending_bytes + READ_AHEAD_BYTES
         if self.writing_paused and self.transport is not None:
-            held += self.transport.get_write_buffer_size() + READ_AHEAD_BYTES
+            held += self.transport.get_write_buffer_size()
         if held != self._charge.stream_bytes:
             self._policy.change(self._charge, stream_bytes=held)
 
