Show what is saved and kept, and test it without real processes

Metrics say what turns hold while they are saved and which contents a storage host has in memory, and a storage host logs when it begins and ends to refuse records for lack of memory. Tables for the byte semaphore, for chains that are returned in parts, and for storage hosts without memory for records.

--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -333,6 +333,7 @@
         gauges["client_connections"] = lambda: self.server.connections.count
         policy = self.client_policy
         gauges["client_held_bytes"] = lambda: policy.account.held_bytes
+        gauges["turns_saving_bytes"] = lambda: self.archive.saving_bytes
         for kind in REFUSED_KINDS:
             gauges[f"clients_refused_{kind}"] = partial(policy.closed.__getitem__, kind)
         pool = self.archive.pool
--- a/celerypulley/hosts/record_service.py
+++ b/celerypulley/hosts/record_service.py
@@ -72,6 +72,7 @@
         self.is_complete = journal.is_complete()
         self.is_draining = False
         self.is_leaving = False
+        self._is_full = False
         self.peers = StoragePeers(own_disk, disk_list, clock)
         self.copier = RecordCopier(record_store, self.peers, tolerated_losses)
         self.restorer = CopyRestorer(
@@ -127,7 +128,7 @@
     async def _store_records(self, request: StoreRecords) -> object:
         if self.is_draining or self.is_leaving:
             return RecordsNotStored("this storage host is draining or leaving")
-        if not self.record_store.has_room():
+        if not self._has_room():
             return RecordsNotStored("this storage host has no memory for more records")
         try:
             records = [TurnRecord.from_row(row) for row in request.records]
@@ -136,6 +137,20 @@
             return RecordsNotStored(repr(error))
         return RecordsStored()
 
+    def _has_room(self) -> bool:
+        """Return whether further records may be stored; log when that changes."""
+        is_full = not self.record_store.has_room()
+        if is_full != self._is_full:
+            self._is_full = is_full
+            _log.write(
+                "records refused" if is_full else "records accepted",
+                "their entries fill the memory for records"
+                if is_full
+                else "there is memory for records again",
+                records=len(self.record_store.records),
+            )
+        return not is_full
+
     @Service.task
     async def _copy_missing_records(self) -> None:
         """Copy the records of all other disks if this one is new or was emptied."""
--- a/celerypulley/hosts/record_store.py
+++ b/celerypulley/hosts/record_store.py
@@ -79,7 +79,7 @@
 
     `records` has an entry for each record. Contents are dropped from memory, oldest
     first, when they and the entries exceed the limit, and read from disk again when
-    they are asked for.
+    they are asked for. `held_bytes` is the sum of those in memory.
     """
 
     def __init__(
@@ -91,8 +91,8 @@
         self.memory_bytes = memory_bytes
         self.records: dict[str, StoredRecord] = {}
         self.syncs = 0
+        self.held_bytes = 0
         self._content_bytes: OrderedDict[str, int] = OrderedDict()  # of each in memory
-        self._held_bytes = 0  # their sum
         self._pending_writes: list[_PendingWrite] = []
         self._writer_task: asyncio.Task | None = None
         self._executor = ThreadPoolExecutor(1, "journal")
@@ -162,9 +162,9 @@
         """Count a content that is in memory, and drop the oldest beyond the limit."""
         self._forget_content(record.key)
         self._content_bytes[record.key] = record.size_bytes()
-        self._held_bytes += record.size_bytes()
+        self.held_bytes += record.size_bytes()
         limit_bytes = self.memory_bytes - len(self.records) * _ENTRY_BYTES
-        while self._held_bytes > limit_bytes and self._content_bytes:
+        while self.held_bytes > limit_bytes and self._content_bytes:
             key = next(iter(self._content_bytes))
             self._forget_content(key)
             dropped = self.records.get(key)
@@ -172,7 +172,7 @@
                 dropped.content = None
 
     def _forget_content(self, key: str) -> None:
-        self._held_bytes -= self._content_bytes.pop(key, 0)
+        self.held_bytes -= self._content_bytes.pop(key, 0)
 
     def read(self, key: str) -> TurnRecord:
         """Return a record with its content; raise KeyError, or OSError."""
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -140,6 +140,7 @@
         return {
             "records": len(self.record_store.records),
             "syncs": self.record_store.syncs,
+            "contents_held_bytes": self.record_store.held_bytes,
             "is_complete": int(self.record_service.is_complete),
             "members_known": len(self.members.others),
             "disks_known": len(self.disk_list.disks),
--- a/celerypulley/hosts/turn_archive.py
+++ b/celerypulley/hosts/turn_archive.py
@@ -82,6 +82,11 @@
         self._cached_bytes = 0
         self._saves = ByteSemaphore(saving_bytes)
 
+    @property
+    def saving_bytes(self) -> int:
+        """Return what turns hold that are being saved."""
+        return self._saves.held_bytes
+
     async def load(
         self,
         organisation: str,
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from celerypulley.client_limits.byte_semaphore import ByteSemaphore
 from celerypulley.client_limits.memory_account import (
     MemoryAccount,
     Progress,
@@ -57,6 +58,34 @@
     assert account.held_bytes == 0
 
 
+@pytest.mark.parametrize(
+    ("asked", "cancelled", "order"),
+    [
+        ([4, 4, 4], [], [[0, 1], [2]]),
+        ([4, 20, 4], [], [[0], [1], [2]]),
+        ([8, 8, 1], [1], [[0, 2]]),
+        ([8, 8, 8, 2], [1], [[0], [2, 3]]),
+    ],
+    ids=["in turns", "more than the limit", "cancelled", "cancelled before others"],
+)
+async def test_bytes_are_held_out_of_turn_or_beyond_the_limit(asked, cancelled, order):
+    semaphore = ByteSemaphore(10)
+    tasks = [asyncio.create_task(semaphore.acquire(count)) for count in asked]
+    await asyncio.sleep(0)
+    for number in cancelled:
+        tasks[number].cancel()
+    held: list[int] = []
+    for group in order:
+        for number in held:
+            semaphore.release(asked[number])
+        for _ in range(3):
+            await asyncio.sleep(0)
+        held = [n for n in range(len(asked)) if tasks[n].done()]
+        held = [n for n in held if n not in cancelled and n >= min(group)]
+        assert held == group
+        assert semaphore.held_bytes == sum(asked[number] for number in group)
+
+
 @pytest.mark.parametrize(
     ("memory_mb", "descriptors", "least_mb", "connections"),
     [(128, 1_024, 25, 360), (64, 160, 8, 16), (256, 4_096, 90, 1_900)],
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -12,6 +12,7 @@
 
 from celerypulley.fleet.disk_list import DiskList
 from celerypulley.fleet.fleet_members import HOST, FleetMember, FleetMembers
+from celerypulley.hosts import record_store as record_store_module
 from celerypulley.hosts.fleet_host import FleetHost
 from celerypulley.hosts.record_store import RecordStore, TurnRecord
 from celerypulley.hosts.storage_host import StorageHost
@@ -271,6 +272,24 @@
                 await each.close()
 
 
+@pytest.mark.parametrize("reply_bytes", [1, 40, 10_000])
+async def test_long_chain_is_cut_short(tmp_path, monkeypatch, reply_bytes):
+    monkeypatch.setattr(record_store_module, "_CHAIN_BYTES", reply_bytes)
+    async with running_storage(tmp_path) as storage:
+        for number in range(1, 9):
+            await storage.save(number, previous=number - 1)
+        assert await storage.load(8) == storage.histories[8]
+
+
+async def test_turn_is_lost_where_storage_hosts_have_no_memory_for_records(tmp_path):
+    async with running_storage(tmp_path) as storage:
+        for host in storage.storage_hosts.values():
+            host.record_store.memory_bytes = 0
+        await storage.save(1)
+        assert not storage.holders(1)
+        assert await storage.load(1) == b"in 1 out 1\n"
+
+
 async def test_turn_is_stored_in_two_domains_without_the_store(tmp_path):
     async with running_storage(tmp_path) as storage:
         calls = [call for call in storage.store.request_paths if call == "/kv-txn"]
