Split the protocol of a client's connection from the set of connections

The servers of the tests with real processes are one class with a function for what they respond. No behaviour and no check changes.

--- a/celerypulley/links/caller_server.py
+++ b/celerypulley/links/caller_server.py
@@ -16,13 +16,9 @@
 from celerypulley.hosts.entry import Caller, Entry
 from celerypulley.hosts.metrics import HostMetrics
 from celerypulley.hosts.program_rules import require_configuration
-from celerypulley.links.client_connections import (
-    WRITE_BYTES,
-    ClientConnections,
-    protocol_of,
-    read_body,
-)
+from celerypulley.links.client_connections import ClientConnections
 from celerypulley.links.client_policy import ClientPolicy
+from celerypulley.links.client_protocol import WRITE_BYTES, protocol_of, read_body
 from celerypulley.links.header_text import sendable_text
 from celerypulley.links.peer_messages import OpenProgram, RunCall, RunTurn
 from celerypulley.links.response_sink import CallerDisconnectedError
--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -11,13 +11,9 @@
 from celerypulley.decision_log import DecisionLog
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.links.caller_server import error_response
-from celerypulley.links.client_connections import (
-    WRITE_BYTES,
-    ClientConnections,
-    protocol_of,
-    read_body,
-)
+from celerypulley.links.client_connections import ClientConnections
 from celerypulley.links.client_policy import ClientPolicy
+from celerypulley.links.client_protocol import WRITE_BYTES, protocol_of, read_body
 from celerypulley.links.forward_dialect import Dialect
 from celerypulley.links.header_text import sendable_text
 from celerypulley.links.response_sink import CallerDisconnectedError
--- a/tests/real_hosts.py
+++ b/tests/real_hosts.py
@@ -4,7 +4,7 @@
 import os
 import socket
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
@@ -19,6 +19,7 @@
     "SEND_S",
     "SMALLEST_MACHINE",
     "MachineSize",
+    "ScriptedServer",
     "Target",
     "loopback_ip",
     "peak_mb",
@@ -48,6 +49,36 @@
 SMALLEST_MACHINE = MachineSize(128, 512)
 
 
+Respond = Callable[[asyncio.StreamReader, asyncio.StreamWriter, bytes], Awaitable[None]]
+
+
+@attrs.define(eq=False)
+class ScriptedServer:
+    """A server that hands the head of a request to `respond`, which reads the body."""
+
+    address: Address
+    respond: Respond
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(
+            self._serve, self.address.ip, self.address.port
+        )
+
+    def stop(self) -> None:
+        assert self._server is not None, "the server has not been started"
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(ConnectionError, EOFError, asyncio.CancelledError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await self.respond(reader, writer, head)
+        writer.close()
+
+
 @attrs.define(eq=False)
 class Target:
     """A process that clients can reach.
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -14,8 +14,9 @@
 from celerypulley.hosts.stall_monitor import STALL_TIMEOUT_MS
 from tests.fleet import desired_state, running_fleet, server_entry
 from tests.harness import free_address, wait_until
+from tests.real_hosts import ScriptedServer
 from tests.test_kept_connections import connected, header_of, request_bytes
-from tests.test_untrusted_clients import SlowServer
+from tests.test_untrusted_clients import respond_slowly
 
 _KB = 1024
 _INCOMPLETE, _UNTAKEN, _RUNNING = Progress
@@ -198,7 +199,7 @@
 async def test_slow_reader_of_a_stream_makes_its_server_count_as_stalled():
     async with running_fleet() as fleet:
         (host,) = fleet.hosts
-        slow = SlowServer(free_address())
+        slow = ScriptedServer(free_address(), respond_slowly)
         await slow.start()
         fleet.store.put("servers/server-0", server_entry(addr=str(slow.address)))
         servers = host.directory.servers
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -25,6 +25,7 @@
     METRICS_PORT,
     SEND_S,
     MachineSize,
+    ScriptedServer,
     Target,
     loopback_ip,
     peak_mb,
@@ -51,45 +52,21 @@
 _MAX_RESPONSE_BYTES = 8_000_000  # that the test reads to its end
 
 
-@attrs.define(eq=False)
-class Engine:
-    """A server whose path says what it responds with: `COUNTxBYTES` events, or late."""
-
-    address: Address
-    _server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(
-            self._serve, self.address.ip, self.address.port
-        )
-
-    def stop(self) -> None:
-        assert self._server is not None, "the server has not been started"
-        self._server.close()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        with suppress(ConnectionError, EOFError, asyncio.CancelledError):
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                path = head.split(b" ", 2)[1]
-                if path.endswith(b"/slow"):
-                    await asyncio.sleep(_SLOW_S)
-                await reader.readexactly(int(header_of(head, b"Content-Length") or 0))
-                await _respond(writer, path, header_of(head, b"Request-Id"))
-        writer.close()
-
-
 async def _respond(
-    writer: asyncio.StreamWriter, path: bytes, request_id: bytes
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
 ) -> None:
-    head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: s\r\n" % request_id
+    """Respond with `COUNTxBYTES` events if the path says so, or late."""
+    path = head.split(b" ", 2)[1]
+    if path.endswith(b"/slow"):
+        await asyncio.sleep(_SLOW_S)
+    await reader.readexactly(int(header_of(head, b"Content-Length") or 0))
+    request_id = header_of(head, b"Request-Id")
+    start = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: s\r\n" % request_id
     count, _, size = path.rpartition(b"/")[2].partition(b"x")
     if not size:
-        writer.write(head + b"Content-Length: 2\r\n\r\n{}")
+        writer.write(start + b"Content-Length: 2\r\n\r\n{}")
         return
-    writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
+    writer.write(start + b"Transfer-Encoding: chunked\r\n\r\n")
     for number in range(int(count)):
         event = b"id: %d\ndata: %s\n\n" % (number, b"y" * int(size))
         writer.write(b"%x\r\n%s\r\n" % (len(event), event))
@@ -316,7 +293,7 @@
 async def _running_deployment(
     folder: Path, edge_size: MachineSize
 ) -> AsyncIterator[Deployment]:
-    engine = Engine(free_address())
+    engine = ScriptedServer(free_address(), _respond)
     await engine.start()
     async with AsyncExitStack() as stack:
         store, store_address = await stack.enter_async_context(running_store())
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -7,11 +7,10 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
 import aiohttp
-import attrs
 import msgpack
 import orjson
 import pytest
@@ -37,6 +36,7 @@
     SEND_S,
     SMALLEST_MACHINE,
     MachineSize,
+    ScriptedServer,
     Target,
     loopback_ip,
     running_process,
@@ -51,43 +51,24 @@
 _SLOW_S = 60.0  # a route that takes longer than the test
 
 
-@attrs.define(eq=False)
-class SlowServer:
-    """A server that responds at length on `long` paths and late on `slow` ones."""
-
-    address: Address
-    _server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(
-            self._serve, self.address.ip, self.address.port
-        )
-
-    def stop(self) -> None:
-        assert self._server is not None, "the server has not been started"
-        self._server.close()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        with suppress(ConnectionError, asyncio.IncompleteReadError):
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                await reader.readexactly(int(header_of(head, b"Content-Length") or 0))
-                line = head.partition(b"\r\n")[0]
-                request_id = header_of(head, b"Request-Id")
-                if b"/slow" in line:
-                    await asyncio.sleep(_SLOW_S)
-                body = _LONG_BODY if b"/long" in line else b"{}"
-                if b"/resumable/" in line:
-                    await _write_events(writer, request_id, body)
-                    continue
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: s\r\n"
-                    b"Content-Length: %d\r\n\r\n%s" % (request_id, len(body), body)
-                )
-                await writer.drain()
-        writer.close()
+async def respond_slowly(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+) -> None:
+    """Respond at length on `long` paths and late on `slow` ones."""
+    await reader.readexactly(int(header_of(head, b"Content-Length") or 0))
+    line = head.partition(b"\r\n")[0]
+    request_id = header_of(head, b"Request-Id")
+    if b"/slow" in line:
+        await asyncio.sleep(_SLOW_S)
+    body = _LONG_BODY if b"/long" in line else b"{}"
+    if b"/resumable/" in line:
+        await _write_events(writer, request_id, body)
+        return
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: s\r\n"
+        b"Content-Length: %d\r\n\r\n%s" % (request_id, len(body), body)
+    )
+    await writer.drain()
 
 
 async def _write_events(
@@ -172,7 +153,7 @@
 
 @asynccontextmanager
 async def _running_edge(folder: Path, size: MachineSize) -> AsyncIterator[Target]:
-    server = SlowServer(free_address())
+    server = ScriptedServer(free_address(), respond_slowly)
     await server.start()
     async with running_store() as (store, store_address):
         state = desired_state()
@@ -243,7 +224,7 @@
     folder: Path, size: MachineSize
 ) -> AsyncIterator[Target]:
     # The limits come from CELERYPULLEY_* variables.
-    server = SlowServer(free_address())
+    server = ScriptedServer(free_address(), respond_slowly)
     await server.start()
     runner, platform_address = await start_app(make_kv_app(run_clock()))
     async with aiohttp.ClientSession() as session:
