Show that long streams are whole in calm, on small machines

A stream of 5,000 events, one that becomes history, and one of events of 900 KB are read at an ordinary pace from an edge of 128 MB and one of 100 MB.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -11,6 +11,7 @@
 from itertools import cycle, islice
 from pathlib import Path
 
+import aiohttp
 import attrs
 import orjson
 import pytest
@@ -364,3 +365,32 @@
         assert all(0 < peak <= bound for peak, bound in peaks_mb)
         most_descriptors = edge_size.max_descriptors - _FILE_DESCRIPTORS
         assert target.most_descriptors <= most_descriptors
+
+
+@pytest.mark.parametrize(
+    "edge_size", [_SMALL_EDGE, _LOWERED_EDGE], ids=["small", "lowered"]
+)
+@pytest.mark.parametrize(
+    ("path", "events"),
+    [
+        ("/resumable/5000x200", 5_000),
+        ("/turns/5000x200", 5_000),
+        ("/turns/4x900000", 4),
+    ],
+)
+async def test_long_stream_is_cut_short_in_calm(edge_size, path, events, tmp_path):
+    async with _running_deployment(tmp_path, edge_size) as deployment:
+        target = deployment.target
+        await wait_until_answered(target)
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(
+                f"http://{target.address}{path}",
+                headers={"Request-Id": "long", **target.headers},
+                data=b"b",
+            ) as response,
+        ):
+            body = await response.read()
+        assert response.status == 200
+        assert body.count(b"data: ") == events
+        assert all(peak <= bound for peak, bound in deployment.peaks_mb())
