Let a cancelled wait for bytes end while others are served

A turn whose caller leaves while it waits to be saved raised ValueError instead of its cancellation if bytes were given back in the same step: the waiting list was cleared of it already. Found by reading; the new test fails without the change.

--- a/celerypulley/client_limits/byte_semaphore.py
+++ b/celerypulley/client_limits/byte_semaphore.py
@@ -28,11 +28,9 @@
         try:
             await turn
         except asyncio.CancelledError:
-            if turn.done() and not turn.cancelled():
+            if not turn.cancelled():
                 self.release(count)
-            else:
-                self._waiting.remove((count, turn))
-                self._wake()
+            self._wake()  # those behind it may fit
             raise
 
     def hold(self, count: int) -> None:
@@ -48,9 +46,11 @@
         return not self.held_bytes or self.held_bytes + count <= self.limit_bytes
 
     def _wake(self) -> None:
-        while self._waiting and self._fits(self._waiting[0][0]):
-            count, turn = self._waiting.popleft()
-            if turn.cancelled():
-                continue
-            self.hold(count)
-            turn.set_result(None)
+        while self._waiting:
+            count, turn = self._waiting[0]
+            if not turn.cancelled():
+                if not self._fits(count):
+                    return
+                self.hold(count)
+                turn.set_result(None)
+            self._waiting.popleft()
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -59,6 +59,18 @@
     assert account.held_bytes == 0
 
 
+async def test_cancelled_wait_for_bytes_keeps_its_place():
+    semaphore = ByteSemaphore(10)
+    await semaphore.acquire(8)
+    waiting = [asyncio.create_task(semaphore.acquire(count)) for count in (8, 2)]
+    await asyncio.sleep(0)
+    waiting[0].cancel()
+    semaphore.release(8)  # before the cancelled task runs
+    await asyncio.gather(*waiting, return_exceptions=True)
+    assert [each.cancelled() for each in waiting] == [True, False]
+    assert semaphore.held_bytes == 2
+
+
 @pytest.mark.parametrize(
     ("asked", "cancelled", "order"),
     [
