Bound what a storage host reads ahead, and wait for replies to writes, too

What callers would see: 1,000 peers that send 400 KB of requests ahead took a storage host to 202 MB of its 170. Peers that store records and read no reply could keep all others from storing, since a write held its part of the gate until its reply was taken.

Cause: up to 128 KB and a read of 256 KB of each connection lay in its stream reader, uncharged, and the wait for the reply was inside the gate.

Connections are read 16 KB at a time, into a buffer that pauses at 8 KB, and replies to writes are waited for before the next request is decoded. As many connections are accepted as the account of a storage host holds, which is less than an edge's.

--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -72,12 +72,13 @@
             settings.tolerated_disk_losses,
             clock,
         )
+        client_mb = settings.memory_mb - record_bytes / _MB
         self.client_policy = ClientPolicy(
-            MemoryAccount(client_memory_bytes(settings.memory_mb - record_bytes / _MB)),
+            MemoryAccount(client_memory_bytes(client_mb)),
             CallerLimits,
             clock,
         )
-        max_connections = connection_limit(settings.max_descriptors, settings.memory_mb)
+        max_connections = connection_limit(settings.max_descriptors, client_mb)
         self.server = StorageServer(
             settings.ip,
             settings.fleet_port,
--- a/celerypulley/links/bounded_reads.py
+++ b/celerypulley/links/bounded_reads.py
@@ -17,10 +17,15 @@
     connections would bring in more than the host has memory for.
     """
 
-    def __init__(self, protocol: asyncio.Protocol, read_on: Callable[[], None]) -> None:
-        """Pass everything to `protocol`, and call `read_on` to go on after a pause."""
+    def __init__(
+        self, protocol: asyncio.Protocol, may_read: Callable[[], bool]
+    ) -> None:
+        """Pass everything to `protocol`.
+
+        `may_read` returns whether it hasn't paused reading itself.
+        """
         self._protocol = protocol
-        self._read_on = read_on
+        self._may_read = may_read
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -46,6 +51,12 @@
         transport.pause_reading()
         asyncio.get_running_loop().call_soon(self._read_on)
 
+    def _read_on(self) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing() or not self._may_read():
+            return
+        transport.resume_reading()
+
     def eof_received(self) -> bool | None:
         """Pass on that the peer sends no more."""
         return self._protocol.eof_received()
--- a/celerypulley/links/client_connections.py
+++ b/celerypulley/links/client_connections.py
@@ -49,7 +49,7 @@
             protocol = ClientProtocol(
                 self.policy, self._add, self._discard, server, loop=loop, **options
             )
-            return BoundedReads(protocol, protocol.read_on)
+            return BoundedReads(protocol, protocol.may_read)
 
         self.listener.start(make_protocol)
         self._check = asyncio.create_task(self._end_overdue())
--- a/celerypulley/links/client_protocol.py
+++ b/celerypulley/links/client_protocol.py
@@ -143,11 +143,9 @@
             return
         self._feed(data)
 
-    def read_on(self) -> None:
-        """Read on, unless what has come can't be taken yet."""
-        if self._reading_paused or self._buffer_paused or self._force_close:
-            return
-        self._resume_transport_reading()
+    def may_read(self) -> bool:
+        """Return whether what comes next can be taken."""
+        return not (self._reading_paused or self._buffer_paused)
 
     def _is_complete(self) -> bool:
         return self._payload is not None and self._payload.is_eof()
--- a/celerypulley/links/storage_server.py
+++ b/celerypulley/links/storage_server.py
@@ -8,6 +8,7 @@
 from celerypulley.client_limits.byte_semaphore import ByteSemaphore
 from celerypulley.client_limits.memory_account import ClientCharge, Progress
 from celerypulley.decision_log import DecisionLog
+from celerypulley.links.bounded_reads import BoundedReads
 from celerypulley.links.client_listener import ClientListener
 from celerypulley.links.client_policy import ClientPolicy
 from celerypulley.links.codec import CodecError
@@ -17,6 +18,7 @@
 
 __all__ = ["StorageServer"]
 
+_READER_LIMIT_BYTES = 4 * 1024  # reading pauses at twice as much
 _BUFFER_FACTOR = 2  # msgpack's buffer grows by doubling
 _UNPACKER_BYTES = 64 * 1024  # which a connection has within a frame
 _REPLY_COPIES = 3  # read from disk, decoded, and encoded
@@ -63,9 +65,13 @@
         """Open the listening socket."""
         loop = asyncio.get_running_loop()
 
-        def make_protocol() -> asyncio.Protocol:
-            reader = asyncio.StreamReader(loop=loop)
-            return asyncio.StreamReaderProtocol(reader, self._serve_connection, loop)
+        def make_protocol() -> BoundedReads:
+            reader = asyncio.StreamReader(limit=_READER_LIMIT_BYTES, loop=loop)
+            protocol = asyncio.StreamReaderProtocol(
+                reader, self._serve_connection, loop
+            )
+            # A reader that has paused itself goes on when its bytes are taken.
+            return BoundedReads(protocol, lambda: not reader._paused)
 
         self._listener.start(make_protocol)
 
@@ -133,10 +139,11 @@
         number: int,
         message: StoreRecords,
     ) -> None:
-        """Begin to store records once there is room for them.
+        """Begin to store records once replies are taken and there is room for them.
 
         One sync serves all that are written at a time, so they run side by side.
         """
+        await stream.drain()
         held_bytes = _RECORD_COPIES * payload_bytes(message) + _TASK_BYTES
         self.policy.change(charge, history_bytes=held_bytes)
         await self._writes.acquire(held_bytes)
@@ -152,6 +159,5 @@
         reply = await self.handle(message)
         try:
             stream.send(number, reply)
-            await stream.drain()
         except (OSError, RuntimeError) as error:
             _log.write("reply not sent", repr(error))
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -263,6 +263,7 @@
     "1,200 stored turns": (_EDGE, _stored_turns(1_200, 200_000)),
     "150 unread peers": (_EDGE, _peers(150, 4_000)),
     "1,500 unread peers": (_EDGE, _peers(1_500, 40)),
+    "1,000 peers with many requests": (_EDGE, _peers(1_000, 15_000)),
     "200 peers with short requests": (_EDGE, _state_requests),
 }
 
