Log nothing but the refusal when a storage host closes a connection

An evicted connection's task ended as cancelled, for which asyncio wrote a traceback each: 1,223 in a crowd of 1,500. The refusal is logged, once a second. A refusal without a body to skip keeps its connection, and a stream whose server's bytes wait for a slow caller doesn't count as stalled before its buffer is full.

--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -272,7 +272,7 @@
         limit = self.body_limit()
         request_id = request.headers.get("Request-Id", "")
         if not protocol_of(request).has_room(request.content_length or 0):
-            sink.closing = True  # the body is not read
+            sink.closing = sink.closing or request.can_read_body  # which is not read
             refusal = Refusal(ErrorKind.OVERLOADED, _NO_MEMORY)
             return self._final_response(sink, refusal, request_id)
         await _send_continue(request)
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -327,8 +327,8 @@
 
     @property
     def is_unread(self) -> bool:
-        """Return whether the caller's slow reading keeps the server from sending."""
-        return self.connection.protocol.is_paused
+        """Return whether something that came waits for the caller to read more."""
+        return self.connection.protocol.is_paused or self._response.buffered_bytes > 0
 
     def abort(self) -> None:
         """Close the connection at once, so that the server stops its work."""
--- a/celerypulley/links/storage_server.py
+++ b/celerypulley/links/storage_server.py
@@ -109,6 +109,10 @@
         except (OSError, RuntimeError, CodecError) as error:
             # uvloop raises RuntimeError on a closed transport.
             _log.write("connection closed", repr(error))
+        except asyncio.CancelledError:
+            if not charge.is_closed:
+                raise
+            # The policy has closed this connection, and logged it.
         finally:
             self._writers.discard(writer)
             self.policy.close(charge)
