Crowds with trailers, lists of prefixes, and lists in frames and bodies

What callers would see: six more loads, most of them of requests inside the limits, take a process beyond its machine, which ends it.

The crowds so far fill heads with lines, bodies with chunks, and keep responses unread. These fill what is parsed out of a head and a body: 2,250 parts of a prompt in one header, 3,800 lines behind a body in chunks, names of 15,000 bytes that a host remembers for a server, and empty lists, of which each byte becomes 70 bytes once decoded.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 import attrs
+import msgpack
 import orjson
 import pytest
 
@@ -101,13 +102,16 @@
         request = self.target.request(path, lines.encode(), body)
         return request.replace(b"Request-Id: r\r\n", b"")
 
-    async def run_turn(self, path: str, name: str, body: bytes) -> None:
+    async def run_turn(
+        self, path: str, name: str, body: bytes, lines: bytes = b""
+    ) -> None:
         """Run a turn to its end, so that it can be continued."""
         address = self.target.address
         reader, writer = await asyncio.open_connection(
             address.ip, address.port, limit=_MAX_RESPONSE_BYTES
         )
-        writer.write(self.turn(path, name, body=body))
+        request = self.turn(path, name, body=body)
+        writer.write(request.replace(b"\r\n\r\n", b"\r\n" + lines + b"\r\n", 1))
         async with asyncio.timeout(_TURN_TIMEOUT_S):
             await reader.readuntil(b"\r\n0\r\n\r\n")
         writer.close()
@@ -182,6 +186,24 @@
     return deployment.target.request("/unsafe/slow", b"a:\r\n" * 3_800)
 
 
+def _prefix_lists(deployment: Deployment, _number: int) -> bytes:
+    parts = b",".join(b"%x:1" % number for number in range(0x1000, 0x1000 + 2_250))
+    return deployment.target.request("/unsafe/slow", b"Prefix-Hash: %s\r\n" % parts)
+
+
+def _trailers(deployment: Deployment, _number: int) -> bytes:
+    request = deployment.target.request(
+        "/unsafe/slow", b"Transfer-Encoding: chunked\r\n"
+    )
+    body = b"1\r\nx\r\n0\r\n" + b"a:\r\n" * 3_800
+    return request.replace(b"Content-Length: 0\r\n", b"") + body
+
+
+def _upgrades(deployment: Deployment, _number: int) -> bytes:
+    lines = b"Connection: Upgrade\r\nUpgrade: websocket\r\n"
+    return deployment.target.request("/unsafe/slow", lines) + b"x" * 200_000
+
+
 def _pipelined(deployment: Deployment, _number: int) -> bytes:
     return deployment.target.request("/unsafe/slow") * 500
 
@@ -213,6 +235,32 @@
     return attack
 
 
+def _prefix_names(count: int, name_bytes: int) -> Crowd:
+    """Run streams whose prompts share no part, ten at a time."""
+
+    async def attack(deployment: Deployment) -> None:
+        numbers = iter(range(count))
+
+        async def run_streams() -> None:
+            for number in numbers:
+                lines = b"Prefix-Hash: %0*x:1\r\n" % (name_bytes, number)
+                await deployment.run_turn("/resumable/1x10", f"p-{number}", b"b", lines)
+
+        await asyncio.gather(*(run_streams() for _ in range(10)))
+
+    return attack
+
+
+def _nested_lists(count: int, lists: int) -> Crowd:
+    """Send a storage host frames of which each byte is a list."""
+
+    async def attack(deployment: Deployment) -> None:
+        load = msgpack.packb([1, 70, [[]] * lists])
+        await deployment.send_all(deployment.frame_address, [load] * count)
+
+    return attack
+
+
 def _peers(count: int, requests: int) -> Crowd:
     """Ask a storage host for a record of 1 MB, and read no reply."""
 
@@ -256,6 +304,12 @@
     "900 bodies in tiny chunks": (_EDGE, _clients(900, _tiny_chunks)),
     "900 long extensions": (_EDGE, _clients(900, _long_extensions)),
     "900 heads of short lines": (_EDGE, _clients(900, _short_lines)),
+    "900 lists of prefixes": (_EDGE, _clients(900, _prefix_lists)),
+    "900 trailers": (_EDGE, _clients(900, _trailers)),
+    "900 upgrades": (_EDGE, _clients(900, _upgrades)),
+    "8,000 long names of prefixes": (_EDGE, _prefix_names(8_000, 15_000)),
+    "1 frame of lists": (_EDGE, _nested_lists(1, 3_000_000)),
+    "100 frames of lists": (_EDGE, _nested_lists(100, 60_000)),
     "900 pipelines": (_EDGE, _clients(900, _pipelined)),
     "900 continuations": (_EDGE, _continuations(900, 1)),
     "900 continuations of many": (_EDGE, _continuations(900, 40)),
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -140,6 +140,12 @@
     return [msgpack.packb([1, [1, b"x" * 8_000_000]])[:-1]] * 30
 
 
+def _json_lists(target: Target) -> list[bytes]:
+    """One body of four megabytes that consists of empty lists."""
+    body = b'{"model":"m","messages":[' + b"[]," * 1_300_000 + b"[]]}"
+    return [target.request("/v1/chat/completions", body=body)]
+
+
 def _mix(target: Target) -> list[bytes]:
     return [
         *_short_lines(target)[:60],
@@ -286,6 +292,7 @@
         (_running_own_front_end, load, _DENSE_MACHINE)
         for load in (_many_slow_readers, _whole_bodies)
     ),
+    (_running_own_front_end, _json_lists, SMALLEST_MACHINE),
     *(
         (_running_storage_host, load, SMALLEST_MACHINE)
         for load in (_long_lines, _pipelined_small, _idle, _frames)
