Charge the lines behind a body in chunks like those of a head

What callers would see: 900 requests inside the limits, each with one byte of body and 15,200 bytes of trailers in lines of four, took an edge to 379 MB of its 150, so that the machine ends it.

Cause: the parser keeps trailers with the lines of the head until the next request begins, some 300 bytes a line. They were counted only as framing, up to 16 KB more than the body and uncharged.

Trailers that come with the last chunk, or alone, are now charged as header lines are: nothing else comes between the last byte of a body and the next chunk but a chunk's size.

--- a/celerypulley/links/client_protocol.py
+++ b/celerypulley/links/client_protocol.py
@@ -28,6 +28,7 @@
 _HEAD_GRACE_MS = 500.0  # the head of a client inside the limit may be on its way
 _REQUEST_LINE_BYTES = 4_096  # beside the header lines
 _BARE_LAST_CHUNK = b"\r\n0\r\n\r\n"  # the end of a body in chunks without trailers
+_LAST_CHUNK = b"\r\n0\r\n"
 _BODY_COPIES = 2  # bodies are joined, then encoded
 _PIECE_BYTES = 96  # of a chunk of a body beside its bytes, until it is taken
 _HISTORY_COPIES = 3  # they are joined with the request, then encoded
@@ -160,9 +161,11 @@
             return
         if self._payload is None and self._messages:
             self._open_request(len(data))
+            self._charge_trailers(data, has_other=True)
         elif self._payload is not None:
             body_bytes = self._payload.total_bytes - body_before
             self._tail_bytes += max(0, len(data) - body_bytes)
+            self._charge_trailers(data, has_other=body_bytes > 0)
         if self._payload is None:
             if not data:
                 return
@@ -192,6 +195,25 @@
             body_bytes = _BODY_COPIES * self._payload.total_bytes
             self._policy.change(charge, body_bytes=body_bytes + pieces_bytes)
 
+    def _charge_trailers(self, data: bytes, has_other: bool) -> None:
+        """Charge the trailers in `data`, which the parser keeps like header lines.
+
+        `has_other` tells whether a part of the head or the body comes before them.
+        """
+        if self._payload is EMPTY_PAYLOAD:
+            return
+        chunk_ends = self._payload._http_chunk_splits
+        if chunk_ends is None:
+            return
+        if self._payload.total_bytes != (chunk_ends[-1] if chunk_ends else 0):
+            return  # within a chunk
+        _, last_chunk, trailers = data.rpartition(_LAST_CHUNK)
+        if has_other and not last_chunk:
+            return
+        memory = head_memory_bytes(trailers.count(b"\n"), len(trailers))
+        held = self._charge.head_bytes + memory
+        self._policy.change(self._charge, head_bytes=held)
+
     def _header_limit(self) -> int:
         return self._policy.limits().max_header_bytes + _REQUEST_LINE_BYTES
 
