Use only the first parts of a prompt, with names of ordinary length

What callers would see: 900 requests whose Prefix-Hash lists 2,250 parts took an edge to 222 MB of its 150, and 8,000 streams, ten at a time, whose part has a name of 15,000 characters, to 173 MB. The machine ends the process.

Cause: a part of four bytes in the header is 120 bytes once parsed, kept while the request runs and charged to no one. The names of up to 50,000 parts are remembered for each server, whatever their length. Requests for engine slots already named no more than 48 parts, of up to 32 characters.

That limit now holds where the header is decoded, for all uses; the header is forwarded as it came, and parts beyond the limit count as not cached.

--- a/celerypulley/hosts/turn_scheduler.py
+++ b/celerypulley/hosts/turn_scheduler.py
@@ -28,7 +28,7 @@
 from celerypulley.hosts.retry_budget import RetryBudget
 from celerypulley.hosts.server_directory import ServerDirectory
 from celerypulley.turn_scheduling.engine_slots import Assignment
-from celerypulley.turn_scheduling.slot_request import SlotRequest, first_parts
+from celerypulley.turn_scheduling.slot_request import SlotRequest
 from celerypulley.turn_scheduling.turn_dispatcher import (
     SlotOutcome,
     TurnDispatcher,
@@ -399,7 +399,7 @@
         priority=priority,
         prompt_tokens=call.prompt_tokens,
         expected_tokens=call.expected_tokens,
-        parts=first_parts(call.prefix_parts),
+        parts=[[part.name, part.tokens] for part in call.prefix_parts],
         remaining_ms=round(admitted.deadline_ms - call.now_ms),
         target_ms=target_ms,
         excluded=sorted(excluded),
--- a/celerypulley/platform/requests.py
+++ b/celerypulley/platform/requests.py
@@ -9,7 +9,12 @@
 from celerypulley.links.forward_dialect import Dialect, ForwardedCall, ResponseMetadata
 from celerypulley.links.header_text import parse_whole_number
 from celerypulley.links.response_parser import ResponseHead
-from celerypulley.programs.opaque_request import OpaqueRequest, PrefixPart
+from celerypulley.programs.opaque_request import (
+    MAX_PREFIX_NAME_CHARS,
+    MAX_PREFIX_PARTS,
+    OpaqueRequest,
+    PrefixPart,
+)
 
 __all__ = ["DIALECT"]
 
@@ -82,10 +87,16 @@
 
 
 def _parse_prefix(text: str) -> tuple[PrefixPart, ...]:
+    """Return the first parts of a prompt.
+
+    They end before a part with a very long name: what follows counts as not cached.
+    """
     parts = []
-    for entry in text.split(","):
-        name, _, text = entry.strip().partition(":")
-        tokens = parse_whole_number(text)
+    for entry in text.split(",", MAX_PREFIX_PARTS)[:MAX_PREFIX_PARTS]:
+        name, _, count = entry.strip().partition(":")
+        if len(name) > MAX_PREFIX_NAME_CHARS:
+            break
+        tokens = parse_whole_number(count)
         if name and tokens is not None:
             parts.append(PrefixPart(name, tokens))
     return tuple(parts)
--- a/celerypulley/programs/opaque_request.py
+++ b/celerypulley/programs/opaque_request.py
@@ -4,7 +4,12 @@
 
 import attrs
 
-__all__ = ["OpaqueRequest", "PrefixPart"]
+__all__ = ["MAX_PREFIX_NAME_CHARS", "MAX_PREFIX_PARTS", "OpaqueRequest", "PrefixPart"]
+
+# Hosts keep the parts while a request runs, send them to each other in one datagram,
+# and remember their names for each server.
+MAX_PREFIX_PARTS = 48
+MAX_PREFIX_NAME_CHARS = 32
 
 
 @attrs.frozen
@@ -21,7 +26,8 @@
 
     `headers` are those to forward. `deadline_ms`, `program_deadline_ms` and
     `received_ms`, the time when the request head was read, are monotonic times of
-    this host. Token counts are 0 and strings empty where the caller declared none;
+    this host. `prefix_parts` are the first parts of the prompt, as far as the limits
+    above allow. Token counts are 0 and strings empty where the caller declared none;
     `token_budget` is None then, since a budget of 0 allows no turn. `affinity_key` is
     the same for requests about one object.
     """
--- a/celerypulley/turn_scheduling/slot_request.py
+++ b/celerypulley/turn_scheduling/slot_request.py
@@ -6,34 +6,19 @@
 import attrs
 from attrs.validators import and_, deep_iterable, ge, instance_of, max_len, optional
 
-from celerypulley.programs.opaque_request import PrefixPart
+from celerypulley.programs.opaque_request import MAX_PREFIX_PARTS, PrefixPart
 from celerypulley.turn_scheduling.turn_order import Turn
 
-__all__ = ["SlotRequest", "first_parts"]
+__all__ = ["SlotRequest"]
 
-_MAX_PARTS = 48  # with names of usual length a request stays below 1,500 bytes
-_MAX_PART_NAME = 32
 _MAX_TEXT = 200
 _TEXT = and_(instance_of(str), max_len(_MAX_TEXT))
 _COUNT = and_(instance_of(int), ge(0))
 
 
-def first_parts(parts: Sequence[PrefixPart]) -> list[list]:
-    """Return the first parts of a prompt in the form in which a request has them.
-
-    They end before a part with a very long name: what follows counts as not cached.
-    """
-    packed: list[list] = []
-    for part in parts[:_MAX_PARTS]:
-        if len(part.name) > _MAX_PART_NAME:
-            break
-        packed.append([part.name, part.tokens])
-    return packed
-
-
 def _check_parts(_request: object, _field: object, parts: Sequence) -> None:
-    if len(parts) > _MAX_PARTS:
-        raise ValueError(f"over {_MAX_PARTS} parts")
+    if len(parts) > MAX_PREFIX_PARTS:
+        raise ValueError(f"over {MAX_PREFIX_PARTS} parts")
     for name, tokens in parts:
         if not isinstance(name, str) or not isinstance(tokens, int):
             raise TypeError("a part is a name and a number of tokens")
