Refuse chat completions of very many values, and keep their options as JSON

What callers would see: one request of 4 MB, inside all limits, to a host of the own front end took it to 170 MB of its 128: its body is a list of 1.3 million empty lists, of which each takes 64 bytes once parsed. The machine ends the process.

Texts count once, whatever is in them. The options that go to engines are kept as JSON, since parsed ones outlast the scan: 200 KB of empty lists were held at some 5 MB while the request ran, charged at 400 KB (by arithmetic, not measured).

Two rows of the new table fail without the scan.

--- a/celerypulley/programs/chat.py
+++ b/celerypulley/programs/chat.py
@@ -1,6 +1,8 @@
 """Chat completions: parsing of requests and event streams, encoding of bodies."""
 
 import hashlib
+import re
+from itertools import islice
 
 import attrs
 import orjson
@@ -26,13 +28,17 @@
 _DIGEST_BYTES = 16
 _BYTES_PER_TOKEN = 4
 _DONE = b"[DONE]"
+# A token of one byte takes up to 60 bytes of memory once it is parsed.
+_MAX_JSON_TOKENS = 200_000
+_JSON_TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+"?|[\[{,:]', re.DOTALL)
 
 
 @attrs.frozen
 class ChatRequest:
     """A validated chat-completion request of a caller.
 
-    `messages_json` is the JSON array of new messages without its brackets.
+    `messages_json` is the JSON array of new messages without its brackets, and
+    `options_json` the object of what is passed to engines unchanged.
     """
 
     model: str
@@ -41,14 +47,13 @@
     max_tokens: int | None
     stream: bool
     digest: bytes
-    options: dict
+    options_json: bytes
 
     def engine_body(
         self, history_json: bytes, max_tokens: int, priority: int, program: str
     ) -> bytes:
         """Return the request body for an engine: history, then new messages."""
         fields = {
-            **self.options,
             "model": self.model,
             "max_tokens": max_tokens,
             "stream": True,
@@ -58,8 +63,9 @@
         }
         separator = b"," if history_json else b""
         head = orjson.dumps(fields)[:-1]
+        options = b"," + self.options_json[1:-1] if self.options_json != b"{}" else b""
         messages = history_json + separator + self.messages_json
-        return head + b',"messages":[' + messages + b"]}"
+        return head + options + b',"messages":[' + messages + b"]}"
 
     def estimated_prompt_tokens(self, history_bytes: int) -> int:
         """Return a rough estimate of the prompt's tokens."""
@@ -72,6 +78,8 @@
 
 def read_chat_request(body: bytes) -> ChatRequest:
     """Parse and validate a request body; raise CallRefusedError if it is invalid."""
+    if _has_many_tokens(body):
+        raise _bad_request(f"request body has over {_MAX_JSON_TOKENS} JSON tokens")
     try:
         data = orjson.loads(body)
     except orjson.JSONDecodeError as error:
@@ -103,10 +111,20 @@
         max_tokens=max_tokens,
         stream=bool(data.get("stream", False)),
         digest=digest[:_DIGEST_BYTES],
-        options={name: data[name] for name in _FORWARDED_OPTIONS if name in data},
+        options_json=orjson.dumps(
+            {name: data[name] for name in _FORWARDED_OPTIONS if name in data}
+        ),
     )
 
 
+def _has_many_tokens(body: bytes) -> bool:
+    """Return whether a body has more strings and marks than are parsed."""
+    if len(body) <= _MAX_JSON_TOKENS:
+        return False
+    tokens = _JSON_TOKEN.finditer(body)
+    return next(islice(tokens, _MAX_JSON_TOKENS, None), None) is not None
+
+
 class CompletionReader:
     """Parser of one completion's events: text, tool calls, usage, finish reason.
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -206,6 +206,25 @@
     assert reader.done and reader.finish_reason == "length"
 
 
+@pytest.mark.parametrize(
+    ("content", "is_refused"),
+    [
+        (b'"' + b"[1,2]:{," * 400_000 + b'"', False),
+        (b'"' + b'\\",' * 400_000 + b'"', False),
+        (b"[" + b"[]," * 150_000 + b"[]]", True),
+        (b"[" + b'"ab",' * 150_000 + b'"ab"]', True),
+    ],
+    ids=["marks in a text", "quotes in a text", "lists", "texts"],
+)
+def test_chat_request_of_very_many_values_is_parsed(content, is_refused):
+    body = b'{"model":"m","messages":[{"role":"user","content":%s}]}' % content
+    if not is_refused:
+        assert read_chat_request(body).message_count == 1
+        return
+    with pytest.raises(CallRefusedError):
+        read_chat_request(body)
+
+
 @given(st.binary(max_size=60))
 @settings(max_examples=200, deadline=None, derandomize=True)
 def test_no_body_breaks_the_chat_reader(body: bytes) -> None:
