Count the entries of the cache of histories, not only their bytes

What callers would see: a client that runs very short turns makes each host that serves it grow by some 270 bytes a turn until the histories alone come to 12 MB: 6 million turns of two bytes of history, 1.7 GB (by arithmetic). The machine ends the process long before.

Cause: the cache counted the content of a history, not its key, of up to 200 characters, nor its entry.

The new test saves 100,000 turns of two bytes: 27 MB were held where the cache may have 12; it holds now. An entry counts 512 bytes beside its content.

--- a/celerypulley/hosts/turn_archive.py
+++ b/celerypulley/hosts/turn_archive.py
@@ -26,6 +26,7 @@
 TURN_PREFIX = "turns/"
 # A tenth of the memory of a host, which has 128 to 150 MB (site sheets).
 _CACHE_BYTES = 12 * 1024 * 1024
+_CACHE_ENTRY_BYTES = 512  # of a history beside its content: its key of 200 characters
 _RETENTION_MARGIN_MS = 60_000.0  # clocks of hosts differ, and readers may be late
 _RETRY_MS = 40.0  # ten response times of a healthy store
 _STORE_HEDGE_DELAY_MS = 60.0  # the store is tried in parallel after this time
@@ -235,12 +236,14 @@
         self.saved_in_store += 1
 
     def _cache_history(self, key: str, history: bytes) -> None:
-        previous = self._cache.pop(key, b"")
+        previous = self._cache.pop(key, None)
+        if previous is not None:
+            self._cached_bytes -= _CACHE_ENTRY_BYTES + len(previous)
         self._cache[key] = history
-        self._cached_bytes += len(history) - len(previous)
+        self._cached_bytes += _CACHE_ENTRY_BYTES + len(history)
         while self._cached_bytes > _CACHE_BYTES:
             _, dropped = self._cache.popitem(last=False)
-            self._cached_bytes -= len(dropped)
+            self._cached_bytes -= _CACHE_ENTRY_BYTES + len(dropped)
 
 
 def _turn_key(organisation: str, turn: str) -> str | None:
