Remember a bounded number of cached prefixes for all servers together

What callers would see: a host remembers up to 50,000 parts of prompts for each server, at some 250 bytes, and forgets none of them by age. The machine ends the process. (By arithmetic; a crowd at one server took 17 MB, since a lightly loaded host sends everything to one.)

The host's servers now share 16,384 entries, at least 64 each: 5 MB.

--- a/celerypulley/backend_servers/engine_state.py
+++ b/celerypulley/backend_servers/engine_state.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections import OrderedDict, deque
+from collections.abc import Collection
 
 import attrs
 
@@ -17,9 +18,12 @@
     "LeavingAnnouncement",
     "RunningCall",
     "ServerState",
+    "share_cache_entries",
 ]
 
-_MAX_CACHE_ENTRIES = 50_000
+# Of a host's servers together: 5 MB with names of 32 characters.
+_MAX_CACHE_ENTRIES = 16_384
+_MIN_CACHE_ENTRIES = 64  # of each server
 _CACHE_HALF_LIFE_MS = 120_000.0
 # After one lost response the server is used again at once. After several in a row
 # it is avoided for the duration of a few calls, at most for that of a restart.
@@ -145,6 +149,7 @@
     started_ms: int = 0
     has_suspect_request: bool = False
     cache_entries: OrderedDict[str, tuple[int, float]] = attrs.Factory(OrderedDict)
+    max_cache_entries: int = _MAX_CACHE_ENTRIES
     unreported_calls: deque[SentCall] = attrs.Factory(deque)
     unreported_tokens: float = 0.0
     speed: DurationFactor = attrs.Factory(DurationFactor)
@@ -261,11 +266,12 @@
     def record_cached(self, prefix: str, tokens: int, now_ms: float) -> None:
         """Record that `tokens` tokens of a prompt prefix are cached.
 
-        `prefix` is the name of a program or of a prefix part.
+        `prefix` is the name of a program or of a prefix part. The least recently used
+        entries beyond `max_cache_entries` are forgotten.
         """
         self.cache_entries[prefix] = (tokens, now_ms)
         self.cache_entries.move_to_end(prefix)
-        while len(self.cache_entries) > _MAX_CACHE_ENTRIES:
+        while len(self.cache_entries) > self.max_cache_entries:
             self.cache_entries.popitem(last=False)
 
     def record_evicted(self, prefix: str, tokens: int) -> None:
@@ -318,3 +324,10 @@
         self.consecutive_failures += 1
         backoff_ms = _UNREACHABLE_BACKOFF_MS * 2 ** min(self.consecutive_failures, 8)
         self.backoff_until_ms = now_ms + min(backoff_ms, _MAX_UNREACHABLE_BACKOFF_MS)
+
+
+def share_cache_entries(servers: Collection[EngineState]) -> None:
+    """Set how many cached prefixes are remembered for each of a host's servers."""
+    share = _MAX_CACHE_ENTRIES // max(1, len(servers))
+    for server in servers:
+        server.max_cache_entries = max(_MIN_CACHE_ENTRIES, share)
--- a/celerypulley/hosts/backend_servers.py
+++ b/celerypulley/hosts/backend_servers.py
@@ -9,6 +9,7 @@
     EngineReport,
     EngineState,
     ServerState,
+    share_cache_entries,
 )
 from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.contracts.configuration import Configuration
@@ -77,6 +78,7 @@
             self._update_engine(server, frozenset(route.models))
         for name in set(self.engines) - names:
             del self.engines[name]
+        share_cache_entries(self.engines.values())
         self.plain_servers = plain
 
     def _update_engine(self, server: BackendServer, models: frozenset[str]) -> None:
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -12,6 +12,7 @@
     EngineTraits,
     LeavingAnnouncement,
     ServerState,
+    share_cache_entries,
 )
 from celerypulley.backend_servers.server_entry import ServerEntry
 from celerypulley.clock import Clock
@@ -309,6 +310,7 @@
             started_ms=entry.started_ms,
         )
         self.servers[entry.name] = server
+        share_cache_entries(self.servers.values())
         self._unused_announcements.discard(entry.name)
         _log.write(
             "registered", "new instance", server=entry.name, address=entry.address
@@ -353,6 +355,7 @@
         self._expired_until_ms.pop(key, None)
         entry = self._entries.pop(key)
         self.servers.pop(entry.name, None)
+        share_cache_entries(self.servers.values())
         self._unused_announcements.discard(entry.name)
         self.links.close_idle(entry.address)
         _log.write("deregistered", reason, server=entry.name)
