Scan frames for their end before they are decoded, and limit their objects

What callers would see: 100 connections that send a storage host 1.5 KB each took it to 1,492 MB of its 170, and one frame of 3 MB to 262 MB. The turns that it keeps lose a copy.

Cause: msgpack's unpacker allocates a list when its header comes, and the lists within it likewise: 500 headers of 3 bytes that each announce 16,000 items held 33 MB (20 unpackers: 666 MB) until the frame is complete, which it never is. An empty list is one byte and 64 once decoded. Neither was charged.

The end of a frame is now found by a scan that allocates nothing. A list or map counts by the length that it states, and a frame of over 65,536 objects ends its connection; what is decoded is charged by the number of its objects until it is stored. The unpacker's 48 KB within a frame are no longer needed.

The scan agrees with msgpack on generated values, cut anywhere.

--- a/celerypulley/links/frame_stream.py
+++ b/celerypulley/links/frame_stream.py
@@ -8,12 +8,13 @@
 
 from celerypulley.links.codec import CodecError, decode, encode
 from celerypulley.links.cuts import CutTable
+from celerypulley.links.frame_scanner import FrameScanner
 
 __all__ = ["FrameStream", "LinkConditions"]
 
 _READ_BYTES = 256 * 1024
 _MAX_FRAME_BYTES = 64 * 1024 * 1024
-_UNPACKER_BUFFER_BYTES = 16 * 1024  # grows with what is fed
+_MAX_OBJECTS = 1_000_000  # of a frame of a peer
 
 
 @attrs.frozen
@@ -36,8 +37,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         conditions: LinkConditions,
+        max_objects: int = _MAX_OBJECTS,
     ) -> None:
-        """Use an open connection; the handshake sets the names of the peer."""
+        """Use an open connection; the handshake sets the names of the peer.
+
+        A frame may consist of `max_objects`, with those inside others.
+        """
         self.reader = reader
         self.writer = writer
         self.conditions = conditions
@@ -47,9 +52,9 @@
         self.received_bytes = 0
         # Told the size of what has been read and not yet yielded as a frame.
         self.on_buffered: Callable[[int], None] = lambda _count: None
-        self._unpacker: msgpack.Unpacker | None = None
-        self._fed_bytes = 0  # to the unpacker
-        self._yielded_bytes = 0  # of them, as frames
+        self.frame_objects = 0  # of the frame that was yielded last
+        self._buffer = bytearray()
+        self._scanner = FrameScanner(_MAX_FRAME_BYTES, max_objects)
         self._has_lost_frames = False
 
     def send(self, stream_id: int, message: object) -> None:
@@ -93,31 +98,21 @@
 
     def abort(self) -> None:
         """Close the connection at once, and drop what has been read."""
-        self._unpacker = None
+        self._buffer.clear()
+        self._scanner.restart()
         self.writer.transport.abort()
 
     def _unpack(self, data: bytes) -> Iterator[object]:
-        """Yield the frames that `data` completes, one after another.
-
-        The unpacker is kept only within a frame, since its stack takes 48 KB.
-        """
-        if self._unpacker is None:
-            self._fed_bytes = self._yielded_bytes = 0
-            self._unpacker = msgpack.Unpacker(
-                read_size=_UNPACKER_BUFFER_BYTES, max_buffer_size=_MAX_FRAME_BYTES
-            )
-        try:
-            self._unpacker.feed(data)
-            self._fed_bytes += len(data)
-            while self._unpacker is not None:
-                frame = self._unpacker.unpack()
-                self._yielded_bytes = self._unpacker.tell()
-                self.on_buffered(self._fed_bytes - self._yielded_bytes)
-                yield frame
-        except msgpack.OutOfData:
-            pass
-        except (msgpack.UnpackException, ValueError) as error:
-            raise CodecError(f"malformed msgpack data: {error}") from error
-        if self._fed_bytes == self._yielded_bytes:
-            self._unpacker = None
-        self.on_buffered(self._fed_bytes - self._yielded_bytes)
+        """Yield the frames that `data` completes, one after another."""
+        self._buffer += data
+        while (length := self._scanner.find_end(self._buffer)) is not None:
+            try:
+                frame = msgpack.unpackb(self._buffer[:length])
+            except (msgpack.UnpackException, ValueError) as error:
+                raise CodecError(f"malformed msgpack data: {error}") from error
+            del self._buffer[:length]
+            self.frame_objects = self._scanner.objects
+            self._scanner.restart()
+            self.on_buffered(len(self._buffer))
+            yield frame
+        self.on_buffered(len(self._buffer))
--- a/celerypulley/links/storage_server.py
+++ b/celerypulley/links/storage_server.py
@@ -19,8 +19,9 @@
 __all__ = ["StorageServer"]
 
 _READER_LIMIT_BYTES = 4 * 1024  # reading pauses at twice as much
-_BUFFER_FACTOR = 2  # msgpack's buffer grows by doubling
-_UNPACKER_BYTES = 64 * 1024  # which a connection has within a frame
+_BUFFER_COPIES = 2  # a frame is copied when it is decoded
+_MAX_OBJECTS = 65_536  # of a request: 10,000 records
+_OBJECT_BYTES = 64  # beside its texts
 _REPLY_COPIES = 3  # read from disk, decoded, and encoded
 _RECORD_COPIES = 2  # received, and encoded for the disk
 _TASK_BYTES = 4 * 1024
@@ -85,7 +86,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
-        stream = FrameStream(reader, writer, LinkConditions(CutTable()))
+        conditions = LinkConditions(CutTable())
+        stream = FrameStream(reader, writer, conditions, _MAX_OBJECTS)
         task = asyncio.current_task()
         assert task is not None, "a connection is served inside a task"
 
@@ -94,12 +96,9 @@
             task.cancel()
 
         charge = self.policy.open(close)
-
-        def charge_buffer(count: int) -> None:
-            held_bytes = _UNPACKER_BYTES + _BUFFER_FACTOR * count if count else 0
-            self.policy.change(charge, body_bytes=held_bytes)
-
-        stream.on_buffered = charge_buffer
+        stream.on_buffered = lambda count: self.policy.change(
+            charge, body_bytes=_BUFFER_COPIES * count
+        )
         try:
             async for number, message in stream.frames():
                 if isinstance(message, StoreRecords):
@@ -149,6 +148,7 @@
         """
         await stream.drain()
         held_bytes = _RECORD_COPIES * payload_bytes(message) + _TASK_BYTES
+        held_bytes += _OBJECT_BYTES * stream.frame_objects
         self.policy.change(charge, history_bytes=held_bytes)
         await self._writes.acquire(held_bytes)
         self.policy.change(charge, history_bytes=0)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -261,6 +261,12 @@
     return attack
 
 
+async def _unfinished_lists(deployment: Deployment) -> None:
+    """Begin lists of 16,000 items within each other, none of them complete."""
+    load = b"\xdc\x3e\x80" * 500
+    await deployment.send_all(deployment.frame_address, [load] * 100)
+
+
 def _peers(count: int, requests: int) -> Crowd:
     """Ask a storage host for a record of 1 MB, and read no reply."""
 
@@ -310,6 +316,7 @@
     "8,000 long names of prefixes": (_EDGE, _prefix_names(8_000, 15_000)),
     "1 frame of lists": (_EDGE, _nested_lists(1, 3_000_000)),
     "100 frames of lists": (_EDGE, _nested_lists(100, 60_000)),
+    "100 unfinished lists": (_EDGE, _unfinished_lists),
     "900 pipelines": (_EDGE, _clients(900, _pipelined)),
     "900 continuations": (_EDGE, _continuations(900, 1)),
     "900 continuations of many": (_EDGE, _continuations(900, 40)),
--- a/tests/test_outside_bytes.py
+++ b/tests/test_outside_bytes.py
@@ -12,6 +12,8 @@
 from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.fleet.fleet_members import FleetMember
 from celerypulley.hosts.record_store import TurnRecord
+from celerypulley.links.codec import CodecError
+from celerypulley.links.frame_scanner import FrameScanner
 from celerypulley.platform.desired_state import decode_desired_state, decode_server
 from celerypulley.platform.settings_file import read_settings
 from celerypulley.programs.event_stream import EventReader
@@ -37,6 +39,22 @@
     ),
     max_leaves=20,
 )
+PACKED = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats(width=32)
+    | st.builds(msgpack.Timestamp, st.integers(0, 2**40), st.integers(0, 10**9 - 1))
+    | st.builds(msgpack.ExtType, st.integers(0, 127), st.binary(max_size=300))
+    | st.sampled_from([0, 31, 32, 255, 256, 65_535, 65_536]).map(bytes)
+    | st.sampled_from([0, 31, 32, 255, 256, 65_535, 65_536]).map("x".__mul__),
+    lambda inner: (
+        st.lists(inner, max_size=20)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=20)
+        | st.sampled_from([65_535, 65_536]).map(lambda count: [None] * count)
+    ),
+    max_leaves=30,
+)
 SETTINGS = """nodeName=edge-1
 zone=a
 ip=10.0.0.1
@@ -151,3 +169,36 @@
     assert (read.host_id, read.domain, read.fleet_port) == ("edge-1", "a", 7780)
     assert str(read.caller_address) == "10.0.0.1:80"
     assert read.data_dir is None
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(PACKED, st.integers(1, 50))
+def test_end_of_a_frame_is_missed(value, step_bytes):
+    packed = msgpack.packb(value, use_single_float=step_bytes % 2 == 0)
+    scanner = FrameScanner(len(packed), 1_000_000)
+    step_bytes = max(step_bytes, len(packed) // 50)
+    buffer = bytearray()
+    for start in range(0, len(packed), step_bytes):
+        assert scanner.find_end(buffer) is None
+        buffer += packed[start : start + step_bytes]
+    buffer += b"\xc0"
+    assert scanner.find_end(buffer) == len(packed)
+    scanner.restart()
+    assert scanner.find_end(buffer[len(packed) :]) == 1
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\xc1",
+        b"\x91" * 101,
+        b"\xdc\x00\x65",
+        b"\xdd\xff\xff\xff\xff",
+        b"\xdf\x00\x00\x00\x33",
+        b"\xc6\xff\xff\xff\xff",
+        b"\xc5\x03\xfe",
+    ],
+)
+def test_frame_beyond_its_limits_is_waited_for(raw):
+    with pytest.raises(CodecError):
+        FrameScanner(1_024, 100).find_end(bytearray(raw))
