Share the read buffer, the error of a caller that left, and an edge for tests

What the last read of this work left: two buffers of 16 KB for reads, the same four lines in three methods of a sink, and two set-ups of an edge with its engine in tests. No behaviour and no check changes.

--- a/celerypulley/links/bounded_reads.py
+++ b/celerypulley/links/bounded_reads.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-__all__ = ["BoundedReads"]
+__all__ = ["READ_BYTES", "BoundedReads", "read_buffer"]
 
-_READ_BYTES = 16 * 1024
+READ_BYTES = 16 * 1024
 # Shared by all connections, since what is read is passed on before the next read.
-_read_buffer = memoryview(bytearray(_READ_BYTES))
+read_buffer = memoryview(bytearray(READ_BYTES))
 
 
 class BoundedReads(asyncio.BufferedProtocol):
@@ -40,13 +40,13 @@
 
     def get_buffer(self, _size_hint: int) -> memoryview:
         """Return the buffer that the next bytes are read into."""
-        return _read_buffer
+        return read_buffer
 
     def buffer_updated(self, count: int) -> None:
         """Pass on the bytes that were read, and let tasks run if more may come."""
-        self._protocol.data_received(bytes(_read_buffer[:count]))
+        self._protocol.data_received(bytes(read_buffer[:count]))
         transport = self._transport
-        if count < _READ_BYTES or transport is None or transport.is_closing():
+        if count < READ_BYTES or transport is None or transport.is_closing():
             return
         transport.pause_reading()
         asyncio.get_running_loop().call_soon(self._read_on)
--- a/celerypulley/links/forward_server.py
+++ b/celerypulley/links/forward_server.py
@@ -109,8 +109,7 @@
         try:
             await response.prepare(self.request)
         except OSError as error:
-            self.caller_left = True
-            raise CallerDisconnectedError(str(error)) from error
+            raise self._departed(error) from error
 
     async def chunk(self, data: bytes) -> None:
         """Send a chunk of the body, without waiting until the caller has taken it.
@@ -121,8 +120,7 @@
         try:
             await self.request.writer.write(data, drain=False)
         except OSError as error:
-            self.caller_left = True
-            raise CallerDisconnectedError(str(error)) from error
+            raise self._departed(error) from error
         self.chunk_count += 1
         self.body_bytes += len(data)
 
@@ -138,10 +136,14 @@
         try:
             await self.request.writer.drain()
         except OSError as error:
-            self.caller_left = True
-            raise CallerDisconnectedError(str(error)) from error
+            raise self._departed(error) from error
         protocol.hold_stream(pending_bytes)
 
+    def _departed(self, error: OSError) -> CallerDisconnectedError:
+        """Note that the caller has left, and return the error that says so."""
+        self.caller_left = True
+        return CallerDisconnectedError(str(error))
+
     def abort(self) -> None:
         """Close the connection so that a partial response cannot look complete."""
         self.is_aborted = True
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -13,6 +13,7 @@
 
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
+from celerypulley.links.bounded_reads import READ_BYTES, read_buffer
 from celerypulley.links.header_text import parse_whole_number
 from celerypulley.links.response_parser import (
     RequestIdentity,
@@ -36,12 +37,9 @@
 _IDLE_MARGIN_MS = 1_000.0  # before the keep-alive timeout that a server states
 _DEFAULT_IDLE_MS = 1_000.0  # if no timeout is stated: the smallest that could be
 _MAX_REQUESTS_CARRIED = 1_000  # bounds the memory for their identifiers
-_READ_BYTES = 16 * 1024  # of a connection at once
 _MAX_BUFFERED_BYTES = 16 * 1024  # of a body, until its reader has taken them
-READ_AHEAD_BYTES = _MAX_BUFFERED_BYTES + _READ_BYTES
+READ_AHEAD_BYTES = _MAX_BUFFERED_BYTES + READ_BYTES
 _MAX_BODY_BYTES = 4 * 1024 * 1024  # a thirtieth of the memory of the smallest host
-# Shared by all connections, since what is read is parsed before the next read.
-_read_buffer = memoryview(bytearray(_READ_BYTES))
 _log = DecisionLog("server-link")
 
 
@@ -93,11 +91,11 @@
 
     def get_buffer(self, _size_hint: int) -> memoryview:
         """Return the buffer that the next bytes are read into."""
-        return _read_buffer
+        return read_buffer
 
     def buffer_updated(self, count: int) -> None:
         """Parse the `count` bytes that were read, if a response is awaited."""
-        data = bytes(_read_buffer[:count])
+        data = bytes(read_buffer[:count])
         response = self.response
         if response is None or response.is_complete:
             self._end_for_strays(f"{len(data)} bytes while no request was under way")
--- a/tests/real_hosts.py
+++ b/tests/real_hosts.py
@@ -10,8 +10,12 @@
 
 import aiohttp
 import attrs
+import orjson
 
 from celerypulley.settings import Address
+from celerypulley.stand_ins.fleet_store import FleetStore
+from tests.fleet import API_KEY, desired_state, server_entry
+from tests.harness import free_address
 
 __all__ = [
     "HOLD_S",
@@ -23,6 +27,7 @@
     "Target",
     "loopback_ip",
     "peak_mb",
+    "running_edge",
     "running_process",
     "send_unread",
     "wait_ready",
@@ -182,6 +187,45 @@
             await process.wait()
 
 
+@asynccontextmanager
+async def running_edge(
+    folder: Path,
+    size: MachineSize,
+    store: FleetStore,
+    store_address: str,
+    respond: Respond,
+    slots: int,
+    paths: tuple[str, str, str, tuple[str, str]],
+) -> AsyncIterator[Target]:
+    """Run an edge with routes that take a minute, and an engine that `respond`s.
+
+    `paths` are the last fields of the target, from `slow` on.
+    """
+    engine = ScriptedServer(free_address(), respond)
+    await engine.start()
+    state = desired_state()
+    for route in state["routes"]:
+        route["timeoutMs"] = 60_000
+    store.put("op/config", orjson.dumps(state))
+    store.put("servers/s", server_entry(addr=str(engine.address), slots=slots))
+    address, ready_address = free_address(), free_address()
+    port = free_address().port
+    environment = write_settings(
+        folder,
+        store_address,
+        f"portRange={port},{port}",
+        f"listen.front={address}",
+        f"listen.readyAddr={ready_address}",
+        size=size,
+    )
+    headers = {"Host": "agents.example", "Api-Key": API_KEY, "Deadline-Ms": "60000"}
+    arguments = ("celerypulley", "platform", "edge")
+    async with running_process(folder, environment, *arguments) as process:
+        await wait_ready(ready_address, "/readyz")
+        yield Target(process, address, headers, *paths)
+    engine.stop()
+
+
 def write_settings(
     folder: Path,
     store_address: str,
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -14,23 +14,22 @@
 import aiohttp
 import attrs
 import msgpack
-import orjson
 import pytest
 
 from celerypulley.links.codec import encode
 from celerypulley.links.storage_messages import GetChain, GetState
 from celerypulley.settings import Address
-from tests.fleet import API_KEY, desired_state, running_store, server_entry
+from tests.fleet import running_store
 from tests.harness import free_address
 from tests.real_hosts import (
     HOLD_S,
     METRICS_PORT,
     SEND_S,
     MachineSize,
-    ScriptedServer,
     Target,
     loopback_ip,
     peak_mb,
+    running_edge,
     running_process,
     send_unread,
     wait_ready,
@@ -50,6 +49,12 @@
 _TURN_TIMEOUT_S = 20.0  # only ends a failing test
 _PIECES_OF_HISTORY = 10
 _SLOTS = 4_000
+_PATHS = (
+    "/unsafe/slow",
+    "/safe/1x4000000",
+    "/resumable/100x40000",
+    ("POST", "/turns/4x100"),
+)
 _FILE_DESCRIPTORS = 200  # of a process's descriptors, kept for files by the platform
 _MAX_RESPONSE_BYTES = 8_000_000  # that the test reads to its end
 
@@ -356,48 +361,21 @@
 async def _running_deployment(
     folder: Path, edge_size: MachineSize
 ) -> AsyncIterator[Deployment]:
-    engine = ScriptedServer(free_address(), _respond)
-    await engine.start()
     async with AsyncExitStack() as stack:
         store, store_address = await stack.enter_async_context(running_store())
-        state = desired_state()
-        for route in state["routes"]:
-            route["timeoutMs"] = 60_000
-        store.put("op/config", orjson.dumps(state))
-        entry = server_entry(addr=str(engine.address), slots=_SLOTS)
-        store.put("servers/s", entry)
         storage_hosts = [
             await stack.enter_async_context(
                 _running_storage_host(folder, store_address, number)
             )
             for number in range(len(_DOMAINS))
         ]
-        address, ready_address = free_address(), free_address()
-        port = free_address().port
-        environment = write_settings(
-            folder,
-            store_address,
-            f"portRange={port},{port}",
-            f"listen.front={address}",
-            f"listen.readyAddr={ready_address}",
-            size=edge_size,
-        )
-        process = await stack.enter_async_context(
-            running_process(folder, environment, "celerypulley", "platform", "edge")
-        )
-        await wait_ready(ready_address, "/readyz")
-        target = Target(
-            process,
-            address,
-            {"Host": "agents.example", "Api-Key": API_KEY, "Deadline-Ms": "60000"},
-            "/unsafe/slow",
-            "/safe/1x4000000",
-            "/resumable/100x40000",
-            ("POST", "/turns/4x100"),
+        target = await stack.enter_async_context(
+            running_edge(
+                folder, edge_size, store, store_address, _respond, _SLOTS, _PATHS
+            )
         )
         processes = [each for each, _ in storage_hosts]
         yield Deployment(target, edge_size, processes, storage_hosts[0][1])
-    engine.stop()
 
 
 @pytest.mark.parametrize(("edge_size", "attack"), _CROWDS.values(), ids=_CROWDS)
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -12,7 +12,6 @@
 
 import aiohttp
 import msgpack
-import orjson
 import pytest
 
 from celerypulley.links.cuts import CutTable
@@ -21,7 +20,7 @@
 from celerypulley.operators.configuration_store import ConfigurationStore
 from celerypulley.settings import Address
 from celerypulley.stand_ins.kv import make_kv_app
-from tests.fleet import API_KEY, desired_state, running_store, server_entry
+from tests.fleet import running_store
 from tests.harness import (
     DOMAINS,
     PEER_SECRET,
@@ -39,6 +38,7 @@
     ScriptedServer,
     Target,
     loopback_ip,
+    running_edge,
     running_process,
     send_unread,
     wait_ready,
@@ -48,6 +48,7 @@
 from tests.test_kept_connections import header_of
 
 _LONG_BODY = b"x" * 4_000_000
+_SLOTS = 1_000
 _SLOW_S = 60.0  # a route that takes longer than the test
 
 
@@ -159,39 +160,15 @@
 
 @asynccontextmanager
 async def _running_edge(folder: Path, size: MachineSize) -> AsyncIterator[Target]:
-    server = ScriptedServer(free_address(), respond_slowly)
-    await server.start()
-    async with running_store() as (store, store_address):
-        state = desired_state()
-        for route in state["routes"]:
-            route["timeoutMs"] = 60_000
-        store.put("op/config", orjson.dumps(state))
-        entry = server_entry(addr=str(server.address), slots=1_000)
-        store.put("servers/s", entry)
-        address, ready_address = free_address(), free_address()
-        port = free_address().port
-        environment = write_settings(
-            folder,
-            store_address,
-            f"portRange={port},{port}",
-            f"listen.front={address}",
-            f"listen.readyAddr={ready_address}",
-            size=size,
-        )
-        arguments = ("celerypulley", "platform", "edge")
-        async with running_process(folder, environment, *arguments) as process:
-            await wait_ready(ready_address, "/readyz")
-            yield Target(
-                process,
-                address,
-                {"Host": "agents.example", "Api-Key": API_KEY, "Deadline-Ms": "60000"},
-                "/unsafe/slow",
-                "/safe/long",
-                "/resumable/long",
-                ("POST", "/safe/x"),
-                most_lines=4_000,
-            )
-    server.stop()
+    paths = ("/unsafe/slow", "/safe/long", "/resumable/long", ("POST", "/safe/x"))
+    async with (
+        running_store() as (store, store_address),
+        running_edge(
+            folder, size, store, store_address, respond_slowly, _SLOTS, paths
+        ) as target,
+    ):
+        target.most_lines = 4_000
+        yield target
 
 
 @asynccontextmanager
