Reset connections of a stand-in that ended before it served them

Trace: a call hung for its 1,500 ms after its server had ended, so the trial run of the crashing request, due after 1,000 ms, was already allowed. The stand-in closes its listener and the connections that it serves; one that was accepted and whose task had not run yet stayed open. A killed process leaves none.

--- a/celerypulley/stand_ins/opaque_server.py
+++ b/celerypulley/stand_ins/opaque_server.py
@@ -187,6 +187,10 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        assert self._server is not None, "the server has been started"
+        if not self._server.is_serving():  # it ended after the connection was accepted
+            _reset_connection(writer)
+            return
         self.connection_count += 1
         self._writers.add(writer)
         try:
