--- a/celerypulley/links/client_protocol.py
+++ b/celerypulley/links/client_protocol.py
@@ -166,6 +166,8 @@
             body_bytes = self._payload.total_bytes - body_before
             self._tail_bytes += max(0, len(data) - body_bytes)
             self._charge_trailers(data, has_other=body_bytes > 0)
+        if self._force_close:  # closed for what it holds
+            return
         if self._payload is None:
             if not data:
                 return
--- a/celerypulley/links/frame_scanner.py
+++ b/celerypulley/links/frame_scanner.py
@@ -10,19 +10,21 @@
 
 __all__ = ["FrameScanner"]
 
-_FIXED_BYTES = {0xC0: 0, 0xC2: 0, 0xC3: 0}  # behind the first byte, by its value
+# The bytes behind the first one, by its value, where that says how many they are.
+_FIXED_BYTES = {0xC0: 0, 0xC2: 0, 0xC3: 0}  # nil and booleans
 _FIXED_BYTES |= {0xCA: 4, 0xCB: 8}  # floats
 _FIXED_BYTES |= {0xCC: 1, 0xCD: 2, 0xCE: 4, 0xCF: 8}  # unsigned integers
 _FIXED_BYTES |= {0xD0: 1, 0xD1: 2, 0xD2: 4, 0xD3: 8}  # signed integers
 _FIXED_BYTES |= {0xD4: 2, 0xD5: 3, 0xD6: 5, 0xD7: 9, 0xD8: 17}  # extensions
+# How the length is encoded, where it follows the first byte.
 _UINT8, _UINT16, _UINT32 = (struct.Struct(each) for each in (">B", ">H", ">I"))
-# How the length is encoded, and the bytes beside it and the content.
-_SIZED = {0xC4: (_UINT8, 0), 0xC5: (_UINT16, 0), 0xC6: (_UINT32, 0)}  # bytes
-_SIZED |= {0xC7: (_UINT8, 1), 0xC8: (_UINT16, 1), 0xC9: (_UINT32, 1)}  # extensions
-_SIZED |= {0xD9: (_UINT8, 0), 0xDA: (_UINT16, 0), 0xDB: (_UINT32, 0)}  # texts
-# How the number of items is encoded, and the objects of each.
-_CONTAINERS = {0xDC: (_UINT16, 1), 0xDD: (_UINT32, 1)}  # lists
-_CONTAINERS |= {0xDE: (_UINT16, 2), 0xDF: (_UINT32, 2)}  # maps
+_LENGTHS = {0xC4: _UINT8, 0xC5: _UINT16, 0xC6: _UINT32}  # bytes
+_LENGTHS |= {0xC7: _UINT8, 0xC8: _UINT16, 0xC9: _UINT32}  # extensions
+_LENGTHS |= {0xD9: _UINT8, 0xDA: _UINT16, 0xDB: _UINT32}  # texts
+_LENGTHS |= {0xDC: _UINT16, 0xDD: _UINT32}  # lists
+_LENGTHS |= {0xDE: _UINT16, 0xDF: _UINT32}  # maps
+_EXTENSIONS = frozenset((0xC7, 0xC8, 0xC9))  # which have a byte for their type
+_OBJECTS_PER_ITEM = {0xDC: 1, 0xDD: 1, 0xDE: 2, 0xDF: 2}
 
 
 class FrameScanner:
@@ -51,46 +53,46 @@
         Until `restart`, `buffer` may only grow. Raise CodecError if the object exceeds
         a limit or is malformed; containers count by the length that they state.
         """
-        available = len(buffer)
-        position = self._position
         while self._missing:
-            if position >= available:
-                self._position = position
+            measured = _measure(buffer, self._position)
+            if measured is None:
                 return None
-            kind = buffer[position]
-            size = 1
-            items = 0
-            if kind <= 0x7F or kind >= 0xE0:  # small integers
-                pass
-            elif kind <= 0x8F:
-                items = 2 * (kind & 0x0F)
-            elif kind <= 0x9F:
-                items = kind & 0x0F
-            elif kind <= 0xBF:
-                size += kind & 0x1F
-            elif kind in _FIXED_BYTES:
-                size += _FIXED_BYTES[kind]
-            else:
-                encoding, factor = (
-                    _SIZED.get(kind) or _CONTAINERS.get(kind) or (None, 0)
-                )
-                if encoding is None:
-                    raise CodecError(f"byte {kind:#x} begins no msgpack object")
-                size += encoding.size
-                if position + size > available:
-                    self._position = position
-                    return None
-                (count,) = encoding.unpack_from(buffer, position + 1)
-                if kind in _CONTAINERS:
-                    items = factor * count
-                else:
-                    size += factor + count
-            position += size
+            size, items = measured
+            self._position += size
             self._missing += items - 1
             self.objects += items
-            if position > self.max_bytes:
+            if self._position > self.max_bytes:
                 raise CodecError(f"a frame of over {self.max_bytes} bytes")
             if self.objects > self.max_objects:
                 raise CodecError(f"a frame of over {self.max_objects} objects")
-        self._position = position
-        return position if position <= available else None
+        return self._position if self._position <= len(buffer) else None
+
+
+def _measure(buffer: bytearray, position: int) -> tuple[int, int] | None:
+    """Return the bytes of an object, and the number of objects that follow in it.
+
+    None is returned if the bytes that say so have not come.
+    """
+    if position >= len(buffer):
+        return None
+    kind = buffer[position]
+    if kind <= 0x7F or kind >= 0xE0:  # small integers
+        return 1, 0
+    if kind <= 0x8F:  # short maps, lists and texts
+        return 1, 2 * (kind & 0x0F)
+    if kind <= 0x9F:
+        return 1, kind & 0x0F
+    if kind <= 0xBF:
+        return 1 + (kind & 0x1F), 0
+    if kind in _FIXED_BYTES:
+        return 1 + _FIXED_BYTES[kind], 0
+    length = _LENGTHS.get(kind)
+    if length is None:
+        raise CodecError(f"byte {kind:#x} begins no msgpack object")
+    head_bytes = 1 + length.size
+    if position + head_bytes > len(buffer):
+        return None
+    (count,) = length.unpack_from(buffer, position + 1)
+    if kind in _OBJECTS_PER_ITEM:
+        return head_bytes, _OBJECTS_PER_ITEM[kind] * count
+    return head_bytes + count + (kind in _EXTENSIONS), 0
--- a/celerypulley/links/frame_stream.py
+++ b/celerypulley/links/frame_stream.py
@@ -14,7 +14,7 @@
 
 _READ_BYTES = 256 * 1024
 _MAX_FRAME_BYTES = 64 * 1024 * 1024
-_MAX_OBJECTS = 1_000_000  # of a frame of a peer
+_MAX_OBJECTS = 1_000_000  # of a frame
 
 
 @attrs.frozen
