--- a/celerypulley/hosts/record_store.py
+++ b/celerypulley/hosts/record_store.py
@@ -175,16 +175,19 @@
         self.held_bytes -= self._content_bytes.pop(key, 0)
 
     def read(self, key: str) -> TurnRecord:
-        """Return a record with its content; raise KeyError, or OSError."""
+        """Return a record as it is retained now; raise KeyError, or OSError."""
+        kept_until_ms = self.records[key].kept_until_ms
+        return attrs.evolve(self._content(key), kept_until_ms=kept_until_ms)
+
+    def _content(self, key: str) -> TurnRecord:
+        """Return a record as it was written; raise KeyError, or OSError."""
         stored = self.records[key]
-        content = stored.content
-        if content is None:
-            try:
-                row = msgpack.unpackb(self.journal.read(stored.place))
-                content = TurnRecord.from_row(row)
-            except (ValueError, msgpack.UnpackException) as error:
-                raise OSError(f"{key} is invalid on disk: {error}") from error
-        return attrs.evolve(content, kept_until_ms=stored.kept_until_ms)
+        if stored.content is not None:
+            return stored.content
+        try:
+            return TurnRecord.from_row(msgpack.unpackb(self.journal.read(stored.place)))
+        except (ValueError, msgpack.UnpackException) as error:
+            raise OSError(f"{key} is invalid on disk: {error}") from error
 
     def _drop_expired(self) -> None:
         now_ms = self.clock.now_ms()
@@ -222,7 +225,7 @@
         size = 0
         found = key in self.records
         while key in self.records and size < _CHAIN_BYTES:
-            record = self.read(key)
+            record = self._content(key)
             parts.append([record.input, record.output])
             size += record.size_bytes()
             key = record.previous
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -259,6 +259,7 @@
         for item in items:
             self._on_item(item)
         self._has_snapshot = True
+        share_cache_entries(self.servers.values())
 
     def _on_item(self, item: Item) -> None:
         if item.value is None:
@@ -310,7 +311,8 @@
             started_ms=entry.started_ms,
         )
         self.servers[entry.name] = server
-        share_cache_entries(self.servers.values())
+        if self._has_snapshot:
+            share_cache_entries(self.servers.values())
         self._unused_announcements.discard(entry.name)
         _log.write(
             "registered", "new instance", server=entry.name, address=entry.address
