Ask for a key where the list of organisations is empty

Cause: an empty list was read like a missing one, and admission asked for keys only if there were organisations. The log of every edge names the new version before the requests run, also after a restart, so no edge kept or was told an older one.

Change: a version says whether it declares organisations. On related fields, what can't be read no longer opens anything: keys that are no list of non-empty texts, and rates or bursts that are negative or no numbers, make a version invalid; `public` and `resumable` count only if they are true.

--- a/celerypulley/contracts/desired_state.py
+++ b/celerypulley/contracts/desired_state.py
@@ -105,7 +105,8 @@
 class DesiredState:
     """One version of the desired state, indexed for lookups.
 
-    All routes are public if there are no organisations.
+    `requires_keys` is False if the version does not declare organisations at all, so
+    that all of its routes are public. If it declares an empty list, no key is valid.
     """
 
     def __init__(
@@ -113,12 +114,17 @@
         version: int,
         routes: tuple[ForwardRoute, ...],
         services: tuple[ServiceRule, ...],
-        organisations: tuple[OrganisationRule, ...],
+        organisations: tuple[OrganisationRule, ...] | None,
         limits: CallerLimits,
     ) -> None:
-        """Index routes by host name and organisations by name and key."""
+        """Index routes by host name and organisations by name and key.
+
+        `organisations` is None if the version does not declare any.
+        """
         self.version = version
         self.routes = routes
+        self.requires_keys = organisations is not None
+        organisations = organisations or ()
         self.services = {service.name: service for service in services}
         self.organisations = {each.name: each for each in organisations}
         self.limits = limits
--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -142,7 +142,7 @@
                 ErrorKind.UNKNOWN_ROUTE, "no route matches host and path"
             )
         organisation = None
-        if state.organisations and not route.is_public:
+        if state.requires_keys and not route.is_public:
             organisation = self._authenticate(state, request)
         fingerprint = _fingerprint(request, organisation.name if organisation else "")
         deadline_ms = min(request.deadline_ms, request.received_ms + route.timeout_ms)
--- a/celerypulley/platform/desired_state.py
+++ b/celerypulley/platform/desired_state.py
@@ -42,7 +42,7 @@
             int(body["version"]),
             tuple(_decode_route(each) for each in body.get("routes", [])),
             tuple(_decode_service(each) for each in body.get("services", [])),
-            tuple(_decode_organisation(each) for each in body.get("tenants", [])),
+            _decode_organisations(body),
             _decode_limits(body.get("limits") or {}),
         )
     except (KeyError, TypeError, AttributeError, OverflowError) as error:
@@ -66,13 +66,13 @@
         services=services,
         repeatable=row["type"] == "idempotent",
         is_streaming=row["type"] == "stream",
-        resumable=bool(row.get("resumable")),
+        resumable=row.get("resumable") is True,
         prepends_history=bool(row.get("serverHistory")),
         retention_ms=float(row.get("retainS") or 0) * 1000,
         timeout_ms=float(row.get("timeoutMs") or 30_000),
         max_attempts=max(1, int(row.get("attempts") or 1)),
         priority=int(row.get("priority") or 0),
-        is_public=bool(row.get("public")),
+        is_public=row.get("public") is True,
         is_sticky=bool(row.get("sticky")),
         home_regions=_decode_regions(row),
     )
@@ -108,18 +108,50 @@
     return max(0, int(value)) if _is_number(value) else 0
 
 
+def _decode_organisations(body: dict) -> tuple[OrganisationRule, ...] | None:
+    """Return the organisations, None if the field is missing; it may be empty."""
+    if "tenants" not in body:
+        return None
+    rows = body["tenants"]
+    if not isinstance(rows, list):
+        raise TypeError("tenants is no list")
+    return tuple(_decode_organisation(each) for each in rows)
+
+
 def _decode_organisation(row: dict) -> OrganisationRule:
     priority = row.get("priority")
     return OrganisationRule(
         name=row["name"],
-        keys=tuple(row.get("apiKeys") or ()),
+        keys=_decode_keys(row),
         priority=None if priority is None else int(priority),
-        rate_per_s=float(row.get("ratePerS") or 0),
-        burst=float(row.get("burst") or 0),
+        rate_per_s=_decode_limit(row, "ratePerS"),
+        burst=_decode_limit(row, "burst"),
         home_regions=_decode_regions(row),
     )
 
 
+def _decode_keys(row: dict) -> tuple[str, ...]:
+    keys = row.get("apiKeys")
+    if keys is None:
+        return ()
+    # A request without a key has the empty one.
+    if not isinstance(keys, list) or not all(
+        isinstance(each, str) and each for each in keys
+    ):
+        raise TypeError(f"apiKeys of {row['name']} is no list of keys")
+    return tuple(keys)
+
+
+def _decode_limit(row: dict, field: str) -> float:
+    """Return a limit, where 0 means none; it may be missing, but not be unreadable."""
+    value = row.get(field)
+    if value is None:
+        return 0.0
+    if not _is_number(value) or value < 0:
+        raise TypeError(f"{field} of {row['name']} is no limit")
+    return float(value)
+
+
 def _decode_limits(row: dict) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
