Do not confirm a version by a newer one that cannot be read

A host ignored a version that it could not decode, and each read of that version confirmed the one before it. Keys that the unreadable version withdrew would have run for ever. The age of the desired state now grows from the first such read, so that keys are refused with 503 as they are while the store is away, and routes that are public are served.

--- a/celerypulley/hosts/desired_state_cache.py
+++ b/celerypulley/hosts/desired_state_cache.py
@@ -6,6 +6,7 @@
 from celerypulley.contracts.desired_state import DesiredState
 from celerypulley.contracts.evacuations import Evacuations
 from celerypulley.decision_log import DecisionLog
+from celerypulley.elapsed_time import elapsed_ms
 from celerypulley.links.key_poller import KeyPoller
 from celerypulley.links.key_value import Item, KeyValueStore, WatchBatch
 from celerypulley.links.prefix_follower import PrefixFollower
@@ -19,6 +20,9 @@
 class DesiredStateCache:
     """Follow the desired state in the store; older versions are ignored.
 
+    A version that can't be read is ignored, too, but no read confirms the one before it
+    any more, since that may hold keys which the newer version has withdrawn.
+
     The functions in `on_change` are called with each new version. `evacuations` are the
     failure domains that the operator has marked to get no requests.
     """
@@ -41,7 +45,10 @@
         self.decode = decode
         self.evacuation_prefix = evacuation_prefix
         self.evacuations = Evacuations()
+        self.clock = clock
         self.state: DesiredState | None = None
+        self._readable_revision = 0
+        self._unreadable_since_ms: float | None = None
         self.on_change: list[Callable[[DesiredState], None]] = []
         self.follower = PrefixFollower(
             "desired-state",
@@ -68,7 +75,11 @@
 
     def age_ms(self) -> float:
         """Return how long ago the version in force was confirmed as the newest one."""
-        return self.confirmer.age_ms()
+        age_ms = self.confirmer.age_ms()
+        since_ms = self._unreadable_since_ms
+        if since_ms is None:
+            return age_ms
+        return max(age_ms, elapsed_ms(since_ms, self.clock.now_ms(), "desired state"))
 
     def _on_snapshot(self, items: tuple[Item, ...]) -> None:
         for item in items:
@@ -97,11 +108,21 @@
         try:
             state = self.decode(item.value)
         except ValueError as error:
-            _log.write("invalid version ignored", str(error), revision=item.revision)
+            self._on_unreadable(item.revision, str(error))
             return
+        if item.revision >= self._readable_revision:
+            self._readable_revision = item.revision
+            self._unreadable_since_ms = None
         if self.state is not None and state.version <= self.state.version:
             return
         self.state = state
         _log.write("version in force", "newer than the last", version=state.version)
         for listener in self.on_change:
             listener(state)
+
+    def _on_unreadable(self, revision: int, reason: str) -> None:
+        if revision < self._readable_revision:
+            return
+        if self._unreadable_since_ms is None:
+            _log.write("invalid version ignored", reason, revision=revision)
+            self._unreadable_since_ms = self.clock.now_ms()
