Keep the records of a chain until one time, and store long histories again

Cause: each record was kept for its own retention. Later turns extended earlier ones only on a disk without a gap in the chain, and with two copies on three disks most chains have gaps on every disk. Edges hid it with what they had in memory. Logs of a run on: two storage hosts delete expired records 15 s before the first refusal, and every refusal names the key of the conversation's first turn.

Change: all records of a chain are written to be kept until the same time. A turn that needs them for longer is stored with its whole history, on two disks or in the store like any other. By induction all that a turn needs lies on two disks until its retention ends, whatever disks are lost, copied to or added.

What it costs callers: a turn waits for its whole history once in a minute of conversation, less often where the history is long.

--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -334,6 +334,7 @@
         policy = self.client_policy
         gauges["client_held_bytes"] = lambda: policy.account.held_bytes
         gauges["turns_saving_bytes"] = lambda: self.archive.saving_bytes
+        gauges["histories_rewritten"] = lambda: self.archive.histories_rewritten
         for kind in REFUSED_KINDS:
             gauges[f"clients_refused_{kind}"] = partial(policy.closed.__getitem__, kind)
         pool = self.archive.pool
--- a/celerypulley/hosts/record_copier.py
+++ b/celerypulley/hosts/record_copier.py
@@ -6,7 +6,7 @@
 
 from celerypulley.decision_log import DecisionLog
 from celerypulley.fleet.disk_list import Disk
-from celerypulley.hosts.record_store import RecordStore, TurnRecord
+from celerypulley.hosts.record_store import RecordStore
 from celerypulley.hosts.storage_peers import StoragePeers
 from celerypulley.links.storage_link import StorageLink, StorageLinkError
 from celerypulley.links.storage_messages import (
@@ -15,6 +15,7 @@
     RecordPage,
     StorageState,
 )
+from celerypulley.storage.turn_records import TurnRecord
 
 __all__ = ["RecordCopier"]
 
--- a/celerypulley/hosts/record_service.py
+++ b/celerypulley/hosts/record_service.py
@@ -16,13 +16,14 @@
 from celerypulley.fleet.fleet_members import FleetMembers
 from celerypulley.hosts.copy_restorer import CopyRestorer
 from celerypulley.hosts.record_copier import RecordCopier
-from celerypulley.hosts.record_store import RecordStore, TurnRecord
+from celerypulley.hosts.record_store import RecordStore
 from celerypulley.hosts.storage_peers import StoragePeers
 from celerypulley.links.key_value import LeaseExpiredError, StoreUnavailableError
 from celerypulley.links.storage_link import StorageLinkError
 from celerypulley.links.storage_messages import (
     FindMissing,
     GetChain,
+    GetKeptChain,
     GetState,
     ListRecords,
     MissingKeys,
@@ -33,6 +34,7 @@
     StoreRecords,
 )
 from celerypulley.storage.record_journal import RecordJournal
+from celerypulley.storage.turn_records import TurnRecord
 
 __all__ = ["RecordService"]
 
@@ -94,7 +96,7 @@
         """Return the reply to a request."""
         if isinstance(request, StoreRecords):
             return await self._store_records(request)
-        if isinstance(request, GetChain | ListRecords):
+        if isinstance(request, GetChain | GetKeptChain | ListRecords):
             return self._read_records(request)
         if isinstance(request, FindMissing):
             return MissingKeys(self.record_store.missing_keys(request.keys))
@@ -110,17 +112,18 @@
 
     def reply_bytes(self, request: object) -> int:
         """Return about how long the reply to a request that reads records is."""
-        if isinstance(request, GetChain):
+        if isinstance(request, GetChain | GetKeptChain):
             return self.record_store.chain_bytes(request.key)
         if isinstance(request, ListRecords):
             return self.record_store.page_bytes()
         return 0
 
-    def _read_records(self, request: GetChain | ListRecords) -> object:
+    def _read_records(self, request: GetChain | GetKeptChain | ListRecords) -> object:
         try:
             if isinstance(request, ListRecords):
                 return self.record_store.page(request.after, self.is_complete)
-            return self.record_store.chain(request.key, self.is_complete)
+            chain = self.record_store.chain(request.key, self.is_complete)
+            return chain.without_time() if isinstance(request, GetChain) else chain
         except OSError as error:
             _log.write("records not read", repr(error))
             return RecordsNotRead(repr(error))
--- a/celerypulley/hosts/record_store.py
+++ b/celerypulley/hosts/record_store.py
@@ -10,10 +10,11 @@
 
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
-from celerypulley.links.storage_messages import RecordPage, StoredChain
+from celerypulley.links.storage_messages import KeptChain, RecordPage
 from celerypulley.storage.record_journal import RecordJournal, RecordPlace
+from celerypulley.storage.turn_records import TurnRecord
 
-__all__ = ["RecordStore", "StoredRecord", "TurnRecord"]
+__all__ = ["RecordStore", "StoredRecord"]
 
 _PAGE_BYTES = 256 * 1024  # 4 to 140 ms on a link of 600 to 15 Mbit/s
 _CHAIN_BYTES = 1024 * 1024  # of one reply; the rest of a chain is asked for again
@@ -23,37 +24,6 @@
 _log = DecisionLog("shelf")
 
 
-@attrs.frozen
-class TurnRecord:
-    """One turn: its input and output, and the key of the turn that it continues."""
-
-    key: str
-    kept_until_ms: float
-    previous: str
-    input: bytes = attrs.field(repr=False)
-    output: bytes = attrs.field(repr=False)
-
-    def to_row(self) -> list:
-        """Return the record as a list, the form used in messages and on disk."""
-        return [self.key, self.kept_until_ms, self.previous, self.input, self.output]
-
-    def size_bytes(self) -> int:
-        """Return the size of the input and output."""
-        return len(self.input) + len(self.output)
-
-    @classmethod
-    def from_row(cls, row: object) -> "TurnRecord":
-        """Return the record in a row; raise ValueError if it is invalid."""
-        if not isinstance(row, list) or len(row) != 5:
-            raise ValueError("record must be a list of five fields")
-        key, kept_until_ms, previous, turn_input, output = row
-        keys_ok = isinstance(key, str) and isinstance(previous, str)
-        bodies_ok = isinstance(turn_input, bytes) and isinstance(output, bytes)
-        if not keys_ok or not bodies_ok or not isinstance(kept_until_ms, int | float):
-            raise ValueError("record has fields of the wrong type")
-        return cls(key, kept_until_ms, previous, turn_input, output)
-
-
 @attrs.define(eq=False)
 class StoredRecord:
     """What is known of a record on disk; `content` only while it is in memory, too.
@@ -215,7 +185,7 @@
             key = stored.previous
         return size
 
-    def chain(self, key: str, is_complete: bool) -> StoredChain:
+    def chain(self, key: str, is_complete: bool) -> KeptChain:
         """Return the newest part of the chain ending with `key` that is stored here.
 
         It ends with the turn that exceeds `_CHAIN_BYTES`. Raise OSError if it can't be
@@ -223,14 +193,19 @@
         """
         parts = []
         size = 0
-        found = key in self.records
+        kept_until_ms = float("inf")
         while key in self.records and size < _CHAIN_BYTES:
             record = self._content(key)
             parts.append([record.input, record.output])
+            # Other disks may retain a part for only as long as it was written for.
+            kept_until_ms = min(kept_until_ms, record.kept_until_ms)
             size += record.size_bytes()
             key = record.previous
         parts.reverse()
-        return StoredChain(found, parts, key, is_complete)
+        found = bool(parts)
+        return KeptChain(
+            found, parts, key, is_complete, kept_until_ms if found else 0.0
+        )
 
     def page_bytes(self) -> int:
         """Return about how long a page is at most, if its last record isn't long."""
--- a/celerypulley/hosts/storage_host_pool.py
+++ b/celerypulley/hosts/storage_host_pool.py
@@ -11,14 +11,14 @@
 from celerypulley.failure_domains.placement import rendezvous
 from celerypulley.fleet.disk_list import Disk, DiskList
 from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
-from celerypulley.hosts.record_store import TurnRecord
 from celerypulley.links.storage_link import StorageLink, StorageLinkError
 from celerypulley.links.storage_messages import (
-    GetChain,
+    GetKeptChain,
+    KeptChain,
     RecordsStored,
-    StoredChain,
     StoreRecords,
 )
+from celerypulley.storage.turn_records import TurnRecord
 
 __all__ = ["ChainResult", "StorageHostPool"]
 
@@ -35,13 +35,15 @@
     """The newest turns of a chain, as far as one storage host has them.
 
     `parts` are [input, output], oldest first, and `missing` is the key of the turn
-    before them, "" where the chain is complete. If no turn was found, `is_confirmed`
-    tells whether all of `disks`, those that were known, have said so.
+    before them, "" where the chain is complete. All disks that have a part keep it
+    until `kept_until_ms`, a wall-clock time, or for longer. If no turn was found,
+    `is_confirmed` tells whether all of `disks`, those that were known, have said so.
     """
 
     found: bool
     parts: list
     missing: str
+    kept_until_ms: float = 0.0
     is_confirmed: bool = True
     disks: tuple[Disk, ...] = ()
 
@@ -203,13 +205,15 @@
                 replies += [task.result() for task in done]
                 longest = _longest_chain(replies)
                 if longest is not None:
-                    return ChainResult(True, longest.parts, longest.missing)
+                    return ChainResult(
+                        True, longest.parts, longest.missing, longest.kept_until_ms
+                    )
         finally:
             self._abandon(pending)
         is_confirmed = bool(disks) and all(
-            isinstance(each, StoredChain) and each.is_complete for each in replies
+            isinstance(each, KeptChain) and each.is_complete for each in replies
         )
-        return ChainResult(False, [], key, is_confirmed, disks)
+        return ChainResult(False, [], key, 0.0, is_confirmed, disks)
 
     def _search_stages(self, disks: tuple[Disk, ...]) -> list[list[Disk]]:
         stages: tuple[list[Disk], list[Disk], list[Disk]] = ([], [], [])
@@ -229,7 +233,8 @@
 
     def _request_all(self, disks: list[Disk], key: str) -> set[asyncio.Task]:
         return {
-            asyncio.create_task(self._request(each, GetChain(key))) for each in disks
+            asyncio.create_task(self._request(each, GetKeptChain(key)))
+            for each in disks
         }
 
     def _abandon(self, pending: Iterable[asyncio.Task]) -> None:
@@ -287,10 +292,10 @@
     )
 
 
-def _longest_chain(replies: list[object]) -> StoredChain | None:
+def _longest_chain(replies: list[object]) -> KeptChain | None:
     longest = None
     for reply in replies:
-        if not isinstance(reply, StoredChain) or not reply.found:
+        if not isinstance(reply, KeptChain) or not reply.found:
             continue
         if longest is None or len(reply.parts) > len(longest.parts):
             longest = reply
--- a/celerypulley/hosts/turn_archive.py
+++ b/celerypulley/hosts/turn_archive.py
@@ -3,6 +3,9 @@
 A turn is durable before its response ends: on disks of storage hosts in two failure
 domains or else, with its whole history, in the key-value store. So a turn that neither
 of them knows does not exist.
+
+A turn on disks continues the records of the turn before it where those are kept for
+long enough. Otherwise its whole history is stored again.
 """
 
 import asyncio
@@ -17,9 +20,14 @@
 from celerypulley.client_limits.byte_semaphore import ByteSemaphore
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
-from celerypulley.hosts.record_store import TurnRecord
 from celerypulley.hosts.storage_host_pool import ChainResult, StorageHostPool
 from celerypulley.links.key_value import KeyValueStore, StoreUnavailableError, Write
+from celerypulley.storage.turn_records import (
+    TurnRecord,
+    keep_until_ms,
+    may_continue_records,
+    records_of_history,
+)
 
 __all__ = ["TURN_PREFIX", "CompletedTurn", "TurnArchive"]
 
@@ -27,7 +35,6 @@
 # A tenth of the memory of a host, which has 128 to 150 MB (site sheets).
 _CACHE_BYTES = 12 * 1024 * 1024
 _CACHE_ENTRY_BYTES = 512  # of a history beside its content: its key of 200 characters
-_RETENTION_MARGIN_MS = 60_000.0  # clocks of hosts differ, and readers may be late
 _RETRY_MS = 40.0  # ten response times of a healthy store
 _STORE_HEDGE_DELAY_MS = 60.0  # the store is tried in parallel after this time
 _MAX_NAME_CHARS = 100  # keys have at most 200 bytes, with prefix and organisation
@@ -60,6 +67,14 @@
         return self.prompt + self.output
 
 
+@attrs.frozen
+class _History:
+    """A turn's history, and the wall-clock time until which all of it is kept."""
+
+    content: bytes = attrs.field(repr=False)
+    kept_until_ms: float
+
+
 class TurnArchive:
     """Save turns and load their histories, up to and including each turn."""
 
@@ -79,7 +94,8 @@
         self.clock = clock
         self.saved_on_storage_hosts = 0
         self.saved_in_store = 0
-        self._cache: OrderedDict[str, bytes] = OrderedDict()
+        self.histories_rewritten = 0
+        self._cache: OrderedDict[str, _History] = OrderedDict()
         self._cached_bytes = 0
         self._saves = ByteSemaphore(saving_bytes)
 
@@ -103,23 +119,27 @@
         if key is None:
             return None
         pieces: list[bytes] = []
+        kept_until_ms = float("inf")
         next_key = key
         while next_key:
             cached = self._cache.get(next_key)
             if cached is not None:
                 self._cache.move_to_end(next_key)
-                on_bytes(len(cached))
-                pieces.append(cached)
+                on_bytes(len(cached.content))
+                pieces.append(cached.content)
+                kept_until_ms = min(kept_until_ms, cached.kept_until_ms)
                 break
             chain, stored = await self._search(next_key)
             if chain is not None and chain.found:
                 on_bytes(sum(len(each) for part in chain.parts for each in part))
                 pieces.append(b"".join(each for part in chain.parts for each in part))
+                kept_until_ms = min(kept_until_ms, chain.kept_until_ms)
                 next_key = chain.missing
                 continue
             if stored is not None:
-                on_bytes(len(stored))
-                pieces.append(stored)
+                on_bytes(len(stored.content))
+                pieces.append(stored.content)
+                kept_until_ms = min(kept_until_ms, stored.kept_until_ms)
                 break
             if next_key == key and await self._is_ruled_out(chain):
                 return None
@@ -127,10 +147,10 @@
                 f"cannot find {next_key} or rule out that it exists"
             )
         history = pieces[0] if len(pieces) == 1 else b"".join(reversed(pieces))
-        self._cache_history(key, history)
+        self._cache_history(key, _History(history, kept_until_ms))
         return history
 
-    async def _search(self, key: str) -> tuple[ChainResult | None, bytes | None]:
+    async def _search(self, key: str) -> tuple[ChainResult | None, _History | None]:
         """Return what storage hosts have of a chain, or else its stored history.
 
         The store is read while a storage host delays the search. Raise
@@ -161,15 +181,15 @@
             return self.pool is None
         return chain.is_confirmed and await self.pool.are_all_disks(chain.disks)
 
-    async def _read_store(self, key: str) -> bytes | None:
+    async def _read_store(self, key: str) -> _History | None:
         item = await self.store.read(key)
         if item is None or item.value is None:
             return None
         try:
-            _kept_until_ms, history = msgpack.unpackb(item.value)
+            kept_until_ms, history = msgpack.unpackb(item.value)
         except (ValueError, msgpack.UnpackException) as error:
             raise StoreUnavailableError(f"{key} is invalid: {error}") from error
-        return history
+        return _History(history, kept_until_ms)
 
     async def save(self, turn: CompletedTurn) -> None:
         """Save a turn and return when it is durable.
@@ -182,29 +202,58 @@
                 "turn not saved", "its name is too long for a key", request=turn.name
             )
             return
-        kept_until_ms = self.clock.wall_ms() + turn.retention_ms + _RETENTION_MARGIN_MS
-        previous = _turn_key(turn.organisation, turn.previous) if turn.previous else ""
-        record = TurnRecord(key, kept_until_ms, previous or "", turn.input, turn.output)
         held_bytes = _HISTORY_COPIES * (len(turn.prompt) + len(turn.output))
         await self._saves.acquire(held_bytes)
         try:
-            await self._make_durable(record, turn)
-            self._cache_history(key, turn.history)
+            records = self._plan_records(key, turn)
+            await self._make_durable(records, turn)
+            kept_until_ms = records[-1].kept_until_ms
+            self._cache_history(key, _History(turn.history, kept_until_ms))
         finally:
             self._saves.release(held_bytes)
 
-    async def _make_durable(self, record: TurnRecord, turn: CompletedTurn) -> None:
+    def _plan_records(self, key: str, turn: CompletedTurn) -> list[TurnRecord]:
+        """Return the records of a turn, the last of which has its key.
+
+        It has been loaded here, so that the cache tells how long its history is kept.
+        """
+        wall_ms = self.clock.wall_ms()
+        previous_key = _turn_key(turn.organisation, turn.previous)
+        previous = self._cache.get(previous_key) if previous_key is not None else None
+        if previous_key is not None and previous is not None:
+            kept_until_ms = previous.kept_until_ms
+            if may_continue_records(kept_until_ms, wall_ms, turn.retention_ms):
+                return [
+                    TurnRecord(
+                        key, kept_until_ms, previous_key, turn.input, turn.output
+                    )
+                ]
+        kept_until_ms = keep_until_ms(wall_ms, turn.retention_ms, len(turn.prompt))
+        if turn.previous:
+            self.histories_rewritten += 1
+            _log.write(
+                "history stored again",
+                "its records are not kept for long enough",
+                request=turn.name,
+                is_history_known=previous is not None,
+                size_bytes=len(turn.prompt),
+            )
+        return records_of_history(key, kept_until_ms, turn.prompt, turn.output)
+
+    async def _make_durable(
+        self, records: list[TurnRecord], turn: CompletedTurn
+    ) -> None:
         if self.pool is None or not turn.may_use_storage_hosts:
-            await self._write_store(record, turn)
+            await self._write_store(records[-1], turn)
             return
-        storage_write = asyncio.create_task(self.pool.write(record))
+        storage_write = asyncio.create_task(self._write_storage_hosts(records))
         store_write: asyncio.Task | None = None
         try:
             await asyncio.wait([storage_write], timeout=_STORE_HEDGE_DELAY_MS / 1000)
             if storage_write.done() and storage_write.result():
                 self.saved_on_storage_hosts += 1
                 return
-            store_write = asyncio.create_task(self._write_store(record, turn))
+            store_write = asyncio.create_task(self._write_store(records[-1], turn))
             await asyncio.wait(
                 [storage_write, store_write], return_when=asyncio.FIRST_COMPLETED
             )
@@ -217,6 +266,14 @@
             if store_write is not None:
                 store_write.cancel()
 
+    async def _write_storage_hosts(self, records: list[TurnRecord]) -> bool:
+        """Write records in order; return whether enough storage hosts have them."""
+        assert self.pool is not None, "there are storage hosts"
+        for record in records:
+            if not await self.pool.write(record):
+                return False
+        return True
+
     async def _write_store(self, record: TurnRecord, turn: CompletedTurn) -> None:
         """Write the history to the store, and retry until it succeeds.
 
@@ -235,15 +292,15 @@
                 await asyncio.sleep(_RETRY_MS * random.uniform(0.5, 1.5) / 1000)
         self.saved_in_store += 1
 
-    def _cache_history(self, key: str, history: bytes) -> None:
+    def _cache_history(self, key: str, history: _History) -> None:
         previous = self._cache.pop(key, None)
         if previous is not None:
-            self._cached_bytes -= _CACHE_ENTRY_BYTES + len(previous)
+            self._cached_bytes -= _CACHE_ENTRY_BYTES + len(previous.content)
         self._cache[key] = history
-        self._cached_bytes += _CACHE_ENTRY_BYTES + len(history)
+        self._cached_bytes += _CACHE_ENTRY_BYTES + len(history.content)
         while self._cached_bytes > _CACHE_BYTES:
             _, dropped = self._cache.popitem(last=False)
-            self._cached_bytes -= _CACHE_ENTRY_BYTES + len(dropped)
+            self._cached_bytes -= _CACHE_ENTRY_BYTES + len(dropped.content)
 
 
 def _turn_key(organisation: str, turn: str) -> str | None:
--- a/celerypulley/links/storage_messages.py
+++ b/celerypulley/links/storage_messages.py
@@ -5,7 +5,9 @@
 __all__ = [
     "FindMissing",
     "GetChain",
+    "GetKeptChain",
     "GetState",
+    "KeptChain",
     "ListRecords",
     "MissingKeys",
     "RecordPage",
@@ -40,20 +42,14 @@
 
 @message(73)
 class GetChain:
-    """Request the chain that ends with a record."""
+    """Request the chain that ends with a record, as earlier versions do."""
 
     key: str
 
 
 @message(74)
 class StoredChain:
-    """The newest part of a chain, as far as this storage host has it.
-
-    `found` tells whether the requested record is stored here. `parts` are [input,
-    output] pairs, oldest first; `missing` is the key before them, or "" if the chain
-    is complete. `is_complete` tells whether this storage host has every record that
-    it ever acknowledged.
-    """
+    """The reply to GetChain: a KeptChain without the time until which it is kept."""
 
     found: bool
     parts: list
@@ -72,7 +68,7 @@
 class RecordPage:
     """A page of records in the order of their keys; `more` tells whether more follow.
 
-    `is_complete` is as in StoredChain.
+    `is_complete` is as in KeptChain.
     """
 
     records: list
@@ -103,7 +99,7 @@
 class StorageState:
     """The disk that a storage host uses, and what it knows of copies.
 
-    `is_complete` is as in StoredChain; `is_draining` tells whether it refuses
+    `is_complete` is as in KeptChain; `is_draining` tells whether it refuses
     records. `compared_with` is a digest of the disks that last responded to it, 0
     unless each of its records was then found to have enough copies on them. `covered`
     are absent disks whose records all have copies elsewhere.
@@ -123,6 +119,35 @@
     reason: str
 
 
+@message(82)
+class GetKeptChain:
+    """Request the chain that ends with a record, and until when it is kept."""
+
+    key: str
+
+
+@message(83)
+class KeptChain:
+    """The newest part of a chain, as far as this storage host has it.
+
+    `found` tells whether the requested record is stored here. `parts` are [input,
+    output] pairs, oldest first; `missing` is the key before them, or "" if the chain
+    is complete. `is_complete` tells whether this storage host has every record that
+    it ever acknowledged. Each part has been written to be kept until
+    `kept_until_ms`, a wall-clock time, or for longer; it is 0 without any.
+    """
+
+    found: bool
+    parts: list
+    missing: str
+    is_complete: bool
+    kept_until_ms: float
+
+    def without_time(self) -> StoredChain:
+        """Return the reply for earlier versions."""
+        return StoredChain(self.found, self.parts, self.missing, self.is_complete)
+
+
 def payload_bytes(request: StoreRecords) -> int:
     """Return the size of the texts in a request, whatever its rows hold."""
     size = 0
--- a/tests/test_outside_bytes.py
+++ b/tests/test_outside_bytes.py
@@ -11,13 +11,13 @@
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.fleet.fleet_members import FleetMember
-from celerypulley.hosts.record_store import TurnRecord
 from celerypulley.links.codec import CodecError
 from celerypulley.links.frame_scanner import FrameScanner
 from celerypulley.platform.desired_state import decode_desired_state, decode_server
 from celerypulley.platform.settings_file import read_settings
 from celerypulley.programs.event_stream import EventReader
 from celerypulley.storage.record_journal import RecordJournal
+from celerypulley.storage.turn_records import TurnRecord
 from tests.harness import run_clock
 
 JSON = st.recursive(
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -14,7 +14,7 @@
 from celerypulley.fleet.fleet_members import HOST, FleetMember, FleetMembers
 from celerypulley.hosts import record_store as record_store_module
 from celerypulley.hosts.fleet_host import FleetHost
-from celerypulley.hosts.record_store import RecordStore, TurnRecord
+from celerypulley.hosts.record_store import RecordStore
 from celerypulley.hosts.storage_host import StorageHost
 from celerypulley.hosts.storage_host_pool import StorageHostPool
 from celerypulley.hosts.turn_archive import CompletedTurn, TurnArchive
@@ -28,6 +28,7 @@
 from celerypulley.platform.store import PlatformStore
 from celerypulley.stand_ins.fleet_store import FleetStore
 from celerypulley.storage.record_journal import RecordJournal
+from celerypulley.storage.turn_records import TurnRecord
 from tests.fleet import make_settings, running_store
 from tests.harness import free_address, run_clock, wait_until
 
