Tell fatal requests from those with another query, and count their group

Cause: the fingerprint left the query out, so that each sound run cleared the fatal request's marks. The test with one host gets 502 five times on, where two refusals are due.

Change: the fingerprint holds the query. Requests that are the same but for it form a group, in which the first crash of each query counts, so that a fatal request whose query differs each time is refused as before; a whole run of any of them clears the group. Marks of earlier versions, which were counted without the query, concern no fingerprint of this version, so that a fleet of two versions refuses no sound request for them.

Costs: after the upgrade a fatal request may crash three more servers.

tests/test_crashing_requests.py: 11 new rows failed on (five with 502 to the end, five in which two hosts never agree on a count, one refused by marks of an earlier version).

--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -10,6 +10,11 @@
 servers ended by themselves. All marks are forgotten after their life. Hosts exchange
 the ages of marks, not times, since their clocks differ; a mark that was cleared is
 announced as such, so that it does not come back from a host that still counts it.
+
+The query may be what makes a request crash servers, or it may differ each time that
+the request comes back. So a fingerprint tells requests apart that differ in their
+query, and those of one group, which are the same but for it, are counted together, too:
+the first crash of each. A whole run of any of them clears the crashes of the group.
 """
 
 import hashlib
@@ -40,25 +45,40 @@
 _ANNOUNCED_LIFE_MS = MARK_LIFE_MS - 60_000.0
 _MAX_CLEARED = 3  # by fingerprint; a mark that comes back is cleared once more
 _MAX_WHOLE_RUNS = 4_096  # of those that a host forwards in some seconds
+_GROUP_END = "-"
+# Earlier versions left the query out. Their marks, which the store and their messages
+# still have, would concern sound requests with other queries.
+_FORMAT = b"with query"
 _log = DecisionLog("strikes")
 
 
 def request_fingerprint(
-    method: str, path: str, organisation: str, history: bytes, body: bytes
+    method: str,
+    path: str,
+    organisation: str,
+    history: bytes,
+    body: bytes,
+    query: str = "",
 ) -> str:
     """Return a digest by which a request is recognised when it comes again.
 
     It comes with the same method, path, organisation and body, and continues the same
     `history`, which servers get before the body. What else belongs to a request, such
-    as its program, its query or the name of the turn that it continues, may differ.
+    as its program or the name of the turn that it continues, may differ. The digest
+    begins with that of its group, which leaves out the `query`.
     """
-    hasher = hashlib.blake2b(digest_size=8)
+    hasher = hashlib.blake2b(digest_size=8, person=_FORMAT)
     for part in (method, path, organisation):
         hasher.update(part.encode())
         hasher.update(b"\0")
     hasher.update(history)
     hasher.update(body)
-    return hasher.hexdigest()
+    query_digest = hashlib.blake2b(query.encode(), digest_size=4).hexdigest()
+    return f"{hasher.hexdigest()}{_GROUP_END}{query_digest}"
+
+
+def _group(fingerprint: str) -> str:
+    return fingerprint.partition(_GROUP_END)[0]
 
 
 def _crash_mark(server: str, started_ms: int) -> bytes:
@@ -155,6 +175,9 @@
         """
         mark = _crash_mark(server, started_ms)
         age_ms = round(self.clock.now_ms() - began_ms)
+        group = _group(fingerprint)
+        if group != fingerprint and not self.count(fingerprint):
+            self._learn(group, (mark, age_ms, False), is_own=True)
         self._learn(fingerprint, (mark, age_ms, False), is_own=True)
         whole_run_ms = self._whole_runs_ms.get(fingerprint)
         _log.write(
@@ -163,6 +186,7 @@
             server=server,
             fingerprint=fingerprint,
             crashes=self.count(fingerprint),
+            crashes_of_group=self.count(group),
             began_ago_ms=age_ms,
             whole_run_ago_ms=_ago_ms(self.clock, whole_run_ms),
         )
@@ -170,8 +194,13 @@
     def record_whole_run(self, fingerprint: str) -> None:
         """Clear the crashes of a request, of which a run has just ended well.
 
-        Crashes of runs that have begun by now, and are counted later, are cleared too.
+        Crashes of runs that have begun by now, and are counted later, are cleared too,
+        and so are those of its group.
         """
+        for each in dict.fromkeys((fingerprint, _group(fingerprint))):
+            self._clear(each)
+
+    def _clear(self, fingerprint: str) -> None:
         self._whole_runs_ms[fingerprint] = self.clock.now_ms()
         self._whole_runs_ms.move_to_end(fingerprint)
         if len(self._whole_runs_ms) > _MAX_WHOLE_RUNS:
@@ -325,11 +354,22 @@
             self._next_older = (self._next_older + 1) % len(fingerprints)
             yield fingerprints[self._next_older]
 
+    def find_refused(self, fingerprint: str) -> str | None:
+        """Return a request's fingerprint, or that of its group, if it is refused.
+
+        None if neither has crashed too many servers.
+        """
+        for each in (fingerprint, _group(fingerprint)):
+            if self.count(each) >= self.crash_limit:
+                return each
+        return None
+
     def find_refusal(self, fingerprint: str) -> Refusal | None:
         """Return the refusal of a request that has crashed too many servers."""
-        count = self.count(fingerprint)
-        if count < self.crash_limit:
+        refused = self.find_refused(fingerprint)
+        if refused is None:
             return None
+        count = self.count(refused)
         return Refusal(
             ErrorKind.QUARANTINED, f"{count} servers ended during this request"
         )
--- a/celerypulley/hosts/admission.py
+++ b/celerypulley/hosts/admission.py
@@ -197,5 +197,10 @@
     request: OpaqueRequest, organisation: str, history: bytes = b""
 ) -> str:
     return request_fingerprint(
-        request.method, request.path, organisation, history, request.body
+        request.method,
+        request.path,
+        organisation,
+        history,
+        request.body,
+        request.query,
     )
--- a/celerypulley/hosts/crash_trials.py
+++ b/celerypulley/hosts/crash_trials.py
@@ -46,7 +46,10 @@
 
 
 class CrashTrials:
-    """Refuse requests that crashed too many servers, except for their trial runs."""
+    """Refuse requests that crashed too many servers, except for their trial runs.
+
+    Requests of a group that is refused share its trial runs.
+    """
 
     def __init__(
         self,
@@ -70,8 +73,7 @@
         crash_counts.on_change.append(self._on_change)
 
     def _on_change(self, fingerprint: str) -> None:
-        is_refused = self.crash_counts.find_refusal(fingerprint) is not None
-        if is_refused:
+        if self.crash_counts.find_refused(fingerprint) == fingerprint:
             due_ms = self.clock.now_ms() + self.delays_ms[0]
             self._trials.setdefault(fingerprint, _Trials(due_ms))
             return
@@ -88,14 +90,18 @@
     def find_refusal(self, fingerprint: str) -> Refusal | None:
         """Return the refusal of a request, with the time until its next trial run."""
         refusal = self.crash_counts.find_refusal(fingerprint)
-        trials = self._trials.get(fingerprint)
+        trials = self._trials_of(fingerprint)
         if refusal is None or trials is None or self._is_used_up(trials):
             return refusal
         wait_ms = max(_RETRY_MS, trials.due_ms - self.clock.now_ms())
         return attrs.evolve(refusal, retry_after_s=math.ceil(wait_ms / 1000))
 
+    def _trials_of(self, fingerprint: str) -> _Trials | None:
+        refused = self.crash_counts.find_refused(fingerprint)
+        return None if refused is None else self._trials.get(refused)
+
     def _is_due(self, fingerprint: str) -> bool:
-        trials = self._trials.get(fingerprint)
+        trials = self._trials_of(fingerprint)
         if trials is None or trials.is_claiming or self._is_used_up(trials):
             return False
         return self.clock.now_ms() >= trials.due_ms
@@ -108,15 +114,16 @@
 
         A trial run that no server has run is to be given back.
         """
-        if not self._is_due(fingerprint):
+        refused = self.crash_counts.find_refused(fingerprint)
+        if refused is None or not self._is_due(refused):
             return False
-        trials = self._trials[fingerprint]
+        trials = self._trials[refused]
         trials.is_claiming = True
         try:
-            is_own = await self._create_key(fingerprint, trials)
+            is_own = await self._create_key(refused, trials)
         except (StoreUnavailableError, LeaseExpiredError) as error:
             trials.due_ms = self.clock.now_ms() + _RETRY_MS
-            _log.write("trial run not claimed", str(error), fingerprint=fingerprint)
+            _log.write("trial run not claimed", str(error), fingerprint=refused)
             return False
         finally:
             trials.is_claiming = False
@@ -130,7 +137,7 @@
             "trial run",
             "servers may have ended for another reason",
             fingerprint=fingerprint,
-            crashes=self.crash_counts.count(fingerprint),
+            crashes=self.crash_counts.count(refused),
             number=trials.claimed,
         )
         return True
@@ -153,7 +160,7 @@
 
     def give_back(self, fingerprint: str) -> None:
         """Return a trial run that no server has run."""
-        trials = self._trials.get(fingerprint)
+        trials = self._trials_of(fingerprint)
         if trials is None or not trials.own_keys:
             return
         trials.claimed -= 1
--- a/celerypulley/programs/opaque_request.py
+++ b/celerypulley/programs/opaque_request.py
@@ -57,6 +57,14 @@
         """Return the request target without its query."""
         return self.target.partition("?")[0]
 
+    @property
+    def query(self) -> str:
+        """Return the rest of the target, which begins with "?", empty without a query.
+
+        An empty query differs from none.
+        """
+        return self.target[len(self.path) :]
+
     def body_digest(self) -> str:
         """Return a digest of the body, by which log lines can be compared."""
         return hashlib.blake2b(self.body, digest_size=4).hexdigest()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Requests that crash servers, and those that a host may mistake for one."""
 
 import asyncio
+import hashlib
 from functools import partial
 
 import pytest
@@ -20,11 +21,16 @@
 
 
 def counts(host: FleetHost) -> dict[str, int]:
-    """Return the crashes that a host knows of, by request."""
+    """Return the crashes that a host knows of, by request and group."""
     crashes = host.crash_counts
     return {each: crashes.count(each) for each in crashes._crashes}
 
 
+def request_counts(host: FleetHost) -> dict[str, int]:
+    """Return the crashes that a host knows of, by request."""
+    return {each: count for each, count in counts(host).items() if "-" in each}
+
+
 def knows_start(host: FleetHost, server: str, started_ms: int) -> bool:
     entry = host.directory._entries.get(f"servers/{server}")
     return entry is not None and entry.started_ms == started_ms
@@ -56,7 +62,7 @@
 ) -> int:
     """Send a request while it crashes servers; return the status once all agree."""
     crashes = -_total_crashes(fleet)
-    counted = [sum(counts(host).values()) for host in fleet.hosts]
+    counted = [sum(request_counts(host).values()) for host in fleet.hosts]
     for server in fleet.servers:
         server.mode = Mode.CRASH
     host = number % len(fleet.hosts)
@@ -64,7 +70,7 @@
     crashes += _total_crashes(fleet)
     await wait_until(
         lambda: all(
-            sum(counts(host).values()) == before + crashes
+            sum(request_counts(host).values()) == before + crashes
             for host, before in zip(fleet.hosts, counted, strict=True)
         )
     )
@@ -109,6 +115,7 @@
         ("/unsafe/x", {"headers": {"Api-Key": OTHER_KEY}}),
         ("/unsafe/x", {"method": "PUT"}),
         ("/unsafe/y", {}),
+        ("/unsafe/x?meter=1", {}),
     ],
 )
 async def test_request_is_mistaken_for_one_that_crashes_servers(path, fields):
@@ -271,7 +278,9 @@
     for server in fleet.servers:
         server.crash()
     await asyncio.gather(*calls)
-    await wait_until(lambda: all(list(counts(h).values()) == [3] for h in fleet.hosts))
+    await wait_until(
+        lambda: all(list(request_counts(h).values()) == [3] for h in fleet.hosts)
+    )
     await restart_crashed(fleet)
 
 
@@ -349,7 +358,10 @@
         assert [call.status for call in await asyncio.gather(*calls)] == [502] * 4
         await wait_until(lambda: all(counts(host) for host in fleet.hosts))
         await asyncio.sleep(0.5)  # two gossip periods
-        assert [list(counts(host).values()) for host in fleet.hosts] == [[1], [1]]
+        assert [list(request_counts(host).values()) for host in fleet.hosts] == [
+            [1],
+            [1],
+        ]
 
 
 async def test_admitted_request_is_sent_after_the_third_crash():
@@ -363,7 +375,7 @@
         crashed = next(server for server in fleet.servers if server.received)
         crashed.crash()
         await wait_until(lambda: counts(host))
-        (fingerprint,) = counts(host)
+        (fingerprint,) = request_counts(host)
         await call
         await restart_crashed(fleet)
         for server in fleet.servers:
@@ -401,3 +413,61 @@
         await asyncio.gather(call, return_exceptions=True)
         await asyncio.sleep(0.2)
         assert bool(examined) == is_examined
+
+
+LONG_QUERY = "?meter=" + "6" * 600
+
+
+@pytest.mark.parametrize(
+    ("fatal", "sound"),
+    [
+        ("?meter=66", "?meter={}"),
+        (LONG_QUERY, LONG_QUERY + "{}"),
+        ("?meter=", ""),
+        ("", "?meter={}"),
+        ("?meter=1&again=1", "?again=1&meter=1&number={}"),
+    ],
+)
+@pytest.mark.parametrize("hosts", [1, 2])
+async def test_sound_requests_clear_one_with_another_query(fatal, sound, hosts):
+    """Guards against a fatal request that runs on, as others of its path run whole."""
+    async with running_fleet(hosts=hosts, servers=2, state=STATE) as fleet:
+        statuses = []
+        for number in range(5):
+            path = "/unsafe/x" + sound.format(number)
+            assert (await send_whole(fleet, path, host=number % hosts)).status == 200
+            status = await send_crashing(fleet, number, f"/unsafe/x{fatal}")
+            statuses.append(status)
+        assert statuses == [502, 502, 502, 503, 503]
+        assert _total_crashes(fleet) == 3
+
+
+async def test_crashes_of_a_query_that_differs_each_time_end_with_the_hosts():
+    async with running_fleet(hosts=2, servers=2, state=STATE) as fleet:
+        for number in range(3):
+            await send_crashing(fleet, number, f"/unsafe/x?again={number}")
+        await asyncio.sleep(0.3)
+        await fleet.replace_all_hosts()
+        refused = await fleet.call("/unsafe/x?again=3")
+        assert (refused.status, b"quarantined" in refused.body) == (503, True)
+
+
+def _fingerprint_without_query() -> str:
+    """Return the fingerprint that earlier versions give to each of these requests."""
+    hasher = hashlib.blake2b(digest_size=8)
+    for part in ("POST", "/unsafe/x", "kiosks"):
+        hasher.update(part.encode() + b"\0")
+    hasher.update(b"hello")
+    return hasher.hexdigest()
+
+
+async def test_marks_of_an_earlier_version_refuse_sound_requests():
+    """Guards against marks that a request with another query may have caused."""
+    async with running_fleet(servers=2, state=STATE) as fleet:
+        (host,) = fleet.hosts
+        rows = [(bytes([mark] * 4), 100, False) for mark in range(3)]
+        host.crash_counts.merge({_fingerprint_without_query(): rows})
+        assert counts(host) == {_fingerprint_without_query(): 3}
+        for query in ("", "?meter=1"):
+            response = await send_whole(fleet, f"/unsafe/x{query}")
+            assert response.status == 200
