Ask storage hosts for the window of a limit when all hosts start at once

Cause: the window was in the memory of the hosts only, and a start that found nobody who knew it assumed that it was spent evenly, which frees a fifth of the limit each second. What was admitted lay at its end.

Change: hosts tell one storage host of each of three failure domains what they admit, and ask these witnesses when they start and hear no other host. Without any copy nearly all of the limit counts as spent just before the start.

--- a/celerypulley/fleet/fleet_datagrams.py
+++ b/celerypulley/fleet/fleet_datagrams.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 from collections import OrderedDict, deque
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 import attrs
 import msgpack
@@ -51,17 +51,25 @@
     """
 
     def __init__(
-        self, host: str, ip: str, port: int, addresses: dict[str, tuple[str, int]]
+        self,
+        host: str,
+        ip: str,
+        port: int,
+        addresses: dict[str, tuple[str, int]],
+        storage_addresses: Mapping[str, tuple[str, int]] | None = None,
     ) -> None:
         """Listen on `ip` and `port` as `host`.
 
-        `addresses` maps host names to addresses; the member list keeps it up to date.
+        `addresses` maps the names of hosts to addresses, and `storage_addresses` those
+        of storage hosts, to which no message is broadcast. The member list keeps both
+        up to date.
         """
         super().__init__()
         self.host = host
         self.ip = ip
         self.port = port
         self.addresses = addresses
+        self.storage_addresses = {} if storage_addresses is None else storage_addresses
         self.instance_id = secrets.token_hex(4)
         self.handlers: dict[str, Handler] = {}
         self.bytes_sent = 0
@@ -163,7 +171,7 @@
         )
 
     def _send_packet(self, host: str, message: bytes) -> None:
-        address = self.addresses.get(host)
+        address = self.addresses.get(host) or self.storage_addresses.get(host)
         if self._transport is None or address is None:
             return
         self.bytes_sent += len(message)
--- a/celerypulley/fleet/fleet_gossip.py
+++ b/celerypulley/fleet/fleet_gossip.py
@@ -34,6 +34,8 @@
 _MISSED_BEFORE_ANNOUNCED = 1
 _CHANGE_REPEATS = 4  # one more than the missed messages that are tolerated
 _FULL_EVERY_MESSAGES = 20  # a restarted host receives all totals within seconds
+# A witness counts all requests of a host that it has heard before.
+_WITNESS_EVERY_MESSAGES = 4
 _KIND = "counts"
 _RELAYED_KIND = "relayed counts"
 _MAX_DIRECT_HOSTS = 16  # a larger fleet has relays between its failure domains
@@ -99,6 +101,8 @@
         self.clock = clock
         self.peers: dict[str, PeerCounts] = {}
         self.on_message: list[Callable[[PeerCounts, PeerCounts | None], None]] = []
+        # Returns the storage hosts that hear of admitted requests; may be replaced.
+        self.witnesses: Callable[[], list[str]] = list
         self._started_ms = clock.now_ms()
         self._number = 0
         self._recent_totals: deque[dict[str, int]] = deque(maxlen=_CHANGE_REPEATS)
@@ -242,15 +246,22 @@
         """Send one message to every other host."""
         self._number += 1
         admitted, *counts = self.read_own_counts()
-        message = [self.datagrams.instance_id, self._number]
-        message += [
-            self._changed_totals(admitted),
+        header = [self.datagrams.instance_id, self._number]
+        changed = self._changed_totals(admitted)
+        uptime_ms = round(self.clock.now_ms() - self._started_ms)
+        total = sum(admitted.values())
+        if changed or self._number % _WITNESS_EVERY_MESSAGES == 1:
+            brief = [*header, changed, {}, {}, 0, b"", uptime_ms, {}, total]
+            self.datagrams.multicast(self.witnesses(), _KIND, brief)
+        message = [
+            *header,
+            changed,
             *counts,
             self.read_view(),
             self._unreachable_members(),
-            round(self.clock.now_ms() - self._started_ms),
+            uptime_ms,
             self.read_leaving(),
-            sum(admitted.values()),
+            total,
         ]
         if not self.has_relays():
             self.datagrams.broadcast(_KIND, message)
--- a/celerypulley/fleet/fleet_members.py
+++ b/celerypulley/fleet/fleet_members.py
@@ -69,8 +69,9 @@
 class FleetMembers(Service):
     """Register this process and follow the entries of all others.
 
-    `addresses` and `domains` contain hosts only, not storage hosts. What the store
-    has under this process's name is followed too, and put right when it differs.
+    `addresses` and `domains` contain hosts only, `storage_addresses` the other storage
+    hosts. What the store has under this process's name is followed too, and put right
+    when it differs.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self.others: dict[str, FleetMember] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
         self.domains: dict[str, str] = {}
+        self.storage_addresses: dict[str, tuple[str, int]] = {}
         self.clock = clock
         self._lease = 0
         self._own_entry: Item | None = None
@@ -159,6 +161,8 @@
             return
         self.others[name] = member
         self._index_host(member)
+        if member.kind == STORAGE_HOST:
+            self.storage_addresses[name] = (member.ip, member.port)
         _log.write(
             "joined",
             "entry added or changed",
@@ -179,6 +183,7 @@
         if self.addresses.pop(name, None) is not None:
             self._left_ms[name] = self.clock.now_ms()
         self.domains.pop(name, None)
+        self.storage_addresses.pop(name, None)
         _log.write("left", "lease ended", member=name)
 
     @Service.task
--- a/celerypulley/fleet/fleet_meter.py
+++ b/celerypulley/fleet/fleet_meter.py
@@ -5,29 +5,30 @@
 rate, so that the parts of a partitioned fleet together never exceed the limit. Requests
 that were admitted before the partition count in each part by its fraction.
 
-A host that starts knows nothing of the last window. It assumes that most of each limit
-is spent, until it has copied the window of another host or a window has passed.
+A host that starts knows nothing of the last window. Until it has copied that of another
+host or of a witness, or a window has passed, it assumes that most of each limit was
+spent just before its start.
 """
 
 import asyncio
 from collections import deque
+from contextlib import suppress
 
 import attrs
 
-from celerypulley.clock import Clock
+from celerypulley.clock import NEVER_MS, Clock
 from celerypulley.contracts.desired_state import DesiredState, OrganisationRule
 from celerypulley.decision_log import DecisionLog
 from celerypulley.elapsed_time import elapsed_ms
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.fleet.fleet_gossip import FleetGossip, PeerCounts
+from celerypulley.fleet.window_table import WINDOW_STEPS, count_by_step, counted_total
 
 __all__ = ["FleetMeter"]
 
-# Fraction of the limit that a starting host assumes to be spent in the last window: all
-# but the overrun that the site sheets allow.
-_ASSUMED_SPENT_FRACTION = 0.9
-_ASSUMED_SPENT_STEPS = 20
-_WINDOW_STEPS = 5  # parts of a window for which its requests are copied
+# Part of a limit that hosts share for requests of which others do not know. The site
+# sheets allow an overrun of 0.1.
+_UNKNOWN_FRACTION = 0.07
 # Fewer admitted requests can wait for the next regular message.
 _MIN_UNANNOUNCED = 2
 # Requests that would wait longer are refused at once. It is a third of the time that
@@ -59,12 +60,14 @@
     """One organisation's requests: a sliding window and a token bucket.
 
     At most rate x window + burst requests are admitted in any window; the bucket of
-    the same size enforces the rate over longer times. `recent` has the times and counts
-    of the window. `unannounced` is what this host admitted since its last message.
+    the same size enforces the rate over longer times, and is refilled from
+    `refilled_from_ms` on. `recent` has the times and counts of the window.
+    `unannounced` is what this host admitted since its last message.
     """
 
     tokens: float
     updated_ms: float
+    refilled_from_ms: float = NEVER_MS
     recent: deque[tuple[float, float]] = attrs.Factory(deque)
     in_window: float = 0.0
     unannounced: int = 0
@@ -86,7 +89,8 @@
         while self.recent and self.recent[0][0] <= now_ms - window_ms:
             self.in_window -= self.recent.popleft()[1]
         since_ms = elapsed_ms(self.updated_ms, now_ms, "bucket of an organisation")
-        gained = since_ms / 1000 * rule.rate_per_s
+        before_ms = min(now_ms, self.refilled_from_ms) - self.updated_ms
+        gained = (since_ms - max(0.0, before_ms)) / 1000 * rule.rate_per_s
         self.tokens = min(_window_limit(rule, window_ms), self.tokens + gained)
         self.updated_ms = now_ms
 
@@ -129,6 +133,9 @@
         self.admitted: dict[str, int] = {}
         self.refused = 0
         self.delayed = 0
+        # Cleared while the last window is being copied, which requests wait for.
+        self.copy_ended = asyncio.Event()
+        self.copy_ended.set()
         self._started_ms = clock.now_ms()
         self._has_copied_window = False
         self._rules: dict[str, OrganisationRule] = {}
@@ -142,35 +149,18 @@
     def on_peer_counts(self, peer: PeerCounts, previous: PeerCounts | None) -> None:
         """Count the requests that a peer admitted since its last message."""
         now_ms = self.clock.now_ms()
-        if previous is not None and previous.instance_id != peer.instance_id:
-            previous = None
+        max_uptime_ms = self.window_ms
+        if self._has_copied_window:
+            # What a peer admitted before this host started is part of the copy.
+            max_uptime_ms = min(now_ms - self._started_ms, self.window_ms)
         for organisation, total in peer.admitted.items():
-            count = total - self._counted_total(organisation, peer, previous)
+            known = counted_total(organisation, peer, previous, max_uptime_ms)
+            count = total - known
             rule = self._rules.get(organisation)
             if count > 0 and rule is not None and rule.rate_per_s > 0:
                 self._account(rule).record(now_ms, count)
                 self._serving_hosts.setdefault(organisation, set()).add(peer.host)
 
-    def _counted_total(
-        self, organisation: str, peer: PeerCounts, previous: PeerCounts | None
-    ) -> int:
-        """Return how many of a peer's requests were counted, or are too old to count.
-
-        `previous` is the last message of the same instance.
-        """
-        if previous is not None:
-            total = previous.admitted.get(organisation)
-            if total is not None:
-                return total
-            if previous.has_all_totals:
-                return 0
-        max_uptime_ms = self.window_ms
-        if self._has_copied_window:
-            # What a peer admitted before this host started is part of the copy.
-            uptime_ms = self.clock.now_ms() - self._started_ms
-            max_uptime_ms = min(uptime_ms, self.window_ms)
-        return 0 if peer.uptime_ms <= max_uptime_ms else peer.admitted[organisation]
-
     @property
     def has_rates(self) -> bool:
         """Return whether this host knows the rates of organisations."""
@@ -187,19 +177,8 @@
 
         The first part is the newest. Organisations without requests are left out.
         """
-        now_ms = self.clock.now_ms()
-        step_ms = self.window_ms / _WINDOW_STEPS
-        table: dict[str, list[float]] = {}
-        for organisation, account in self._accounts.items():
-            counts = [0.0] * _WINDOW_STEPS
-            for at_ms, count in account.recent:
-                age_ms = elapsed_ms(at_ms, now_ms, "window of an organisation")
-                step = int(age_ms // step_ms)
-                if step < _WINDOW_STEPS:
-                    counts[step] += count
-            if any(counts):
-                table[organisation] = counts
-        return table
+        recent = {name: account.recent for name, account in self._accounts.items()}
+        return count_by_step(recent, self.clock.now_ms(), self.window_ms)
 
     def copy_window(self, table: dict[str, list[float]]) -> None:
         """Replace what was assumed of the last window by another host's counts.
@@ -208,7 +187,7 @@
         last gossip period may count twice.
         """
         now_ms = self.clock.now_ms()
-        step_ms = self.window_ms / _WINDOW_STEPS
+        step_ms = self.window_ms / WINDOW_STEPS
         self._has_copied_window = True
         self._accounts.clear()
         for organisation, rule in self._rules.items():
@@ -229,6 +208,9 @@
         """
         started_ms = self.clock.now_ms()
         has_waited = False
+        if rule.rate_per_s > 0 and not self.copy_ended.is_set():
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.copy_ended.wait(), _MAX_WAIT_MS / 1000)
         while True:
             wait_ms = self.try_acquire(rule)
             waited_ms = self.clock.now_ms() - started_ms
@@ -252,10 +234,8 @@
                 return max(wait_ms, _MIN_WAIT_MS)
             account.record(now_ms, 1.0)
             account.unannounced += 1
-            remaining = _window_limit(
-                rule, self.window_ms
-            ) * share.fraction - account.charged(share)
-            self._announce_early(rule.name, account, remaining)
+            limit = _window_limit(rule, self.window_ms) * share.fraction
+            self._announce_early(rule.name, account, limit, share)
         self.admitted[rule.name] = self.admitted.get(rule.name, 0) + 1
         return 0.0
 
@@ -275,17 +255,21 @@
         )
 
     def _announce_early(
-        self, organisation: str, account: _Account, remaining: float
+        self, organisation: str, account: _Account, limit: float, share: _Share
     ) -> None:
         """Announce counts early if hosts could together exceed the remaining limit.
 
-        The remainder is divided among the hosts known to serve the organisation,
-        since its requests arrive at a few hosts only.
+        What they have not announced yet is lost if all end at one moment, so that is
+        limited, too. Both are divided among the hosts known to serve the
+        organisation, since its requests arrive at a few hosts only.
         """
         if self.gossip is None:
             return
+        remaining = limit - account.charged(share)
+        unknown = limit * _UNKNOWN_FRACTION
         serving_hosts = 1 + len(self._serving_hosts.get(organisation, ()))
-        if account.unannounced >= max(_MIN_UNANNOUNCED, remaining / 2 / serving_hosts):
+        most_unannounced = min(remaining / 2, unknown) / serving_hosts
+        if account.unannounced >= max(_MIN_UNANNOUNCED, most_unannounced):
             self.gossip.announce_soon()
 
     def totals_to_announce(self) -> dict[str, int]:
@@ -320,11 +304,9 @@
         limit = _window_limit(rule, self.window_ms)
         if self._has_copied_window:
             return _Account(limit, self.clock.now_ms())
-        account = _Account(limit, self._started_ms)
-        step_ms = self.window_ms / _ASSUMED_SPENT_STEPS
-        for step in range(_ASSUMED_SPENT_STEPS, 0, -1):
-            at_ms = self._started_ms - step * step_ms
-            account.record(
-                at_ms, limit * _ASSUMED_SPENT_FRACTION / _ASSUMED_SPENT_STEPS
-            )
+        # With a full bucket, all hosts of a fleet that starts would admit a whole limit
+        # at the end of the window.
+        refilled_from_ms = self._started_ms + self.window_ms - _MAX_WAIT_MS
+        account = _Account(limit, self._started_ms, refilled_from_ms)
+        account.record(self._started_ms, limit * (1.0 - _UNKNOWN_FRACTION))
         return account
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -30,9 +30,15 @@
 from celerypulley.fleet.disk_list import DiskList
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_gossip import FleetGossip
-from celerypulley.fleet.fleet_members import HOST, FleetMember, FleetMembers
+from celerypulley.fleet.fleet_members import (
+    HOST,
+    STORAGE_HOST,
+    FleetMember,
+    FleetMembers,
+)
 from celerypulley.fleet.fleet_meter import FleetMeter
 from celerypulley.fleet.window_copier import WindowCopier
+from celerypulley.fleet.window_witness import choose_witnesses
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.admission import Admission
 from celerypulley.hosts.budget_coordinator import BudgetCoordinator
@@ -160,6 +166,7 @@
             settings.ip,
             settings.fleet_port,
             self.members.addresses,
+            self.members.storage_addresses,
         )
         self.gossip = FleetGossip(
             self.datagrams,
@@ -192,7 +199,9 @@
             self.crash_mark_store,
         ):
             reader.wait_to_retry = confirmer.wait_to_retry
+        self.gossip.witnesses = self._witnesses
         self.window_copier = WindowCopier(self.meter, self.datagrams, self.gossip)
+        self.window_copier.has_witnesses = lambda: settings.has_storage_hosts
         self.gossip.on_message += [
             self.meter.on_peer_counts,
             self.directory.on_peer_counts,
@@ -390,6 +399,9 @@
             observers.append(self.desired_state.confirmer)
         return observers
 
+    def _witnesses(self) -> list[str]:
+        return choose_witnesses(self.members.of_kind(STORAGE_HOST))
+
     def _read_pause_ms(self) -> float:
         """Return the time in which changes of a large fleet are read together.
 
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -13,7 +13,9 @@
 from celerypulley.contracts.desired_state import CallerLimits
 from celerypulley.decision_log import DecisionLog
 from celerypulley.fleet.disk_list import Disk, DiskList
+from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
+from celerypulley.fleet.window_witness import WindowWitness
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.record_service import RecordService
 from celerypulley.hosts.record_store import RecordStore
@@ -62,6 +64,15 @@
         record_bytes = record_memory_bytes(settings.memory_mb)
         self.record_store = RecordStore(journal, clock, record_bytes)
         self.members = FleetMembers(own_member, store, clock)
+        self.datagrams = FleetDatagrams(
+            settings.host_id,
+            settings.ip,
+            settings.fleet_port,
+            self.members.addresses,
+        )
+        self.window_witness = WindowWitness(
+            self.datagrams, settings.quota_window_ms, clock
+        )
         self.record_service = RecordService(
             self.record_store,
             journal,
@@ -111,6 +122,7 @@
             self.disk_list.follower,
             self.members,
             self.members.follower,
+            self.datagrams,
             self.record_service,
         ):
             await self.add_runtime_dependency(service)
--- a/tests/test_rates_over_restarts.py
+++ b/tests/test_rates_over_restarts.py
@@ -1,7 +1,9 @@
 """Rate limits while hosts restart, pause and lose messages, over simulated gossip."""
 
+import asyncio
 import random
 
+import aiohttp
 import attrs
 import pytest
 
@@ -13,7 +15,12 @@
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.fleet.fleet_meter import FleetMeter
-from tests.harness import ManualClock
+from celerypulley.fleet.window_table import merge_tables
+from celerypulley.fleet.window_witness import WindowWitness
+from celerypulley.hosts.storage_host import StorageHost
+from celerypulley.platform.store import PlatformStore
+from tests.fleet import API_KEY, desired_state, make_settings, running_fleet
+from tests.harness import ManualClock, free_address, run_clock, wait_until
 from tests.test_fleet_meter import WINDOW_MS, max_in_window
 
 RULE = OrganisationRule(name="o", rate_per_s=100.0, burst=60.0)
@@ -210,3 +217,132 @@
     busy.meter.admitted["o"] += 1
     busy.gossip.announce()
     assert started.meter.try_acquire(RULE) == 0.0
+
+
+@attrs.define(eq=False)
+class _Witnesses:
+    """Three storage hosts, which hear what the hosts of a fleet announce."""
+
+    fleet: _Fleet
+    witnesses: list[WindowWitness] = attrs.Factory(list)
+
+    def __attrs_post_init__(self) -> None:
+        for number in range(3):
+            name = f"storage-{number}"
+            datagrams = FleetDatagrams(name, "", 1, self.fleet.members)
+            witness = WindowWitness(datagrams, WINDOW_MS, self.fleet.clock.clock)
+            self.witnesses.append(witness)
+
+    def connect(self, host: _Host) -> None:
+        """Let a host that has started announce to the witnesses."""
+        names = [each.datagrams.host for each in self.witnesses]
+        host.gossip.witnesses = lambda: names
+        host.gossip.datagrams.multicast = self._multicast(host.name)
+
+    def _multicast(self, sender: str):
+        def multicast(names: list[str], kind: str, message: list) -> None:
+            for witness in self.witnesses:
+                if self.fleet.draws.random() >= self.fleet.loss:
+                    witness.datagrams.handlers[kind](sender, message)
+
+        return multicast
+
+    def copy_to(self, host: _Host) -> None:
+        tables = [each.window_counts() for each in self.witnesses]
+        host.meter.copy_window(merge_tables(tables))
+
+
+def _kill_all(fleet: _Fleet, witnesses: _Witnesses, down_ms: float) -> None:
+    for host in fleet.hosts:
+        host.stopped_until_ms = fleet.clock.now_ms + down_ms
+    fleet.run(down_ms)
+    for host in fleet.hosts:
+        host.start()
+        witnesses.connect(host)
+        witnesses.copy_to(host)
+
+
+@pytest.mark.parametrize("hosts", [1, 3, 7, 20])
+@pytest.mark.parametrize("kill_after_ms", [300.0, 1_300.0, 3_000.0, 4_900.0])
+@pytest.mark.parametrize("loss", [0.0, 0.2])
+def test_killed_fleet_admits_what_it_admitted_before(hosts, kill_after_ms, loss):
+    """Guards against hosts that all forget the end of the last window."""
+    fleet = _Fleet(hosts, loss, copies_windows=False)
+    witnesses = _Witnesses(fleet)
+    for host in fleet.hosts:
+        witnesses.connect(host)
+    fleet.demand_per_s = 0.0
+    fleet.run(2 * WINDOW_MS)
+    fleet.demand_per_s = 5 * RULE.rate_per_s
+    fleet.run(kill_after_ms)
+    _kill_all(fleet, witnesses, 500.0)
+    fleet.run(2 * WINDOW_MS)
+    assert max_in_window(fleet.admitted) <= MAX_IN_WINDOW
+
+
+@pytest.mark.parametrize("hosts", [1, 3, 7, 20])
+@pytest.mark.parametrize("kill_after_ms", [300.0, 1_300.0, 3_000.0, 4_900.0])
+def test_killed_fleet_without_witnesses_admits_a_second_window(hosts, kill_after_ms):
+    fleet = _Fleet(hosts, 0.0, copies_windows=True)
+    fleet.demand_per_s = 0.0
+    fleet.run(2 * WINDOW_MS)
+    fleet.demand_per_s = 5 * RULE.rate_per_s
+    fleet.run(kill_after_ms)
+    _restart_at_once(fleet)
+    fleet.run(2 * WINDOW_MS)
+    assert max_in_window(fleet.admitted) <= MAX_IN_WINDOW
+
+
+def test_witnesses_cost_callers_below_the_limit_requests():
+    """A fleet that was killed refuses no usual demand, as it knows the window."""
+    fleet = _Fleet(7, 0.0, copies_windows=False)
+    witnesses = _Witnesses(fleet)
+    for host in fleet.hosts:
+        witnesses.connect(host)
+    fleet.demand_per_s = 0.6 * RULE.rate_per_s
+    fleet.run(2 * WINDOW_MS)
+    fleet.refused = 0
+    _kill_all(fleet, witnesses, 500.0)
+    fleet.run(2 * WINDOW_MS)
+    assert fleet.refused <= 0.01 * len(fleet.admitted)
+
+
+async def test_hosts_that_are_replaced_at_once_ask_a_storage_host(tmp_path):
+    window_ms = 60_000.0
+    organisation = {"name": "kiosks", "apiKeys": [API_KEY], "ratePerS": 0.1, "burst": 3}
+    state = desired_state(tenants=[organisation])
+    settings = {"has_storage_hosts": True, "quota_window_ms": window_ms}
+    async with (
+        running_fleet(hosts=2, state=state, **settings) as fleet,
+        aiohttp.ClientSession() as session,
+    ):
+        storage_host = StorageHost(
+            make_settings(
+                "storage-a",
+                fleet.store_address,
+                fleet_port=free_address().port,
+                data_dir=tmp_path,
+                is_first_start=True,
+                quota_window_ms=window_ms,
+            ),
+            PlatformStore(fleet.store_address, session, 500.0),
+            run_clock(),
+        )
+        await storage_host.start()
+        try:
+            for meter in (host.meter for host in fleet.hosts):
+                meter._started_ms -= 10 * window_ms
+                meter._accounts.clear()
+            storage_host.window_witness._started_ms -= 10 * window_ms
+            await wait_until(lambda: fleet.hosts[0]._witnesses() == ["storage-a"])
+            await asyncio.sleep(1.5)  # every fourth message goes to witnesses
+            for number in range(9):
+                assert (await fleet.call("/unsafe/x", number % 2)).status == 200
+            counts = storage_host.window_witness.window_counts
+            await wait_until(lambda: sum(counts().get("kiosks", [])) == 9)
+            await fleet.replace_all_hosts()
+            for host in fleet.hosts:
+                assert sum(host.meter.window_counts()["kiosks"]) == 9
+            assert (await fleet.call("/unsafe/x")).status == 429
+        finally:
+            await storage_host.stop()
