Bound the heads of all responses together, also lines without end

Cause: the parser keeps a line until it ends and only complete lines were checked, so each connection took up to 1 MiB, which was charged to nobody.

Change: what belongs to no body has at most 32 KB at a time, complete or not; heads beyond 4 KB share 4 MiB in each process, so that long ones leave room for ordinary ones; reading pauses at 4 KB of a body that nobody has taken, in place of 16 KB.

--- a/celerypulley/links/response_parser.py
+++ b/celerypulley/links/response_parser.py
@@ -12,6 +12,7 @@
 import httptools
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from celerypulley.client_limits.head_budget import HeadBudget, HeadCharge
 from celerypulley.links.response_status import (
     HeadSequence,
     InvalidResponseError,
@@ -27,6 +28,7 @@
 _MAX_DISCARDED = 2  # late responses to earlier requests
 _MAX_HEADER_BYTES = 16_384  # the largest header that operators allow callers to send
 _MAX_HEADERS = 128
+_MAX_HEAD_BYTES = 2 * _MAX_HEADER_BYTES
 # Without a byte of the response's body: heads, chunk sizes, trailers, late responses.
 _MAX_BYTES_WITHOUT_BODY = 1024 * 1024
 # A head that ended early is followed by the status line of the next one.
@@ -80,11 +82,13 @@
         identity: RequestIdentity,
         is_reused: bool,
         report_discarded: Callable[[int, str], None],
+        heads: HeadBudget | None = None,
     ) -> None:
         """Await the response to `identity`.
 
         `is_reused` tells whether the connection has carried requests before. The status
         of a late response, and why it isn't the right one, go to `report_discarded`.
+        Heads beyond ordinary ones are charged to `heads`.
         """
         self.identity = identity
         self.is_reused = is_reused
@@ -96,6 +100,8 @@
         self._report_discarded = report_discarded
         self._body: list[bytes] = []
         self._bytes_without_body = 0
+        self._head_bytes = 0  # of the head or trailers that are incomplete
+        self._head_charge = HeadCharge(HeadBudget() if heads is None else heads)
         self._heads = HeadSequence()
         self._first_bytes = b""
         self._reason = b""
@@ -118,6 +124,7 @@
         """
         assert self._parser is not None, "the response is incomplete"
         self._bytes_without_body += len(data)
+        self._head_bytes += len(data)
         self._check_protocol(data)
         try:
             self._parser.feed_data(data)
@@ -128,10 +135,19 @@
             self.has_strays = True
         if self.is_complete:
             self.forget_parser()
-        elif self._bytes_without_body > _MAX_BYTES_WITHOUT_BODY:
+            return
+        if self._bytes_without_body > _MAX_BYTES_WITHOUT_BODY:
             raise InvalidResponseError(
                 f"over {_MAX_BYTES_WITHOUT_BODY} bytes without a body"
             )
+        self._check_head()
+
+    def _check_head(self) -> None:
+        """Limit what the parser keeps of a head, also of a line without an end."""
+        if self._head_bytes > _MAX_HEAD_BYTES:
+            raise InvalidResponseError(f"over {_MAX_HEAD_BYTES} bytes of a head")
+        if not self._head_charge.grow_to(self._head_bytes, len(self._raw_headers)):
+            raise InvalidResponseError("the heads of all responses hold too much")
 
     def feed_end(self) -> None:
         """Take the orderly end of the connection into account."""
@@ -139,8 +155,9 @@
             self.is_complete = True
 
     def forget_parser(self) -> None:
-        """Release the parser, which refers to this object."""
+        """Release the parser, which refers to this object, and what the head held."""
         self._parser = None
+        self._head_charge.release()
 
     def take_body(self) -> bytes:
         """Return the part of the body that has come since the last call."""
@@ -155,6 +172,7 @@
         self._reason = b""
         self._raw_headers = []
         self._has_head = False
+        self._head_bytes = 0
 
     def on_status(self, reason: bytes) -> None:
         """Add to the reason phrase."""
@@ -174,6 +192,7 @@
         """Keep the head if it is that of the right response."""
         assert self._parser is not None, "the response is incomplete"
         self._has_head = True
+        self._head_bytes = 0
         headers = CIMultiDict(
             (_decode(name), _decode(value)) for name, value in self._raw_headers
         )
@@ -198,6 +217,7 @@
     def on_body(self, data: bytes) -> None:
         """Keep a part of the right response's body."""
         self._refuse_strays()
+        self._head_bytes = 0
         if self.head is None:
             return
         self._body.append(data)
--- a/celerypulley/links/server_connection.py
+++ b/celerypulley/links/server_connection.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from celerypulley.client_limits.head_budget import HeadBudget
 from celerypulley.clock import Clock
 from celerypulley.decision_log import DecisionLog
 from celerypulley.links.bounded_reads import READ_BYTES, read_buffer
@@ -37,7 +38,7 @@
 _IDLE_MARGIN_MS = 1_000.0  # before the keep-alive timeout that a server states
 _DEFAULT_IDLE_MS = 1_000.0  # if no timeout is stated: the smallest that could be
 _MAX_REQUESTS_CARRIED = 1_000  # bounds the memory for their identifiers
-_MAX_BUFFERED_BYTES = 16 * 1024  # of a body, until its reader has taken them
+_MAX_BUFFERED_BYTES = 4 * 1024  # of a body, until its reader has taken them
 READ_AHEAD_BYTES = _MAX_BUFFERED_BYTES + READ_BYTES
 _MAX_BODY_BYTES = 4 * 1024 * 1024  # a thirtieth of the memory of the smallest host
 _log = DecisionLog("server-link")
@@ -212,7 +213,7 @@
         self.requests_before = len(connection.carried)
         self.is_released = False
         self._response = ResponseParser(
-            identity, self.requests_before > 0, self._log_discarded
+            identity, self.requests_before > 0, self._log_discarded, pool.heads
         )
 
     @property
@@ -339,6 +340,7 @@
     def __init__(self, clock: Clock) -> None:
         """Create an empty pool."""
         self.clock = clock
+        self.heads = HeadBudget()
         self.opened_count = 0
         self._idle: dict[str, list[_Connection]] = {}
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -59,16 +59,44 @@
 _MAX_RESPONSE_BYTES = 8_000_000  # that the test reads to its end
 
 
+# The bytes that come first behind the status line, and those repeated without end.
+_ENDLESS: dict[bytes, tuple[bytes, bytes]] = {
+    b"line": (b"X: ", b"x" * 10_000),
+    b"lines": (b"", b"X: %s\r\n" % (b"x" * 4_000)),
+    b"short-lines": (b"", b"X: x\r\n" * 1_000),
+    b"chunk": (b"Transfer-Encoding: chunked\r\n\r\n100000000000\r\n", b"x" * 10_000),
+    b"body": (b"Content-Length: 900000000000\r\n\r\n", b"x" * 10_000),
+    b"tiny-chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n" * 1_000),
+    b"stall": (b"X: " + b"x" * 15_000, b""),
+}
+
+
+async def _respond_endlessly(
+    writer: asyncio.StreamWriter, start: bytes, kind: bytes
+) -> None:
+    first, repeated = _ENDLESS[kind]
+    writer.write(start + first)
+    if not repeated:
+        await asyncio.sleep(_SLOW_S)
+    while not writer.is_closing():
+        writer.write(repeated)
+        await writer.drain()
+
+
 async def _respond(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
 ) -> None:
-    """Respond with `COUNTxBYTES` events if the path says so, or late."""
+    """Respond with `COUNTxBYTES` events if the path says so, late, or without end."""
     path = head.split(b" ", 2)[1]
     if path.endswith(b"/slow"):
         await asyncio.sleep(_SLOW_S)
     await reader.readexactly(int(header_of(head, b"Content-Length") or 0))
     request_id = header_of(head, b"Request-Id")
     start = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: s\r\n" % request_id
+    kind = path.rpartition(b"/endless-")[2]
+    if kind in _ENDLESS:
+        await _respond_endlessly(writer, start, kind)
+        return
     count, _, size = path.rpartition(b"/")[2].partition(b"x")
     if not size:
         writer.write(start + b"Content-Length: 2\r\n\r\n{}")
@@ -160,6 +188,16 @@
     return _clients(count, lambda each, n: each.turn(path, f"stream-{n}"))
 
 
+def _endless(count: int, kind: str) -> Crowd:
+    """Return clients of each kind of route, whose servers all respond without end."""
+
+    def load(deployment: Deployment, number: int) -> bytes:
+        route = ("turns", "safe", "unsafe")[number % 3]
+        return deployment.turn(f"/{route}/endless-{kind}", f"endless-{number}")
+
+    return _clients(count, load)
+
+
 def _small_requests(deployment: Deployment, _number: int) -> bytes:
     return deployment.target.request("/unsafe/slow")
 
@@ -335,6 +373,16 @@
     "1,500 unread peers": (_EDGE, _peers(1_500, 40)),
     "1,000 peers with many requests": (_EDGE, _peers(1_000, 15_000)),
     "200 peers with short requests": (_EDGE, _state_requests),
+    "300 endless header lines": (_EDGE, _endless(300, "line")),
+    "1,200 endless header lines": (_EDGE, _endless(1_200, "line")),
+    "1,200 heads of endless lines": (_EDGE, _endless(1_200, "lines")),
+    "900 heads of endless short lines": (_EDGE, _endless(900, "short-lines")),
+    "1,200 heads that stop in a line": (_EDGE, _endless(1_200, "stall")),
+    "1,200 endless chunks": (_EDGE, _endless(1_200, "chunk")),
+    "1,200 endless bodies": (_EDGE, _endless(1_200, "body")),
+    "1,200 bodies of endless tiny chunks": (_EDGE, _endless(1_200, "tiny-chunks")),
+    "600 endless header lines, small": (_SMALL_EDGE, _endless(600, "line")),
+    "600 endless chunks, lowered": (_LOWERED_EDGE, _endless(600, "chunk")),
 }
 
 
