--- a/celerypulley/fleet/fleet_meter.py
+++ b/celerypulley/fleet/fleet_meter.py
@@ -7,7 +7,7 @@
 
 A host that starts knows nothing of the last window. Until it has copied that of another
 host or of a witness, or a window has passed, it assumes that most of each limit was
-spent just before its start.
+spent evenly over the window.
 """
 
 import asyncio
@@ -16,7 +16,7 @@
 
 import attrs
 
-from celerypulley.clock import NEVER_MS, Clock
+from celerypulley.clock import Clock
 from celerypulley.contracts.desired_state import DesiredState, OrganisationRule
 from celerypulley.decision_log import DecisionLog
 from celerypulley.elapsed_time import elapsed_ms
@@ -26,8 +26,11 @@
 
 __all__ = ["FleetMeter"]
 
-# Part of a limit that hosts share for requests of which others do not know. The site
-# sheets allow an overrun of 0.1.
+# Fraction of the limit that a starting host assumes to be spent in the last window: all
+# but the overrun that the site sheets allow.
+_ASSUMED_SPENT_FRACTION = 0.9
+_ASSUMED_SPENT_STEPS = 20
+# Part of a limit that hosts share for requests of which others do not know.
 _UNKNOWN_FRACTION = 0.07
 # Fewer admitted requests can wait for the next regular message.
 _MIN_UNANNOUNCED = 2
@@ -60,14 +63,12 @@
     """One organisation's requests: a sliding window and a token bucket.
 
     At most rate x window + burst requests are admitted in any window; the bucket of
-    the same size enforces the rate over longer times, and is refilled from
-    `refilled_from_ms` on. `recent` has the times and counts of the window.
-    `unannounced` is what this host admitted since its last message.
+    the same size enforces the rate over longer times. `recent` has the times and counts
+    of the window. `unannounced` is what this host admitted since its last message.
     """
 
     tokens: float
     updated_ms: float
-    refilled_from_ms: float = NEVER_MS
     recent: deque[tuple[float, float]] = attrs.Factory(deque)
     in_window: float = 0.0
     unannounced: int = 0
@@ -89,8 +90,7 @@
         while self.recent and self.recent[0][0] <= now_ms - window_ms:
             self.in_window -= self.recent.popleft()[1]
         since_ms = elapsed_ms(self.updated_ms, now_ms, "bucket of an organisation")
-        before_ms = min(now_ms, self.refilled_from_ms) - self.updated_ms
-        gained = (since_ms - max(0.0, before_ms)) / 1000 * rule.rate_per_s
+        gained = since_ms / 1000 * rule.rate_per_s
         self.tokens = min(_window_limit(rule, window_ms), self.tokens + gained)
         self.updated_ms = now_ms
 
@@ -304,9 +304,11 @@
         limit = _window_limit(rule, self.window_ms)
         if self._has_copied_window:
             return _Account(limit, self.clock.now_ms())
-        # With a full bucket, all hosts of a fleet that starts would admit a whole limit
-        # at the end of the window.
-        refilled_from_ms = self._started_ms + self.window_ms - _MAX_WAIT_MS
-        account = _Account(limit, self._started_ms, refilled_from_ms)
-        account.record(self._started_ms, limit * (1.0 - _UNKNOWN_FRACTION))
+        account = _Account(limit, self._started_ms)
+        step_ms = self.window_ms / _ASSUMED_SPENT_STEPS
+        for step in range(_ASSUMED_SPENT_STEPS, 0, -1):
+            at_ms = self._started_ms - step * step_ms
+            account.record(
+                at_ms, limit * _ASSUMED_SPENT_FRACTION / _ASSUMED_SPENT_STEPS
+            )
         return account
--- a/celerypulley/fleet/window_copier.py
+++ b/celerypulley/fleet/window_copier.py
@@ -55,6 +55,9 @@
                 self.meter.copy_ended.set()
             if self.meter.has_rates and await self._try_copy():
                 break
+            if self.meter.has_rates and self.gossip.witnesses():
+                # Nobody who was asked knows the window, so it may take long.
+                self.meter.copy_ended.set()
             await self.sleep(_RETRY_S)
         self.meter.copy_ended.set()
 
