--- a/celerypulley/fleet/crash_counts.py
+++ b/celerypulley/fleet/crash_counts.py
@@ -58,14 +58,15 @@
     organisation: str,
     history: bytes,
     body: bytes,
-    query: str = "",
+    query: str | None = None,
 ) -> str:
     """Return a digest by which a request is recognised when it comes again.
 
     It comes with the same method, path, organisation and body, and continues the same
     `history`, which servers get before the body. What else belongs to a request, such
     as its program or the name of the turn that it continues, may differ. The digest
-    begins with that of its group, which leaves out the `query`.
+    begins with that of its group, which leaves out the `query`. Requests of a kind that
+    has no queries are no group.
     """
     hasher = hashlib.blake2b(digest_size=8, person=_FORMAT)
     for part in (method, path, organisation):
@@ -73,6 +74,8 @@
         hasher.update(b"\0")
     hasher.update(history)
     hasher.update(body)
+    if query is None:
+        return hasher.hexdigest()
     query_digest = hashlib.blake2b(query.encode(), digest_size=4).hexdigest()
     return f"{hasher.hexdigest()}{_GROUP_END}{query_digest}"
 
