--- a/review/12/case.py
+++ b/review/12/case.py
@@ -115,9 +115,7 @@
     until_s = record.now_s() + 20.0
     sent: dict = {}
     tasks = [
-        asyncio.create_task(
-            _request_often(deployment, _ZONES[n % 3], until_s, sent)
-        )
+        asyncio.create_task(_request_often(deployment, _ZONES[n % 3], until_s, sent))
         for n in range(_REQUESTERS)
     ]
     tasks.append(asyncio.create_task(_run_programs(deployment, until_s)))
