--- a/review/11/case.py
+++ b/review/11/case.py
@@ -18,11 +18,12 @@
 
 _ZONES = ["zone-a", "zone-b", "zone-c"]
 _KEY = "k0"
-_REQUESTERS = 18
-_PAUSE_S = 0.15
+_REQUESTERS = 36
+_PAUSE_S = 0.05
+_WORK_S = 0.15
 _CALM_S = 6.0
 _REMOVED_AFTER_S = 0.3
-_LINGER_S = 3.5  # drainMs and a little longer
+_LINGER_S = 3.1  # drainMs and a little longer
 _REST_S = 5.0
 
 
@@ -56,7 +57,7 @@
     for zone in _ZONES:
         for name in ("first", "second"):
             engine = await deployment.add_engine(f"{name}-{zone}", "orders", zone)
-            engine.work_s = 0.08
+            engine.work_s = _WORK_S
     for zone in _ZONES:
         await deployment.add_machine(f"store-{zone}", "store", zone)
         await deployment.add_machine(f"edge-{zone}", "edge", zone)
@@ -110,6 +111,12 @@
     gone.stop()
     await asyncio.gather(*requesters)
     late = _count_late(deployment, gone, sent, silent_s, removed_s)
+    cut = [
+        request_id
+        for at_s, request_id, _ in gone.run_log
+        if at_s > removed_s + DRAIN_S and sent[request_id].status != 200
+    ]
+    record.write(f"begun there, cut off by its exit and lost to callers: {cut}")
     answered = sum(each.status == 200 for each in sent.values())
     record.write(
         f"{len(sent)} requests, {answered} answered 200; "
