--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -35,6 +35,7 @@
     "Record",
     "Sent",
     "has_trouble",
+    "most_in_window",
     "route",
     "run_case",
 ]
@@ -576,6 +577,23 @@
     return {**defaults, **fields}
 
 
+def most_in_window(runs: list[tuple[float, float]], window_s: float) -> int:
+    """Return the most requests that were both sent and run within one window.
+
+    `runs` has the times at which each was sent and reached an engine that ran it.
+    """
+    return max(
+        (
+            sum(
+                sent_s >= begin_s and run_s <= begin_s + window_s
+                for sent_s, run_s in runs
+            )
+            for begin_s, _ in runs
+        ),
+        default=0,
+    )
+
+
 def run_case(
     folder: Path, case: Callable[[Deployment], Awaitable[bool]], zones: list[str]
 ) -> None:
