Notice lost channels to the store, and retain entries only where they may have lapsed

Some of a non_idempotent route had begun in the users' runs and were lost.

Cause: the watch of the servers ended after up to 3 s, the next calls took other lost channels of the pool, and a host took the loss of its own channels for an outage of the store, in which leases end while their servers are alive. It used the entry for 2 s more. Logs of a run: follower "key-value store unavailable" 3.0 s after the silence, "entry expired" on each edge, "deregistered" 2 s later.

Change: an overdue call has a probe sent on a new channel. If that is answered first, the kept channels are replaced, and reads and watches are sent again. A removed entry is retained only if nobody on this host knew the store to be available for 1.75 check-in intervals, since an entry lapses after three.

--- a/celerypulley/fleet_settings.py
+++ b/celerypulley/fleet_settings.py
@@ -17,10 +17,11 @@
     connections; `metrics_port` serves the metrics. If `refuse_stale_state` is set,
     desired state older than `max_state_age_ms` is not used, since it may still hold
     revoked keys. `shutdown_grace_ms` is the time between SIGTERM and SIGKILL. Rates
-    are enforced over windows of `quota_window_ms`. A server that leaves goes on for
-    `server_drain_ms`. `data_dir` is the disk of a
-    storage host; `tolerated_disk_losses` disks may be lost at once. `is_first_start`
-    is set if no disk of the fleet has ever been written. If `schedules_turns` is set,
+    are enforced over windows of `quota_window_ms`. A server checks in every
+    `server_check_in_ms`; one that leaves goes on for `server_drain_ms`. `data_dir` is
+    the disk of a storage host; `tolerated_disk_losses` disks may be lost at once.
+    `is_first_start` is set if no disk of the fleet has ever been written. If
+    `schedules_turns` is set,
     turns wait for a free slot of an engine, and programs that do not fit are refused.
     If `evacuates_domains` is set, operators can mark failure domains whose servers get
     no requests. `region_of_domain` has the regions of all failure domains. In a second
@@ -42,6 +43,7 @@
     shutdown_grace_ms: float
     quota_window_ms: float
     server_drain_ms: float
+    server_check_in_ms: float = 1_200.0
     data_dir: Path | None = None
     is_first_start: bool = False
     has_storage_hosts: bool = False
--- a/celerypulley/hosts/fleet_host.py
+++ b/celerypulley/hosts/fleet_host.py
@@ -60,9 +60,7 @@
 from celerypulley.links.client_policy import REFUSED_KINDS, ClientPolicy
 from celerypulley.links.forward_dialect import Dialect
 from celerypulley.links.forward_server import ForwardServer, ForwardSink
-from celerypulley.links.key_poller import KeyPoller
 from celerypulley.links.key_value import KeyValueStore
-from celerypulley.links.prefix_follower import PrefixFollower
 from celerypulley.links.probe_server import ProbeServer
 from celerypulley.links.server_connection import ServerLinks
 from celerypulley.programs.opaque_request import OpaqueRequest
@@ -148,6 +146,7 @@
             clock,
             self.desired_state.evacuations,
             cold,
+            settings.server_check_in_ms,
         )
         self.costs = CostModel()
         self.meter = FleetMeter(settings.quota_window_ms, clock)
@@ -186,7 +185,7 @@
             self.directory.follower,
         )
         confirmer = self.desired_state.confirmer
-        self.directory.store_observers = self._store_observers
+        confirmer.on_confirmed = self.directory.record_confirmation
         self.directory.follower.read_pause_ms = self._read_pause_ms
         confirmations.is_store_unavailable = lambda: confirmer.is_store_unavailable
         confirmer.ask_peer = confirmations.ask
@@ -392,13 +391,6 @@
             store=self.settings.store_address,
         )
 
-    def _store_observers(self) -> list[PrefixFollower | KeyPoller]:
-        """Return what notices an outage of the store; large fleets watch for longer."""
-        observers: list[PrefixFollower | KeyPoller] = [self.directory.follower]
-        if self.gossip.has_relays():
-            observers.append(self.desired_state.confirmer)
-        return observers
-
     def _witnesses(self) -> list[str]:
         return choose_witnesses(self.members.of_kind(STORAGE_HOST))
 
--- a/celerypulley/hosts/server_directory.py
+++ b/celerypulley/hosts/server_directory.py
@@ -14,12 +14,12 @@
     ServerState,
     share_cache_entries,
 )
+from celerypulley.backend_servers.entry_retention import EntryRetention
 from celerypulley.backend_servers.server_entry import ServerEntry
 from celerypulley.clock import Clock
 from celerypulley.contracts.evacuations import Evacuations
 from celerypulley.decision_log import DecisionLog
 from celerypulley.fleet.fleet_gossip import PeerCounts
-from celerypulley.links.key_poller import KeyPoller
 from celerypulley.links.key_value import Item, KeyValueStore
 from celerypulley.links.prefix_follower import PrefixFollower
 from celerypulley.links.server_connection import ServerLinks
@@ -28,8 +28,6 @@
 
 # Changes arrive at once; the wait only bounds the time to detect a dead link.
 _WATCH_WAIT_MS = 2_000
-# Entries that expired during an outage are written again within this time of its end.
-_EXPIRY_GRACE_MS = 2_000.0
 # From the site sheets: duration of a step, its growth per sequence, prefill rate.
 _STEP_BASE_MS = 2.18
 _STEP_MS_PER_SEQUENCE = 0.0548
@@ -63,12 +61,14 @@
         clock: Clock,
         evacuations: Evacuations | None = None,
         cold: ColdServers | None = None,
+        check_in_ms: float = 1_200.0,
     ) -> None:
         """Follow the entries below `prefix`, decoded by `decode(key, value)`.
 
         `domain` is the failure domain of this host. A server goes on for at least
         `drain_ms` after it has announced that it leaves. Servers of domains in
         `evacuations` accept no requests. `cold` is told when servers may be cold.
+        Servers check in every `check_in_ms`.
         """
         self.evacuations = evacuations or Evacuations()
         self.evacuations.on_change.append(self._on_evacuation)
@@ -86,7 +86,8 @@
         self.clock = clock
         self.servers: dict[str, EngineState] = {}
         self._entries: dict[str, ServerEntry] = {}
-        self._expired_until_ms: dict[str, float] = {}
+        self._retained: set[str] = set()
+        self.retention = EntryRetention(check_in_ms)
         self.follower = PrefixFollower(
             "servers",
             store,
@@ -96,10 +97,11 @@
             self._on_snapshot,
             self._on_item,
         )
-        # Returns what notices an outage of the store; a long watch does so late.
-        self.store_observers: Callable[[], list[PrefixFollower | KeyPoller]] = lambda: [
-            self.follower
-        ]
+        self.follower.on_confirmed = self.record_confirmation
+
+    def record_confirmation(self, confirmed_ms: float) -> None:
+        """Record that the store was available at `confirmed_ms`."""
+        self.retention.record_confirmation(confirmed_ms, self.clock.now_ms())
 
     def on_peer_counts(self, peer: PeerCounts, previous: PeerCounts | None) -> None:
         """Update the calls that another host has in flight, and servers that leave."""
@@ -151,7 +153,7 @@
         ]
 
     def _live(self, service: str) -> list[EngineState]:
-        self._drop_expired()
+        self._drop_retained()
         return [
             server
             for server in self.servers.values()
@@ -275,7 +277,7 @@
                 revision=item.revision,
             )
             return
-        self._expired_until_ms.pop(item.key, None)
+        self._retained.discard(item.key)
         previous = self._entries.get(item.key)
         self._entries[item.key] = entry
         server = self.servers.get(entry.name)
@@ -328,13 +330,8 @@
         entry = self._entries.get(key)
         if entry is None:
             return
-        now_ms = self.clock.now_ms()
-        observers = self.store_observers()
-        grace_until_ms = _EXPIRY_GRACE_MS + max(each.recovered_ms for each in observers)
-        if any(each.is_store_unavailable for each in observers):
-            grace_until_ms = now_ms + _EXPIRY_GRACE_MS
-        if now_ms < grace_until_ms and not entry.leaving:
-            self._expired_until_ms[key] = grace_until_ms
+        if not entry.leaving and self.retention.retains(self.clock.now_ms()):
+            self._retained.add(key)
             _log.write(
                 "entry expired", "retained after a store outage", server=entry.name
             )
@@ -344,17 +341,14 @@
             self.cold.forget(server)
         self._drop(key, "entry removed")
 
-    def _drop_expired(self) -> None:
-        if not self._expired_until_ms:
+    def _drop_retained(self) -> None:
+        if not self._retained or self.retention.retains(self.clock.now_ms()):
             return
-        now_ms = self.clock.now_ms()
-        for key in [
-            k for k, until in self._expired_until_ms.items() if until <= now_ms
-        ]:
+        for key in list(self._retained):
             self._drop(key, "entry not written again after a store outage")
 
     def _drop(self, key: str, reason: str) -> None:
-        self._expired_until_ms.pop(key, None)
+        self._retained.discard(key)
         entry = self._entries.pop(key)
         self.servers.pop(entry.name, None)
         share_cache_entries(self.servers.values())
--- a/celerypulley/links/key_poller.py
+++ b/celerypulley/links/key_poller.py
@@ -51,7 +51,7 @@
         `ask_peer()` returns how long ago, in ms, a peer confirmed the state of this
         host when it answered, or None if the store has to be read. `pause_ms()` is the
         time to the next poll and `retry_ms()` that to the next one after a failure.
-        `recovered_ms` is when the store last became available again.
+        `on_confirmed` is called with the time at which the store was available.
         """
         super().__init__()
         self.store = store
@@ -63,7 +63,7 @@
         self.ask_peer: Callable[[], Awaitable[float | None]] = _ask_nobody
         self.pause_ms: Callable[[], float] = lambda: POLL_INTERVAL_MS
         self.retry_ms: Callable[[], float] = lambda: RETRY_DELAY_MS
-        self.recovered_ms = NEVER_MS
+        self.on_confirmed: Callable[[float], None] = lambda _confirmed_ms: None
         self._is_available = asyncio.Event()
         self._is_available.set()
         self._confirmed_ms = NEVER_MS
@@ -136,7 +136,6 @@
     def _record_success(self, confirmed_ms: float) -> None:
         if self.is_store_unavailable:
             self._is_available.set()
-            self.recovered_ms = self.clock.now_ms()
             unconfirmed_ms = min(self.age_ms(), 1e9)
             _log.write(
                 "key-value store available again",
@@ -144,6 +143,7 @@
                 key=self.key,
             )
         self._confirmed_ms = max(self._confirmed_ms, confirmed_ms)
+        self.on_confirmed(confirmed_ms)
 
 
 async def _ask_nobody() -> None:
--- a/celerypulley/links/prefix_follower.py
+++ b/celerypulley/links/prefix_follower.py
@@ -68,8 +68,9 @@
         self.read_pause_ms = read_pause_ms
         # Waits so many seconds or more before a retry; may be replaced.
         self.wait_to_retry: Callable[[float], Awaitable[None]] = asyncio.sleep
+        # Called with the time at which the store was available; may be replaced.
+        self.on_confirmed: Callable[[float], None] = lambda _confirmed_ms: None
         self.confirmed_ms = NEVER_MS
-        self.recovered_ms = NEVER_MS
         self.last_change_revision = 0
         self._checked_ms = NEVER_MS
         self._behind_since_ms: float | None = None
@@ -189,7 +190,6 @@
     def _record_success(self, confirmed_ms: float) -> None:
         if self.is_store_unavailable:
             self.is_store_unavailable = False
-            self.recovered_ms = self.clock.now_ms()
             self._log.write(
                 "key-value store available again",
                 f"not confirmed for {self.age_ms():.0f} ms",
@@ -197,6 +197,7 @@
                 revision=self._revision,
             )
         self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+        self.on_confirmed(confirmed_ms)
 
 
 def _jittered_s(pause_ms: float) -> float:
--- a/celerypulley/platform/roles.py
+++ b/celerypulley/platform/roles.py
@@ -82,13 +82,13 @@
 async def _serve_edge(settings: FleetSettings) -> None:
     stop_requested = _install_stop_event()
     async with open_server_session() as session:
-        host = FleetHost(
-            settings, _make_store(settings, session), PLATFORM_SCHEMA, Clock()
-        )
+        store = _make_store(settings, session)
+        host = FleetHost(settings, store, PLATFORM_SCHEMA, Clock())
         await host.start()
         await stop_requested.wait()
         await host.leave()
         await host.stop()
+        await store.close()
     _log_stopped()
 
 
@@ -107,6 +107,7 @@
         retirement.cancel()
         await host.record_service.leave(settings.shutdown_grace_ms - _STORE_STOP_MS)
         await host.stop()
+        await store.close()
     _log_stopped()
 
 
--- a/celerypulley/platform/settings_file.py
+++ b/celerypulley/platform/settings_file.py
@@ -42,6 +42,7 @@
         has_storage_hosts=True,  # the storage role is always deployed
         tolerated_disk_losses=int(_parse_number(values, "faultTolerance.machines", 1)),
         server_drain_ms=_parse_number(values, "bounds.drainMs", 2_000.0),
+        server_check_in_ms=_parse_number(values, "heartbeatMs", 1_200.0),
         quota_window_ms=_parse_number(values, "bounds.quotaWindowS", 5.0) * 1000,
         evacuates_domains="bounds.evacuateMs" in values,
         memory_mb=_parse_number(values, "limits.memoryMb", 128),
--- a/celerypulley/platform/store.py
+++ b/celerypulley/platform/store.py
@@ -17,28 +17,38 @@
     WatchBatch,
     Write,
 )
+from celerypulley.links.renewable_session import RenewableSession
 from celerypulley.links.server_session import describe_error
 
 __all__ = ["PlatformStore"]
 
-_CONNECT_TIMEOUT_S = 0.5  # a healthy store responds within 4 ms (site sheets)
+# A healthy store responds within 4 ms (site sheets). Calls have a limit of their own.
+_CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=0.5)
 _LEASES = "leases"
 _WATCH_MARGIN_S = 1.0  # on top of the wait: network latency and a slow store
+_EXPECTED_S = 0.3  # a store sixty times slower than 4 ms responds sooner
+_PROBE_PATH = "/kv-key?key=probe&staleOk=1"
+_PROBES = "probes"
 
 
 class PlatformStore:
     """HTTP client of the store, with persistent connections.
 
-    A call that times out closes its connection. `calls` counts calls by kind, and
-    `calls_by_purpose` by kind and by what the keys belong to.
+    A call that times out closes its connection. Connections that have gone silent while
+    new ones are answered are replaced, and reads and watches on them are sent again.
+    `calls` counts calls by kind, and `calls_by_purpose` by kind and by what the keys
+    belong to.
     """
 
     def __init__(
         self, address: str, session: aiohttp.ClientSession, timeout_ms: float
     ) -> None:
-        """Send calls to `address`; `timeout_ms` limits a call other than a watch."""
+        """Send calls to `address`; `timeout_ms` limits a call other than a watch.
+
+        `session` is used first, and closed by the caller.
+        """
         self.base_url = f"http://{address}"
-        self.session = session
+        self.session = RenewableSession(session, self._probe)
         self.timeout_s = timeout_ms / 1000
         self.calls: Counter[str] = Counter()
         self.calls_by_purpose: Counter[tuple[str, str]] = Counter()
@@ -82,9 +92,8 @@
             f"/kv-watch?pathPrefix={quote(prefix, safe='')}"
             f"&after={after}&waitMs={wait_ms}"
         )
-        timeout_s = wait_ms / 1000 + _WATCH_MARGIN_S
         status, response = await self._request(
-            "GET", path, _purpose(prefix), timeout_s=timeout_s
+            "GET", path, _purpose(prefix), wait_s=wait_ms / 1000
         )
         if status == 410:
             raise HistoryExpiredError(f"no history of {prefix!r} after {after}")
@@ -135,33 +144,56 @@
         """End a lease and delete its keys; an expired lease is not an error."""
         await self._request("DELETE", f"/kv-lease-end/{lease}", _LEASES)
 
+    def check_connections(self) -> None:
+        """Replace the open connections if a new one is answered while they are not."""
+        self.session.check_connections()
+
+    async def close(self) -> None:
+        """Close the connections that were opened in place of others."""
+        await self.session.close()
+
+    async def _probe(self, session: aiohttp.ClientSession) -> None:
+        self._count(_PROBE_PATH, _PROBES)
+        async with session.get(self.base_url + _PROBE_PATH) as response:
+            await response.read()
+
+    def _count(self, path: str, purpose: str) -> None:
+        kind = path.partition("?")[0].split("/")[1]
+        self.calls[kind] += 1
+        self.calls_by_purpose[kind, purpose] += 1
+
     async def _request(
         self,
         method: str,
         path: str,
         purpose: str,
         body: dict | None = None,
-        timeout_s: float | None = None,
+        wait_s: float | None = None,
     ) -> tuple[int, dict]:
-        kind = path.partition("?")[0].split("/")[1]
-        self.calls[kind] += 1
-        self.calls_by_purpose[kind, purpose] += 1
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s or self.timeout_s, sock_connect=_CONNECT_TIMEOUT_S
-        )
+        """Return status and body; the store may hold the call for `wait_s` seconds."""
         headers = {"Content-Type": "application/json"} if body is not None else None
         data = orjson.dumps(body) if body is not None else None
-        try:
-            async with self.session.request(
+
+        async def call(session: aiohttp.ClientSession) -> tuple[int, dict]:
+            self._count(path, purpose)
+            async with session.request(
                 method,
                 self.base_url + path,
                 data=data,
                 headers=headers,
-                timeout=timeout,
+                timeout=_CONNECT_TIMEOUT,
                 allow_redirects=False,
             ) as response:
                 raw = await response.read()
                 return _parse_response(response.status, raw, path)
+
+        is_watch = wait_s is not None
+        timeout_s = wait_s + _WATCH_MARGIN_S if is_watch else self.timeout_s
+        expected_s = _EXPECTED_S + (wait_s if is_watch else 0.0)
+        try:
+            return await self.session.run(
+                call, expected_s, timeout_s, is_repeatable=method == "GET"
+            )
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(repr(error), may_have_run=False) from error
         except (aiohttp.ClientError, TimeoutError, OSError, RuntimeError) as error:
