Restore the requests of the last window after a loss of all processes

Cause: the window was in the memory of hosts and witnesses only, and a host that found nobody who knew it assumed that 0.9 of each limit had been spent evenly.

Change: witnesses save what they hear on their disks, every 250 ms and sooner where much of one organisation is unsaved. At a start they restore it, the newest row as admitted just then, since no clock outlasts a boot. Hosts copy what most witnesses restored, and admit no requests of organisations with a limit until they know the window.

Two tests were wrong for the new behaviour and are replaced: a starting host admitted a quarter of a limit, and has to admit nothing now; starting hosts use their shares before gossip arrives once they know the window. test_restarted_hosts_admit_a_window_of_their_own reached its steady state by the old assumption.

--- a/celerypulley/fleet/fleet_meter.py
+++ b/celerypulley/fleet/fleet_meter.py
@@ -6,8 +6,8 @@
 that were admitted before the partition count in each part by its fraction.
 
 A host that starts knows nothing of the last window. Until it has copied that of another
-host or of a witness, or a window has passed, it assumes that most of each limit was
-spent evenly over the window.
+host or of a witness, or a window has passed, it assumes that each limit was spent just
+before, and admits no requests of organisations that have one.
 """
 
 import asyncio
@@ -22,14 +22,18 @@
 from celerypulley.elapsed_time import elapsed_ms
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.fleet.fleet_gossip import FleetGossip, PeerCounts
-from celerypulley.fleet.window_table import WINDOW_STEPS, count_by_step, counted_total
+from celerypulley.fleet.window_table import (
+    WINDOW_STEPS,
+    WindowSource,
+    WindowTable,
+    count_by_step,
+    counted_total,
+)
 
 __all__ = ["FleetMeter"]
 
-# Fraction of the limit that a starting host assumes to be spent in the last window: all
-# but the overrun that the site sheets allow.
-_ASSUMED_SPENT_FRACTION = 0.9
-_ASSUMED_SPENT_STEPS = 20
+# A host that starts mostly knows the window within this time.
+_COPY_RETRY_S = 1.0
 # Part of a limit that hosts share for requests of which others do not know.
 _UNKNOWN_FRACTION = 0.07
 # Fewer admitted requests can wait for the next regular message.
@@ -137,7 +141,7 @@
         self.copy_ended = asyncio.Event()
         self.copy_ended.set()
         self._started_ms = clock.now_ms()
-        self._has_copied_window = False
+        self._copied_source = WindowSource.NONE
         self._rules: dict[str, OrganisationRule] = {}
         self._accounts: dict[str, _Account] = {}
         self._serving_hosts: dict[str, set[str]] = {}
@@ -150,7 +154,7 @@
         """Count the requests that a peer admitted since its last message."""
         now_ms = self.clock.now_ms()
         max_uptime_ms = self.window_ms
-        if self._has_copied_window:
+        if self._copied_source is WindowSource.HEARD:
             # What a peer admitted before this host started is part of the copy.
             max_uptime_ms = min(now_ms - self._started_ms, self.window_ms)
         for organisation, total in peer.admitted.items():
@@ -168,7 +172,7 @@
 
     def knows_window(self) -> bool:
         """Return whether this host knows the fleet's requests of the last window."""
-        if self._has_copied_window:
+        if self._copied_source is not WindowSource.NONE:
             return True
         return self.clock.now_ms() - self._started_ms >= self.window_ms
 
@@ -180,15 +184,18 @@
         recent = {name: account.recent for name, account in self._accounts.items()}
         return count_by_step(recent, self.clock.now_ms(), self.window_ms)
 
-    def copy_window(self, table: dict[str, list[float]]) -> None:
-        """Replace what was assumed of the last window by another host's counts.
+    def copy_window(
+        self, table: WindowTable, source: WindowSource = WindowSource.HEARD
+    ) -> None:
+        """Replace what was assumed of the last window by counts of others.
 
         Requests count from the newest moment of their part of the window. Those of the
-        last gossip period may count twice.
+        last gossip period may count twice, and of a window that was restored those of
+        all hosts that have started since.
         """
         now_ms = self.clock.now_ms()
         step_ms = self.window_ms / WINDOW_STEPS
-        self._has_copied_window = True
+        self._copied_source = source
         self._accounts.clear()
         for organisation, rule in self._rules.items():
             if rule.rate_per_s <= 0:
@@ -198,9 +205,20 @@
                 if count > 0:
                     account.record(now_ms - step * step_ms, count)
             own_count = self.admitted.get(organisation, 0)
+            if source is WindowSource.RESTORED:
+                own_count += self._count_of_started_peers(organisation)
             if own_count:
                 account.record(now_ms, own_count)
 
+    def _count_of_started_peers(self, organisation: str) -> int:
+        """Return what peers that started in the last window say to have admitted."""
+        peers = self.gossip.peers.values() if self.gossip is not None else ()
+        return sum(
+            peer.admitted.get(organisation, 0)
+            for peer in peers
+            if peer.uptime_ms <= self.window_ms
+        )
+
     async def acquire(self, rule: OrganisationRule) -> float:
         """Wait until the rate allows a request, count it and return the wait in ms.
 
@@ -241,6 +259,14 @@
 
     def _refuse(self, rule: OrganisationRule, wait_ms: float) -> None:
         self.refused += 1
+        if not self.knows_window():
+            raise CallRefusedError(
+                Refusal(
+                    ErrorKind.STATE_UNREACHABLE,
+                    f"requests of {rule.name} in the last window are not known yet",
+                    retry_after_s=min(_COPY_RETRY_S, round(wait_ms / 1000, 2)),
+                )
+            )
         account = self._account(rule)
         share = self._share()
         limit = _window_limit(rule, self.window_ms) * share.fraction
@@ -302,13 +328,8 @@
     def _new_account(self, rule: OrganisationRule) -> _Account:
         """Create an account; see the module about what is assumed at the start."""
         limit = _window_limit(rule, self.window_ms)
-        if self._has_copied_window:
+        if self._copied_source is not WindowSource.NONE:
             return _Account(limit, self.clock.now_ms())
         account = _Account(limit, self._started_ms)
-        step_ms = self.window_ms / _ASSUMED_SPENT_STEPS
-        for step in range(_ASSUMED_SPENT_STEPS, 0, -1):
-            at_ms = self._started_ms - step * step_ms
-            account.record(
-                at_ms, limit * _ASSUMED_SPENT_FRACTION / _ASSUMED_SPENT_STEPS
-            )
+        account.record(self._started_ms, limit)
         return account
--- a/celerypulley/fleet/window_copier.py
+++ b/celerypulley/fleet/window_copier.py
@@ -1,6 +1,7 @@
 """Copy the requests of the last window when this host starts.
 
 They come from another host or, where all hosts have just started, from the witnesses.
+Where the witnesses have just started, too, they tell what they saved on their disks.
 """
 
 import asyncio
@@ -13,7 +14,11 @@
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams, NoReplyError
 from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.fleet.fleet_meter import FleetMeter
-from celerypulley.fleet.window_table import WindowTable, merge_tables
+from celerypulley.fleet.window_table import (
+    WindowReport,
+    WindowSource,
+    merge_tables,
+)
 from celerypulley.fleet.window_witness import WINDOW_KIND
 
 __all__ = ["WindowCopier"]
@@ -51,57 +56,82 @@
     async def _copy_window(self) -> None:
         expected_until_ms = self.clock.now_ms() + _EXPECTED_MS
         while not self.should_stop and not self.meter.knows_window():
-            if self.clock.now_ms() >= expected_until_ms:
+            is_late = self.clock.now_ms() >= expected_until_ms
+            if is_late:
                 self.meter.copy_ended.set()
-            if self.meter.has_rates and await self._try_copy():
+            if self.meter.has_rates and await self._try_copy(is_late):
                 break
-            if self.meter.has_rates and self.gossip.witnesses():
-                # Nobody who was asked knows the window, so it may take long.
-                self.meter.copy_ended.set()
             await self.sleep(_RETRY_S)
         self.meter.copy_ended.set()
 
-    async def _try_copy(self) -> bool:
-        """Copy the window of a host that was heard, or else of the witnesses."""
+    async def _try_copy(self, is_late: bool) -> bool:
+        """Copy the window of a host that was heard, or else of the witnesses.
+
+        What witnesses restored is copied once most have answered, since some may have
+        saved less than others, or if it `is_late`.
+        """
         others = [each for each in self.gossip.members if each != self.datagrams.host]
         heard = [each for each in others if self.gossip.is_reachable(each)]
-        if heard and await self._copy_from([random.choice(heard)]):
+        if heard:
+            reports = await self._ask([random.choice(heard)])
+            if self._copy_from(reports, WindowSource.HEARD):
+                return True
+        witnesses = self.gossip.witnesses()
+        reports = await self._ask(witnesses)
+        if self._copy_from(reports, WindowSource.HEARD):
             return True
-        return await self._copy_from(self.gossip.witnesses())
-
-    async def _copy_from(self, names: list[str]) -> bool:
-        """Copy the largest counts of those named; return False if none knows any."""
-        replies = await asyncio.gather(*(self._request(each) for each in names))
-        tables = [each for each in replies if each is not None]
+        if 2 * len(reports) <= len(witnesses) and not is_late:
+            return False
+        if self._copy_from(reports, WindowSource.RESTORED):
+            return True
+        if reports:
+            # Nobody knows the window, so it may take long.
+            self.meter.copy_ended.set()
+        return False
+
+    async def _ask(self, names: list[str]) -> dict[str, WindowReport]:
+        """Return the reports of those named that answer."""
+        reports = await asyncio.gather(*(self._request(each) for each in names))
+        pairs = zip(names, reports, strict=True)
+        return {name: report for name, report in pairs if report is not None}
+
+    def _copy_from(
+        self, reports: dict[str, WindowReport], source: WindowSource
+    ) -> bool:
+        """Copy the largest counts of one source; return False if there are none."""
+        known = {n: each for n, each in reports.items() if each.source is source}
+        if not known:
+            return False
+        names = ",".join(known)
         try:
-            merged = merge_tables(tables)
+            merged = merge_tables(each.table for each in known.values())
         except (ValueError, TypeError) as error:
-            _log.write("window not copied", repr(error), peer=",".join(names))
-            return False
-        if not tables:
+            _log.write("window not copied", repr(error), peer=names)
             return False
-        self.meter.copy_window(merged)
+        self.meter.copy_window(merged, source)
         _log.write(
             "window copied",
             "this host has just started",
-            peer=",".join(names),
+            peer=names,
+            source=source.value,
             organisations=len(merged),
-            tables=len(tables),
+            tables=len(known),
         )
         return True
 
-    async def _request(self, name: str) -> WindowTable | None:
-        """Return the window that a host or witness knows, None without any."""
+    async def _request(self, name: str) -> WindowReport | None:
+        """Return what a host or witness knows of the window, None without an answer."""
         try:
-            knows_window, table = await self.datagrams.request(name, WINDOW_KIND, [])
-        except (NoReplyError, ValueError, TypeError) as error:
+            payload = await self.datagrams.request(name, WINDOW_KIND, [])
+            return WindowReport.from_payload(payload)
+        except (NoReplyError, ValueError) as error:
             _log.write("window not copied", repr(error), peer=name)
             return None
-        return table if knows_window and isinstance(table, dict) else None
 
     async def _handle_request(self, _sender: str, _payload: list) -> list:
         # A host that was suspended or cut off has not heard what others admitted since.
         hears_most = self.meter.reachable_fraction() > 0.5
         if not self.meter.knows_window() or not hears_most:
-            return [False, {}]
-        return [True, self.meter.window_counts()]
+            return WindowReport(WindowSource.NONE).to_payload()
+        table = self.meter.window_counts()
+        return WindowReport(WindowSource.HEARD, table).to_payload()
--- a/celerypulley/fleet/window_table.py
+++ b/celerypulley/fleet/window_table.py
@@ -1,12 +1,19 @@
 """Counts of the requests in a window, in the form in which hosts copy them."""
 
+import enum
 from collections.abc import Iterable, Mapping
 
+import attrs
+import msgpack
+
 from celerypulley.elapsed_time import elapsed_ms
 from celerypulley.fleet.fleet_gossip import PeerCounts
 
 __all__ = [
     "WINDOW_STEPS",
+    "WindowReport",
+    "WindowRow",
+    "WindowSource",
     "WindowTable",
     "count_by_step",
     "counted_total",
@@ -19,6 +26,57 @@
 WindowTable = dict[str, list[float]]
 
 
+@attrs.frozen
+class WindowRow:
+    """Requests by organisation that were counted together, and when."""
+
+    at_ms: float
+    counts: dict[str, float]
+
+    def pack(self) -> bytes:
+        """Return the row encoded for a file."""
+        return msgpack.packb((self.at_ms, self.counts))
+
+    @classmethod
+    def unpack(cls, raw: bytes) -> "WindowRow":
+        """Return an encoded row; raise ValueError if it is invalid."""
+        try:
+            at_ms, counts = msgpack.unpackb(raw)
+            counts = {str(name): float(count) for name, count in counts.items()}
+            return cls(float(at_ms), counts)
+        except (TypeError, AttributeError, msgpack.UnpackException) as error:
+            raise ValueError(f"row of a window is invalid: {error!r}") from error
+
+
+class WindowSource(enum.Enum):
+    """What a window is known from."""
+
+    NONE = "none"
+    HEARD = "heard"  # since the beginning of the window
+    RESTORED = "restored"  # from the time before a start, and heard since
+
+
+@attrs.frozen
+class WindowReport:
+    """What one process knows of the requests of the last window."""
+
+    source: WindowSource
+    table: WindowTable = attrs.Factory(dict)
+
+    def to_payload(self) -> list:
+        """Return the report as it is sent in a datagram."""
+        return [self.source.value, self.table]
+
+    @classmethod
+    def from_payload(cls, payload: list) -> "WindowReport":
+        """Return a received report; raise ValueError if it is invalid."""
+        try:
+            source, table = payload
+            return cls(WindowSource(source), {**table})
+        except TypeError as error:
+            raise ValueError(f"report of a window is invalid: {error}") from error
+
+
 def count_by_step(
     recent: Mapping[str, Iterable[tuple[float, float]]], now_ms: float, window_ms: float
 ) -> WindowTable:
--- a/celerypulley/fleet/window_witness.py
+++ b/celerypulley/fleet/window_witness.py
@@ -2,25 +2,39 @@
 
 Hosts copy the last window from each other when they start. If all of them end at one
 moment, the storage hosts outlive them. So hosts send what they admitted to one storage
-host of some failure domains, too, and a host that starts asks these witnesses.
+host of some failure domains, too, and a host that starts asks these witnesses. They
+save it on their disks, since they may end at the same moment.
 """
 
+import asyncio
 from collections import deque
 from collections.abc import Iterable
 
+import attrs
+
 from celerypulley.clock import Clock
 from celerypulley.elapsed_time import elapsed_ms
 from celerypulley.failure_domains.placement import rendezvous
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_gossip import FleetGossip, PeerCounts
 from celerypulley.fleet.fleet_members import FleetMember
-from celerypulley.fleet.window_table import count_by_step, counted_total
+from celerypulley.fleet.window_table import (
+    WindowReport,
+    WindowRow,
+    WindowSource,
+    count_by_step,
+    counted_total,
+)
 
 __all__ = ["WINDOW_KIND", "WindowWitness", "choose_witnesses"]
 
 WINDOW_KIND = "window"
 _MAX_WITNESSES = 3  # two may be lost together with all hosts
 _PLACEMENT_KEY = "requests of the last window"
+# Of one organisation, what is lost at a loss of power: a part of the overrun of a limit
+# that the site sheets allow, or of its slack.
+_UNSAVED_FRACTION = 0.03
+_UNSAVED_COUNT = 8
 
 
 def choose_witnesses(storage_hosts: Iterable[FleetMember]) -> list[str]:
@@ -39,8 +53,31 @@
     return witnesses
 
 
+@attrs.define(eq=False)
+class _Recent:
+    """One organisation's requests in the window, with times and counts."""
+
+    rows: deque[tuple[float, float]] = attrs.Factory(deque)
+    in_window: float = 0.0
+    unsaved: float = 0.0
+
+    def record(self, at_ms: float, count: float) -> None:
+        """Count requests that are not saved yet."""
+        self.rows.append((at_ms, count))
+        self.in_window += count
+        self.unsaved += count
+
+    def drop_until(self, at_ms: float) -> None:
+        """Drop the requests that were counted until `at_ms`."""
+        while self.rows and self.rows[0][0] <= at_ms:
+            self.in_window -= self.rows.popleft()[1]
+
+
 class WindowWitness:
-    """The requests that all hosts admitted in the last window, by organisation."""
+    """The requests that all hosts admitted in the last window, by organisation.
+
+    `has_unsaved` is set while some are not saved, `is_save_urgent` while that are many.
+    """
 
     def __init__(
         self, datagrams: FleetDatagrams, window_ms: float, clock: Clock
@@ -49,8 +86,11 @@
         self.datagrams = datagrams
         self.window_ms = window_ms
         self.clock = clock
+        self.has_unsaved = asyncio.Event()
+        self.is_save_urgent = asyncio.Event()
         self._started_ms = clock.now_ms()
-        self._recent: dict[str, deque[tuple[float, float]]] = {}
+        self._is_restored = False
+        self._recent: dict[str, _Recent] = {}
         gossip = FleetGossip(datagrams, lambda: ({}, {}, {}), lambda: 0, clock)
         gossip.on_message.append(self._on_peer_counts)
         datagrams.handlers[WINDOW_KIND] = self._handle_request
@@ -59,14 +99,55 @@
         now_ms = self.clock.now_ms()
         for organisation, total in peer.admitted.items():
             known = counted_total(organisation, peer, previous, self.window_ms)
-            if total > known:
-                recent = self._recent.setdefault(organisation, deque())
-                recent.append((now_ms, total - known))
-                self._drop_old(recent, now_ms)
-
-    def _drop_old(self, recent: deque[tuple[float, float]], now_ms: float) -> None:
-        while recent and recent[0][0] <= now_ms - self.window_ms:
-            recent.popleft()
+            if total <= known:
+                continue
+            recent = self._recent.setdefault(organisation, _Recent())
+            recent.record(now_ms, total - known)
+            recent.drop_until(now_ms - self.window_ms)
+            self.has_unsaved.set()
+            tolerated = max(_UNSAVED_COUNT, _UNSAVED_FRACTION * recent.in_window)
+            if recent.unsaved >= tolerated:
+                self.is_save_urgent.set()
+
+    def restore(self, rows: list[WindowRow]) -> None:
+        """Count what was saved before the start, the newest row as just counted."""
+        self._is_restored = True
+        newest_ms = rows[-1].at_ms if rows else 0.0
+        for row in rows:
+            age_ms = elapsed_ms(row.at_ms, newest_ms, "saved window")
+            if age_ms >= self.window_ms:
+                continue
+            for organisation, count in row.counts.items():
+                recent = self._recent.setdefault(organisation, _Recent())
+                recent.record(self._started_ms - age_ms, count)
+
+    def rows(self) -> list[WindowRow]:
+        """Return the requests of the last window, oldest first."""
+        self._drop_old()
+        counts: dict[float, dict[str, float]] = {}
+        for organisation, recent in self._recent.items():
+            for at_ms, count in recent.rows:
+                row = counts.setdefault(at_ms, {})
+                row[organisation] = row.get(organisation, 0.0) + count
+        return [WindowRow(at_ms, counts[at_ms]) for at_ms in sorted(counts)]
+
+    def take_unsaved(self) -> dict[str, float]:
+        """Return the requests that are not saved yet; they count as saved now."""
+        self.has_unsaved.clear()
+        self.is_save_urgent.clear()
+        unsaved = {}
+        for organisation, recent in self._recent.items():
+            if recent.unsaved:
+                unsaved[organisation] = recent.unsaved
+                recent.unsaved = 0.0
+        return unsaved
+
+    def _drop_old(self) -> None:
+        until_ms = self.clock.now_ms() - self.window_ms
+        for organisation, recent in list(self._recent.items()):
+            recent.drop_until(until_ms)
+            if not recent.rows and not recent.unsaved:
+                del self._recent[organisation]
 
     def knows_window(self) -> bool:
         """Return whether this storage host has heard all messages of the window."""
@@ -75,14 +156,17 @@
 
     def window_counts(self) -> dict[str, list[float]]:
         """Return the requests of the last window, as a host's meter does."""
-        now_ms = self.clock.now_ms()
-        for organisation, recent in list(self._recent.items()):
-            self._drop_old(recent, now_ms)
-            if not recent:
-                del self._recent[organisation]
-        return count_by_step(self._recent, now_ms, self.window_ms)
+        self._drop_old()
+        rows = {name: recent.rows for name, recent in self._recent.items()}
+        return count_by_step(rows, self.clock.now_ms(), self.window_ms)
+
+    def report(self) -> WindowReport:
+        """Return what this storage host knows of the window."""
+        if self.knows_window():
+            return WindowReport(WindowSource.HEARD, self.window_counts())
+        if self._is_restored:
+            return WindowReport(WindowSource.RESTORED, self.window_counts())
+        return WindowReport(WindowSource.NONE)
 
     async def _handle_request(self, _sender: str, _payload: list) -> list:
-        if not self.knows_window():
-            return [False, {}]
-        return [True, self.window_counts()]
+        return self.report().to_payload()
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -15,6 +15,7 @@
 from celerypulley.fleet.disk_list import Disk, DiskList
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
+from celerypulley.fleet.window_saver import WindowSaver
 from celerypulley.fleet.window_witness import WindowWitness
 from celerypulley.fleet_settings import FleetSettings
 from celerypulley.hosts.record_service import RecordService
@@ -25,6 +26,7 @@
 from celerypulley.links.storage_messages import RecordsNotStored, StoreRecords
 from celerypulley.links.storage_server import StorageServer
 from celerypulley.storage.record_journal import RecordJournal
+from celerypulley.storage.window_journal import WindowJournal
 
 __all__ = ["StorageHost"]
 
@@ -73,6 +75,12 @@
         self.window_witness = WindowWitness(
             self.datagrams, settings.quota_window_ms, clock
         )
+        self.window_saver = WindowSaver(
+            self.window_witness,
+            WindowJournal(settings.data_dir),
+            settings.is_first_start,
+            clock,
+        )
         self.record_service = RecordService(
             self.record_store,
             journal,
@@ -123,6 +131,7 @@
             self.members,
             self.members.follower,
             self.datagrams,
+            self.window_saver,
             self.record_service,
         ):
             await self.add_runtime_dependency(service)
@@ -153,6 +162,7 @@
         return {
             "records": len(self.record_store.records),
             "syncs": self.record_store.syncs,
+            "window_saves": self.window_saver.saves,
             "contents_held_bytes": self.record_store.held_bytes,
             "is_complete": int(self.record_service.is_complete),
             "members_known": len(self.members.others),
--- a/celerypulley/storage/record_journal.py
+++ b/celerypulley/storage/record_journal.py
@@ -9,17 +9,19 @@
 import os
 import re
 import secrets
-import struct
-import zlib
 from collections.abc import Iterator
 from pathlib import Path
 
 import attrs
 
+from celerypulley.storage.frames import (
+    FRAME_HEADER_BYTES,
+    encode_frame,
+    intact_frames,
+)
+
 __all__ = ["RecordJournal", "RecordPlace"]
 
-_FRAME_HEADER = struct.Struct("<II")
-_MAX_FRAME_BYTES = 16 * 1024 * 1024
 _MAX_SEGMENT_BYTES = 8 * 1024 * 1024  # a fiftieth of a disk of 340 to 390 MB
 _SEGMENT_SUFFIX = ".records"
 _COMPLETE_FILE = "complete"
@@ -59,7 +61,7 @@
             self._segments.append(segment)
             raw = path.read_bytes()
             segment.size = len(raw)
-            for offset_bytes, record in _intact_frames(raw):
+            for offset_bytes, record in intact_frames(raw):
                 yield RecordPlace(segment.number, offset_bytes, len(record)), record
 
     def read(self, place: RecordPlace) -> bytes:
@@ -109,9 +111,7 @@
         if self._descriptor is None or self._segments[-1].size > _MAX_SEGMENT_BYTES:
             self._open_segment()
         segment = self._segments[-1]
-        data = b"".join(
-            _FRAME_HEADER.pack(len(each), zlib.crc32(each)) + each for each in records
-        )
+        data = b"".join(map(encode_frame, records))
         assert self._descriptor is not None, "a segment is open"
         view = memoryview(data)
         try:
@@ -124,7 +124,7 @@
             raise
         places = []
         for each in records:
-            offset_bytes = segment.size + _FRAME_HEADER.size
+            offset_bytes = segment.size + FRAME_HEADER_BYTES
             places.append(RecordPlace(segment.number, offset_bytes, len(each)))
             segment.size = offset_bytes + len(each)
         return places
@@ -162,17 +162,3 @@
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
-
-
-def _intact_frames(raw: bytes) -> Iterator[tuple[int, bytes]]:
-    """Yield offset and content of the frames up to the first that isn't intact."""
-    position = 0
-    while position + _FRAME_HEADER.size <= len(raw):
-        length, checksum = _FRAME_HEADER.unpack_from(raw, position)
-        begin = position + _FRAME_HEADER.size
-        record = raw[begin : begin + length]
-        is_intact = 0 < length <= _MAX_FRAME_BYTES and len(record) == length
-        if not is_intact or zlib.crc32(record) != checksum:
-            return
-        yield begin, record
-        position = begin + length
--- a/tests/test_fleet_meter.py
+++ b/tests/test_fleet_meter.py
@@ -11,10 +11,12 @@
     DesiredState,
     OrganisationRule,
 )
+from celerypulley.errors import CallRefusedError, ErrorKind
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_gossip import FleetGossip, PeerCounts
 from celerypulley.fleet.fleet_meter import FleetMeter
 from celerypulley.fleet.window_copier import WindowCopier
+from celerypulley.fleet.window_table import WindowReport, WindowSource
 from tests.fleet import API_KEY, desired_state, running_fleet
 from tests.harness import ManualClock, wait_until
 
@@ -33,6 +35,7 @@
     unreachable: set
     unreachable_since_ms: float = float("-inf")
     announce_requests: int = 0
+    peers: dict[str, PeerCounts] = attrs.Factory(dict)
 
     def is_reachable(self, host: str) -> bool:
         return host not in self.unreachable
@@ -206,28 +209,57 @@
         meter.gossip.unreachable_since_ms = since_ms
 
 
-def test_starting_hosts_use_their_shares_before_gossip_arrives():
+@pytest.mark.parametrize("source", [WindowSource.HEARD, WindowSource.RESTORED])
+def test_starting_hosts_use_their_shares_before_gossip_arrives(source):
     clock = ManualClock()
     fleet = make_meters(6, clock)
     _partition(fleet, {0}, float("-inf"))
     admitted: list[float] = []
     for meter in fleet:
         meter._started_ms = clock.now_ms
+        meter.copy_window({}, source)
         assert acquire(meter, clock.now_ms, admitted)
 
 
-def test_starting_host_assumes_that_most_of_the_limit_is_used():
+async def test_starting_host_admits_nothing_before_it_knows_the_window():
+    """Guards against a limit that is admitted again after all processes were killed."""
     clock = ManualClock()
     (meter,) = make_meters(1, clock)
     meter._started_ms = clock.now_ms
     admitted: list[float] = []
-    while acquire(meter, clock.now_ms, admitted):
-        pass
-    assert len(admitted) <= 0.25 * 120 + 20
+    assert not acquire(meter, clock.now_ms, admitted)
+    with pytest.raises(CallRefusedError) as caught:
+        await meter.acquire(RULE)
+    refusal = caught.value.refusal
+    assert refusal.kind is ErrorKind.STATE_UNREACHABLE
+    assert refusal.retry_after_s <= 1.0  # a copy arrives sooner than the window ends
     clock.advance(WINDOW_MS)
     assert acquire(meter, clock.now_ms, admitted)
 
 
+@pytest.mark.parametrize(
+    ("uptime_ms", "counted"),
+    [(WINDOW_MS - 1, 30), (WINDOW_MS, 30), (WINDOW_MS + 1, 0)],
+)
+@pytest.mark.parametrize("is_known_before", [True, False])
+def test_restored_window_lacks_what_peers_admitted_since(
+    uptime_ms, counted, is_known_before
+):
+    """Guards against hosts that start together and miss each other's first requests."""
+    clock = ManualClock()
+    (meter,) = make_meters(1, clock)
+    meter._started_ms = clock.now_ms
+    clock.advance(100.0)
+    peer = PeerCounts("host-1", "s", 1, 0.0, {RULE.name: 30}, uptime_ms=uptime_ms)
+    if is_known_before:
+        meter.gossip.peers["host-1"] = peer
+        meter.on_peer_counts(peer, None)
+    meter.copy_window({}, WindowSource.RESTORED)
+    if not is_known_before:
+        meter.on_peer_counts(peer, None)
+    assert sum(meter.window_counts().get(RULE.name, [])) == counted
+
+
 @pytest.mark.parametrize("lost", [set(), {2}, {2, 3, 4}, {5, 6}])
 def test_totals_are_received_although_messages_are_lost(lost):
     clock = ManualClock()
@@ -285,4 +317,7 @@
     meter.gossip.unreachable = others if unreachable is None else unreachable
     datagrams = FleetDatagrams("host-0", "", 1, meter.gossip.members)
     copier = WindowCopier(meter, datagrams, meter.gossip)
-    assert await copier._handle_request("host-1", []) == [is_given, {}]
+    report = WindowReport.from_payload(await copier._handle_request("host-1", []))
+    assert report.table == {}
+    assert (report.source is WindowSource.HEARD) == is_given
+    assert (report.source is WindowSource.NONE) != is_given
--- a/tests/test_rates_over_restarts.py
+++ b/tests/test_rates_over_restarts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import aiohttp
 import attrs
@@ -15,7 +16,7 @@
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_gossip import FleetGossip
 from celerypulley.fleet.fleet_meter import FleetMeter
-from celerypulley.fleet.window_table import merge_tables
+from celerypulley.fleet.window_table import WindowRow, WindowSource, merge_tables
 from celerypulley.fleet.window_witness import WindowWitness
 from celerypulley.hosts.storage_host import StorageHost
 from celerypulley.platform.store import PlatformStore
@@ -95,6 +96,7 @@
         self.refused = 0
         self.demand_per_s = 5 * RULE.rate_per_s
         self.demand = 0.0
+        self.on_step: Callable[[], None] = lambda: None
 
     def running(self) -> list[_Host]:
         return [host for host in self.hosts if host.is_running()]
@@ -106,11 +108,26 @@
                 if self.copies_windows and not host.meter.knows_window():
                     self._copy_window(host)
                 host.announce_if_due()
+            self.on_step()
             self.demand += self.demand_per_s * STEP_MS / 1000
             while self.demand >= 1.0:
                 self.demand -= 1.0
                 self._send_request()
 
+    def run_evenly(self) -> None:
+        """Reach a state in which the limit is used up evenly over the window."""
+        saturating_per_s, self.demand_per_s = self.demand_per_s, RULE.rate_per_s
+        self.run(2 * WINDOW_MS)
+        self.demand_per_s = saturating_per_s
+        self.run(WINDOW_MS)
+
+    def run_in_bursts(self) -> None:
+        """Reach a state in which the limit is used up at the start of each window."""
+        saturating_per_s, self.demand_per_s = self.demand_per_s, 0.0
+        self.run(2 * WINDOW_MS)
+        self.demand_per_s = saturating_per_s
+        self.run(WINDOW_MS)
+
     def _send_request(self) -> None:
         running = self.running()
         if not running:
@@ -171,9 +188,10 @@
     [_restart_in_turn, _restart_in_turn_beside_a_pause, _restart_at_once, _pause],
 )
 @pytest.mark.parametrize("loss", [0.0, 0.2])
-def test_restarted_hosts_admit_a_window_of_their_own(hosts, disrupt, loss):
+@pytest.mark.parametrize("begin", [_Fleet.run_evenly, _Fleet.run_in_bursts])
+def test_restarted_hosts_admit_a_window_of_their_own(hosts, disrupt, loss, begin):
     fleet = _Fleet(hosts, loss, copies_windows=True)
-    fleet.run(2 * WINDOW_MS)
+    begin(fleet)
     disrupt(fleet)
     fleet.run(2 * WINDOW_MS)
     assert max_in_window(fleet.admitted) <= MAX_IN_WINDOW
@@ -293,6 +311,93 @@
     assert max_in_window(fleet.admitted) <= MAX_IN_WINDOW
 
 
+@attrs.define(eq=False)
+class _Disk:
+    """What one witness has saved; it saves every 250 ms, and sooner if it is urgent."""
+
+    rows: list[WindowRow] = attrs.Factory(list)
+    saved_ms: float = float("-inf")
+
+
+class _SavingWitnesses(_Witnesses):
+    """Witnesses that end together with all hosts, and restore what they saved."""
+
+    def __attrs_post_init__(self) -> None:
+        super().__attrs_post_init__()
+        self.disks = [_Disk() for _ in self.witnesses]
+        self.fleet.on_step = self._save_what_is_due
+
+    def _save_what_is_due(self) -> None:
+        now_ms = self.fleet.clock.now_ms
+        for witness, disk in zip(self.witnesses, self.disks, strict=True):
+            is_due = now_ms - disk.saved_ms >= 250.0
+            if is_due or witness.is_save_urgent.is_set():
+                disk.rows.append(WindowRow(now_ms, witness.take_unsaved()))
+                disk.saved_ms = now_ms
+
+    def kill_all(self, down_ms: float, lost_disks: int) -> None:
+        """End all processes for `down_ms`, and lose the last disks."""
+        for host in self.fleet.hosts:
+            host.stopped_until_ms = self.fleet.clock.now_ms + down_ms
+        self.fleet.on_step = lambda: None
+        self.fleet.run(down_ms)
+        tables = []
+        for number, disk in enumerate(self.disks):
+            datagrams = FleetDatagrams(f"storage-{number}", "", 1, self.fleet.members)
+            witness = WindowWitness(datagrams, WINDOW_MS, self.fleet.clock.clock)
+            self.witnesses[number] = witness
+            if number >= len(self.disks) - lost_disks:
+                self.disks[number] = _Disk()
+                continue
+            witness.restore(disk.rows)
+            disk.rows = witness.rows()
+            witness.take_unsaved()
+            tables.append(witness.report().table)
+        self.fleet.on_step = self._save_what_is_due
+        for host in self.fleet.hosts:
+            host.start()
+            self.connect(host)
+            host.meter.copy_window(merge_tables(tables), WindowSource.RESTORED)
+
+
+@pytest.mark.parametrize("hosts", [1, 3, 7, 20])
+@pytest.mark.parametrize("kill_after_ms", [50.0, 300.0, 1_300.0, 3_000.0, 4_900.0])
+@pytest.mark.parametrize("lost_disks", [0, 1])
+@pytest.mark.parametrize("second_kill_after_ms", [None, 100.0, 1_500.0])
+def test_killed_witnesses_restore_what_was_admitted_before(
+    hosts, kill_after_ms, lost_disks, second_kill_after_ms
+):
+    """Guards against a limit that is admitted again if storage hosts end, too."""
+    fleet = _Fleet(hosts, 0.0, copies_windows=False)
+    witnesses = _SavingWitnesses(fleet)
+    for host in fleet.hosts:
+        witnesses.connect(host)
+    fleet.demand_per_s = 0.0
+    fleet.run(2 * WINDOW_MS)
+    fleet.demand_per_s = 5 * RULE.rate_per_s
+    fleet.run(kill_after_ms)
+    witnesses.kill_all(500.0, lost_disks)
+    if second_kill_after_ms is not None:
+        fleet.run(second_kill_after_ms)
+        witnesses.kill_all(500.0, 0)
+    fleet.run(2 * WINDOW_MS)
+    assert max_in_window(fleet.admitted) <= MAX_IN_WINDOW
+
+
+def test_restored_window_costs_callers_below_the_limit_requests():
+    """Guards against storage hosts that assume more than was admitted."""
+    fleet = _Fleet(7, 0.0, copies_windows=False)
+    witnesses = _SavingWitnesses(fleet)
+    for host in fleet.hosts:
+        witnesses.connect(host)
+    fleet.demand_per_s = 0.6 * RULE.rate_per_s
+    fleet.run(2 * WINDOW_MS)
+    fleet.refused = 0
+    witnesses.kill_all(500.0, 1)
+    fleet.run(2 * WINDOW_MS)
+    assert fleet.refused <= 0.01 * len(fleet.admitted)
+
+
 def test_witnesses_cost_callers_below_the_limit_requests():
     """A fleet that was killed refuses no usual demand, as it knows the window."""
     fleet = _Fleet(7, 0.0, copies_windows=False)
