Guard the reads of the desired state against channels that were lost together

Cause: programs that begin together leave many idle channels in the pool, and each read of the desired state tried the next of them for 0.5 s.

Test: test_version_is_read_at_once_however_many_channels_were_lost; on four reads fail and it fails.

--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -13,7 +13,7 @@
 from celerypulley.settings import Address
 from celerypulley.stand_ins.fleet_store import FleetStore
 from celerypulley.stand_ins.silencing_proxy import SilencingProxy
-from tests.fleet import Fleet, running_fleet, running_store
+from tests.fleet import Fleet, desired_state, running_fleet, running_store
 from tests.harness import free_address, wait_until
 
 _CHANNELS = 6
@@ -131,6 +131,21 @@
         assert list(directory.servers) == ["server-1"]
 
 
+async def test_version_is_read_at_once_however_many_channels_were_lost(monkeypatch):
+    """Guards against requests to the old service, sent by a host in touch."""
+    failures = []
+    async with _fleet_behind_proxy() as (fleet, proxy):
+        host = fleet.hosts[0]
+        monkeypatch.setattr(
+            host.desired_state.confirmer, "_record_failure", failures.append
+        )
+        await asyncio.gather(*(host.store.read(_KEY) for _ in range(_CHANNELS)))
+        assert proxy.silence_open() >= _CHANNELS
+        fleet.put_state(desired_state(version=2))
+        await wait_until(lambda: host.desired_state.version == 2)
+    assert len(failures) <= 1
+
+
 async def test_entry_that_lapses_in_an_outage_is_retained():
     """Its server writes it again soon after the store's return."""
     async with running_fleet(servers=2, server_check_in_ms=300.0) as fleet:
