Let storage hosts that start copy the last window of hosts that ran on

Cause: a storage host that starts has not heard what was admitted while it was down, and takes the first message of a host as old.

Change: it copies the window of hosts that know it, at its start and once more when it has heard all that admit requests.

Test: test_witness_learns_what_was_admitted_while_it_was_down.

--- a/celerypulley/fleet/window_copier.py
+++ b/celerypulley/fleet/window_copier.py
@@ -17,14 +17,17 @@
 from celerypulley.fleet.window_table import (
     WindowReport,
     WindowSource,
+    WindowTable,
     merge_tables,
 )
-from celerypulley.fleet.window_witness import WINDOW_KIND
+from celerypulley.fleet.window_witness import WINDOW_KIND, WindowWitness
 
-__all__ = ["WindowCopier"]
+__all__ = ["WindowCopier", "WitnessCopier"]
 
 _RETRY_S = 0.05  # a host that starts is heard by others within 250 ms
 _EXPECTED_MS = 1_000.0  # a copy that takes longer is not waited for
+_MAX_ASKED_HOSTS = 3
+_FIRST_MESSAGES_S = 0.6  # two periods of the messages of hosts that admit requests
 _log = DecisionLog("meter")
 
 
@@ -73,11 +76,11 @@
         others = [each for each in self.gossip.members if each != self.datagrams.host]
         heard = [each for each in others if self.gossip.is_reachable(each)]
         if heard:
-            reports = await self._ask([random.choice(heard)])
+            reports = await _ask(self.datagrams, [random.choice(heard)])
             if self._copy_from(reports, WindowSource.HEARD):
                 return True
         witnesses = self.gossip.witnesses()
-        reports = await self._ask(witnesses)
+        reports = await _ask(self.datagrams, witnesses)
         if self._copy_from(reports, WindowSource.HEARD):
             return True
         if 2 * len(reports) <= len(witnesses) and not is_late:
@@ -89,12 +92,6 @@
             self.meter.copy_ended.set()
         return False
 
-    async def _ask(self, names: list[str]) -> dict[str, WindowReport]:
-        """Return the reports of those named that answer."""
-        reports = await asyncio.gather(*(self._request(each) for each in names))
-        pairs = zip(names, reports, strict=True)
-        return {name: report for name, report in pairs if report is not None}
-
     def _copy_from(
         self, reports: dict[str, WindowReport], source: WindowSource
     ) -> bool:
@@ -119,15 +116,6 @@
         )
         return True
 
-    async def _request(self, name: str) -> WindowReport | None:
-        """Return what a host or witness knows of the window, None without an answer."""
-        try:
-            payload = await self.datagrams.request(name, WINDOW_KIND, [])
-            return WindowReport.from_payload(payload)
-        except (NoReplyError, ValueError) as error:
-            _log.write("window not copied", repr(error), peer=name)
-            return None
-
     async def _handle_request(self, _sender: str, _payload: list) -> list:
         # A host that was suspended or cut off has not heard what others admitted since.
         hears_most = self.meter.reachable_fraction() > 0.5
@@ -135,3 +123,66 @@
             return WindowReport(WindowSource.NONE).to_payload()
         table = self.meter.window_counts()
         return WindowReport(WindowSource.HEARD, table).to_payload()
+
+
+class WitnessCopier(Service):
+    """Give a witness that has just started the window of hosts that ran meanwhile.
+
+    It has not heard what they admitted while its storage host was down, nor what they
+    admit between a copy and their first message to it. So it copies the window twice.
+    """
+
+    def __init__(self, witness: WindowWitness) -> None:
+        """Ask the hosts that the witness knows."""
+        super().__init__()
+        self.witness = witness
+
+    @Service.task
+    async def _copy_window(self) -> None:
+        while not self.should_stop and not self.witness.knows_window():
+            await self._try_copy()
+            await self.sleep(_RETRY_S)
+        await self.sleep(_FIRST_MESSAGES_S)
+        await self._try_copy()
+
+    async def _try_copy(self) -> None:
+        datagrams = self.witness.datagrams
+        hosts = list(datagrams.addresses)
+        asked = random.sample(hosts, min(len(hosts), _MAX_ASKED_HOSTS))
+        reports = await _ask(datagrams, asked)
+        heard = [
+            each.table for each in reports.values() if each.source is WindowSource.HEARD
+        ]
+        if heard:
+            self._copy(heard)
+
+    def _copy(self, tables: list[WindowTable]) -> None:
+        try:
+            merged = merge_tables([self.witness.window_counts(), *tables])
+        except (ValueError, TypeError) as error:
+            _log.write("window not copied", repr(error))
+            return
+        self.witness.copy_window(merged)
+        _log.write(
+            "window copied",
+            "this storage host has just started",
+            organisations=len(merged),
+            tables=len(tables),
+        )
+
+
+async def _ask(datagrams: FleetDatagrams, names: list[str]) -> dict[str, WindowReport]:
+    """Return the reports of those named that answer."""
+    reports = await asyncio.gather(*(_request(datagrams, each) for each in names))
+    pairs = zip(names, reports, strict=True)
+    return {name: report for name, report in pairs if report is not None}
+
+
+async def _request(datagrams: FleetDatagrams, name: str) -> WindowReport | None:
+    """Return what a host or witness knows of the window, None without an answer."""
+    try:
+        payload = await datagrams.request(name, WINDOW_KIND, [])
+        return WindowReport.from_payload(payload)
+    except (NoReplyError, ValueError) as error:
+        _log.write("window not copied", repr(error), peer=name)
+        return None
--- a/celerypulley/fleet/window_witness.py
+++ b/celerypulley/fleet/window_witness.py
@@ -19,9 +19,11 @@
 from celerypulley.fleet.fleet_gossip import FleetGossip, PeerCounts
 from celerypulley.fleet.fleet_members import FleetMember
 from celerypulley.fleet.window_table import (
+    WINDOW_STEPS,
     WindowReport,
     WindowRow,
     WindowSource,
+    WindowTable,
     count_by_step,
     counted_total,
 )
@@ -90,6 +92,7 @@
         self.is_save_urgent = asyncio.Event()
         self._started_ms = clock.now_ms()
         self._is_restored = False
+        self._has_copied_window = False
         self._recent: dict[str, _Recent] = {}
         gossip = FleetGossip(datagrams, lambda: ({}, {}, {}), lambda: 0, clock)
         gossip.on_message.append(self._on_peer_counts)
@@ -121,6 +124,23 @@
                 recent = self._recent.setdefault(organisation, _Recent())
                 recent.record(self._started_ms - age_ms, count)
 
+    def copy_window(self, table: WindowTable) -> None:
+        """Replace what is known by counts that include it.
+
+        Requests count from the newest moment of their part of the window.
+        """
+        now_ms = self.clock.now_ms()
+        step_ms = self.window_ms / WINDOW_STEPS
+        self._has_copied_window = True
+        self._recent.clear()
+        for organisation, counts in table.items():
+            recent = self._recent[organisation] = _Recent()
+            for step, count in reversed(list(enumerate(counts))):
+                if count > 0:
+                    recent.record(now_ms - step * step_ms, count)
+        self.has_unsaved.set()
+        self.is_save_urgent.set()
+
     def rows(self) -> list[WindowRow]:
         """Return the requests of the last window, oldest first."""
         self._drop_old()
@@ -151,6 +171,8 @@
 
     def knows_window(self) -> bool:
         """Return whether this storage host has heard all messages of the window."""
+        if self._has_copied_window:
+            return True
         age_ms = elapsed_ms(self._started_ms, self.clock.now_ms(), "window witness")
         return age_ms >= self.window_ms
 
--- a/celerypulley/hosts/storage_host.py
+++ b/celerypulley/hosts/storage_host.py
@@ -15,6 +15,7 @@
 from celerypulley.fleet.disk_list import Disk, DiskList
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_members import STORAGE_HOST, FleetMember, FleetMembers
+from celerypulley.fleet.window_copier import WitnessCopier
 from celerypulley.fleet.window_saver import WindowSaver
 from celerypulley.fleet.window_witness import WindowWitness
 from celerypulley.fleet_settings import FleetSettings
@@ -132,6 +133,7 @@
             self.members.follower,
             self.datagrams,
             self.window_saver,
+            WitnessCopier(self.window_witness),
             self.record_service,
         ):
             await self.add_runtime_dependency(service)
--- a/tests/test_rates_over_restarts.py
+++ b/tests/test_rates_over_restarts.py
@@ -384,6 +384,19 @@
     assert max_in_window(fleet.admitted) <= MAX_IN_WINDOW
 
 
+@pytest.mark.parametrize("hosts", [1, 7])
+def test_hosts_that_end_while_no_storage_host_runs_admit_a_second_window(hosts):
+    fleet = _Fleet(hosts, 0.0, copies_windows=False)
+    witnesses = _SavingWitnesses(fleet)
+    fleet.demand_per_s = 0.0
+    fleet.run(2 * WINDOW_MS)
+    fleet.demand_per_s = 5 * RULE.rate_per_s
+    fleet.run(1_300.0)  # no host is connected to a witness
+    witnesses.kill_all(500.0, 0)
+    fleet.run(2 * WINDOW_MS)
+    assert max_in_window(fleet.admitted) <= MAX_IN_WINDOW
+
+
 def test_restored_window_costs_callers_below_the_limit_requests():
     """Guards against storage hosts that assume more than was admitted."""
     fleet = _Fleet(7, 0.0, copies_windows=False)
--- a/tests/test_window_saver.py
+++ b/tests/test_window_saver.py
@@ -7,6 +7,7 @@
 
 from celerypulley.fleet.fleet_datagrams import FleetDatagrams
 from celerypulley.fleet.fleet_gossip import PeerCounts
+from celerypulley.fleet.window_copier import WitnessCopier
 from celerypulley.fleet.window_saver import WindowSaver
 from celerypulley.fleet.window_table import WindowRow, WindowSource
 from celerypulley.fleet.window_witness import WindowWitness
@@ -116,6 +117,36 @@
     assert _total(_make_saver(tmp_path), "o") == 12
 
 
+@pytest.mark.parametrize(
+    ("payload", "source", "total"),
+    [
+        pytest.param(["heard", {"o": [9, 0, 0, 0, 2]}], "heard", 11, id="ran on"),
+        pytest.param(["heard", {"o": [1, 0, 0, 0, 0]}], "heard", 7, id="heard less"),
+        pytest.param(["heard", {}], "heard", 7, id="heard nothing"),
+        pytest.param(["restored", {"o": [9]}], "restored", 7, id="started, too"),
+        pytest.param(["none", {}], "restored", 7, id="knows nothing"),
+        pytest.param(["heard", {"o": [9]}], "restored", 7, id="another form"),
+        pytest.param(["heard", 5], "restored", 7, id="no table"),
+        pytest.param([True, {}], "restored", 7, id="unknown source"),
+    ],
+)
+async def test_witness_learns_what_was_admitted_while_it_was_down(
+    tmp_path, payload, source, total
+):
+    """Guards against a kill of storage hosts that is followed by one of hosts."""
+    await _save(tmp_path, [{"o": 7}])
+    witness = _make_saver(tmp_path).witness
+    witness.datagrams.addresses["host-0"] = ("127.0.0.1", 1)
+
+    async def request(_host: str, _kind: str, _payload: list) -> list:
+        return payload
+
+    witness.datagrams.request = request
+    await WitnessCopier(witness)._try_copy()
+    assert witness.report().source is WindowSource(source)
+    assert sum(witness.report().table["o"]) == total
+
+
 def _fail(_descriptor: int) -> None:
     raise OSError("disk")
 
