Retain no entry before the store was ever known to be available

A server that left and came back before the first confirmation kept its former state.

Change: no outage is assumed before the first confirmation; a row more in its table.

--- a/celerypulley/backend_servers/entry_retention.py
+++ b/celerypulley/backend_servers/entry_retention.py
@@ -27,13 +27,15 @@
         """Record that the store was available at `confirmed_ms`, which may be past."""
         if confirmed_ms <= self._confirmed_ms:
             return
-        is_first = self._confirmed_ms == NEVER_MS
-        if not is_first and confirmed_ms - self._confirmed_ms >= self.min_outage_ms:
+        unconfirmed_ms = confirmed_ms - self._confirmed_ms
+        if self._confirmed_ms != NEVER_MS and unconfirmed_ms >= self.min_outage_ms:
             self._returned_ms = now_ms
         self._confirmed_ms = confirmed_ms
 
     def retains(self, now_ms: float) -> bool:
         """Return whether removed entries may be written again."""
+        if self._confirmed_ms == NEVER_MS:
+            return False
         if now_ms - self._confirmed_ms >= self.min_outage_ms:
             return True
         return now_ms - self._returned_ms < _GRACE_MS
--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -174,6 +174,7 @@
 @pytest.mark.parametrize(
     ("confirmations", "now_ms", "is_retained"),
     [
+        pytest.param([], 9_000, False, id="never available"),
         pytest.param([0, 1_500], 1_500, False, id="polled regularly"),
         pytest.param([0, 1_500, 3_300], 3_300, False, id="silent channel"),
         pytest.param([0, 1_500], 3_300, False, id="not confirmed for 1.8 s"),
