--- a/celerypulley/backend_servers/entry_retention.py
+++ b/celerypulley/backend_servers/entry_retention.py
@@ -9,7 +9,7 @@
 
 __all__ = ["EntryRetention"]
 
-_LAPSE_INTERVALS = 1.75  # two, less what check-ins may come late
+_LAPSE_INTERVALS = 1.75  # two, less the time by which a check-in may be late
 # Entries that lapsed are written again within this time of the store's return.
 _GRACE_MS = 2_000.0
 
--- a/celerypulley/fleet/window_saver.py
+++ b/celerypulley/fleet/window_saver.py
@@ -21,8 +21,8 @@
 __all__ = ["WindowSaver"]
 
 _SAVE_PERIOD_S = 0.25  # the period of the messages that are saved
-_MIN_SAVE_PERIOD_S = 0.025  # under a burst, a fifth of the time of a sync of 5 ms
-_MARK_PERIOD_S = 1.0  # by so much older may rows be than they are taken to be
+_MIN_SAVE_PERIOD_S = 0.025  # syncs of 5 ms then take a sixth of the disk's time
+_MARK_PERIOD_S = 1.0  # a restart takes rows to be newer by so much at most
 _RETRY_S = 1.0
 _log = DecisionLog("meter")
 
--- a/celerypulley/fleet_settings.py
+++ b/celerypulley/fleet_settings.py
@@ -21,13 +21,12 @@
     `server_check_in_ms`; one that leaves goes on for `server_drain_ms`. `data_dir` is
     the disk of a storage host; `tolerated_disk_losses` disks may be lost at once.
     `is_first_start` is set if no disk of the fleet has ever been written. If
-    `schedules_turns` is set,
-    turns wait for a free slot of an engine, and programs that do not fit are refused.
-    If `evacuates_domains` is set, operators can mark failure domains whose servers get
-    no requests. `region_of_domain` has the regions of all failure domains. In a second
-    at most its rate times `cold_overrun` plus `cold_slack` requests are sent to a cold
-    server. The machine has `memory_mb` of memory, and a process `max_descriptors` file
-    descriptors.
+    `schedules_turns` is set, turns wait for a free slot of an engine, and programs that
+    do not fit are refused. If `evacuates_domains` is set, operators can mark failure
+    domains whose servers get no requests. `region_of_domain` has the regions of all
+    failure domains. In a second at most its rate times `cold_overrun` plus `cold_slack`
+    requests are sent to a cold server. The machine has `memory_mb` of memory, and a
+    process `max_descriptors` file descriptors.
     """
 
     host_id: str
--- a/celerypulley/links/renewable_session.py
+++ b/celerypulley/links/renewable_session.py
@@ -120,7 +120,7 @@
         self._check(self._current)
 
     def _check(self, used: _Connections) -> None:
-        # Connections that were never answered are no older than the probe's.
+        # Before its first answer, a session has no connections that could be lost.
         if used is not self._current or not used.has_answered:
             return
         if self._probe_task is None or self._probe_task.done():
