Count a restored window once where hosts and storage hosts copy from each other

Cause: a host that had copied a restored window told it as heard, with ages rounded down by up to a second, and witnesses merged that with their own rows by parts of the window, so that the same requests counted in two parts.

Change: a host tells where its window came from, and a witness takes the window of hosts that ran on in place of its own.

--- a/celerypulley/fleet/fleet_meter.py
+++ b/celerypulley/fleet/fleet_meter.py
@@ -172,9 +172,13 @@
 
     def knows_window(self) -> bool:
         """Return whether this host knows the fleet's requests of the last window."""
-        if self._copied_source is not WindowSource.NONE:
-            return True
-        return self.clock.now_ms() - self._started_ms >= self.window_ms
+        return self.window_source() is not WindowSource.NONE
+
+    def window_source(self) -> WindowSource:
+        """Return what this host knows the last window from."""
+        if self.clock.now_ms() - self._started_ms >= self.window_ms:
+            return WindowSource.HEARD
+        return self._copied_source
 
     def window_counts(self) -> dict[str, list[float]]:
         """Return the requests of the last window, by organisation and part of it.
--- a/celerypulley/fleet/window_copier.py
+++ b/celerypulley/fleet/window_copier.py
@@ -121,8 +121,8 @@
         hears_most = self.meter.reachable_fraction() > 0.5
         if not self.meter.knows_window() or not hears_most:
             return WindowReport(WindowSource.NONE).to_payload()
-        table = self.meter.window_counts()
-        return WindowReport(WindowSource.HEARD, table).to_payload()
+        source = self.meter.window_source()
+        return WindowReport(source, self.meter.window_counts()).to_payload()
 
 
 class WitnessCopier(Service):
@@ -158,7 +158,7 @@
 
     def _copy(self, tables: list[WindowTable]) -> None:
         try:
-            merged = merge_tables([self.witness.window_counts(), *tables])
+            merged = merge_tables(tables)
         except (ValueError, TypeError) as error:
             _log.write("window not copied", repr(error))
             return
--- a/celerypulley/fleet/window_witness.py
+++ b/celerypulley/fleet/window_witness.py
@@ -125,7 +125,7 @@
                 recent.record(self._started_ms - age_ms, count)
 
     def copy_window(self, table: WindowTable) -> None:
-        """Replace what is known by counts that include it.
+        """Replace what is known by counts of hosts, which include it.
 
         Requests count from the newest moment of their part of the window.
         """
--- a/tests/test_fleet_meter.py
+++ b/tests/test_fleet_meter.py
@@ -237,6 +237,21 @@
     assert acquire(meter, clock.now_ms, admitted)
 
 
+@pytest.mark.parametrize("source", [WindowSource.HEARD, WindowSource.RESTORED])
+async def test_copied_window_is_told_as_what_it_is(source):
+    """Guards against a restored window that is copied on and counts once more."""
+    clock = ManualClock()
+    (meter,) = make_meters(1, clock)
+    meter._started_ms = clock.now_ms
+    meter.copy_window({}, source)
+    datagrams = FleetDatagrams("host-0", "", 1, meter.gossip.members)
+    copier = WindowCopier(meter, datagrams, meter.gossip)
+    for awaited in (source, WindowSource.HEARD):
+        payload = await copier._handle_request("host-1", [])
+        assert WindowReport.from_payload(payload).source is awaited
+        clock.advance(WINDOW_MS)
+
+
 @pytest.mark.parametrize(
     ("uptime_ms", "counted"),
     [(WINDOW_MS - 1, 30), (WINDOW_MS, 30), (WINDOW_MS + 1, 0)],
