--- a/celerypulley/fleet/fleet_meter.py
+++ b/celerypulley/fleet/fleet_meter.py
@@ -23,11 +23,11 @@
 from celerypulley.errors import CallRefusedError, ErrorKind, Refusal
 from celerypulley.fleet.fleet_gossip import FleetGossip, PeerCounts
 from celerypulley.fleet.window_table import (
-    WINDOW_STEPS,
     WindowSource,
     WindowTable,
     count_by_step,
     counted_total,
+    spread_counts,
 )
 
 __all__ = ["FleetMeter"]
@@ -198,16 +198,15 @@
         all hosts that have started since.
         """
         now_ms = self.clock.now_ms()
-        step_ms = self.window_ms / WINDOW_STEPS
         self._copied_source = source
         self._accounts.clear()
         for organisation, rule in self._rules.items():
             if rule.rate_per_s <= 0:
                 continue
             account = self._account(rule)
-            for step, count in reversed(list(enumerate(table.get(organisation, ())))):
-                if count > 0:
-                    account.record(now_ms - step * step_ms, count)
+            counts = table.get(organisation, ())
+            for at_ms, count in spread_counts(counts, now_ms, self.window_ms):
+                account.record(at_ms, count)
             own_count = self.admitted.get(organisation, 0)
             if source is WindowSource.RESTORED:
                 own_count += self._count_of_started_peers(organisation)
--- a/celerypulley/fleet/window_copier.py
+++ b/celerypulley/fleet/window_copier.py
@@ -95,25 +95,10 @@
     def _copy_from(
         self, reports: dict[str, WindowReport], source: WindowSource
     ) -> bool:
-        """Copy the largest counts of one source; return False if there are none."""
-        known = {n: each for n, each in reports.items() if each.source is source}
-        if not known:
+        table = _merge_reports(reports, source, "this host has just started")
+        if table is None:
             return False
-        names = ",".join(known)
-        try:
-            merged = merge_tables(each.table for each in known.values())
-        except (ValueError, TypeError) as error:
-            _log.write("window not copied", repr(error), peer=names)
-            return False
-        self.meter.copy_window(merged, source)
-        _log.write(
-            "window copied",
-            "this host has just started",
-            peer=names,
-            source=source.value,
-            organisations=len(merged),
-            tables=len(known),
-        )
+        self.meter.copy_window(table, source)
         return True
 
     async def _handle_request(self, _sender: str, _payload: list) -> list:
@@ -145,30 +130,44 @@
         await self.sleep(_FIRST_MESSAGES_S)
         await self._try_copy()
 
-    async def _try_copy(self) -> None:
+    async def _try_copy(self) -> bool:
         datagrams = self.witness.datagrams
         hosts = list(datagrams.addresses)
         asked = random.sample(hosts, min(len(hosts), _MAX_ASKED_HOSTS))
         reports = await _ask(datagrams, asked)
-        heard = [
-            each.table for each in reports.values() if each.source is WindowSource.HEARD
-        ]
-        if heard:
-            self._copy(heard)
-
-    def _copy(self, tables: list[WindowTable]) -> None:
-        try:
-            merged = merge_tables(tables)
-        except (ValueError, TypeError) as error:
-            _log.write("window not copied", repr(error))
-            return
-        self.witness.copy_window(merged)
-        _log.write(
-            "window copied",
-            "this storage host has just started",
-            organisations=len(merged),
-            tables=len(tables),
-        )
+        reason = "this storage host has just started"
+        table = _merge_reports(reports, WindowSource.HEARD, reason)
+        if table is None:
+            return False
+        self.witness.copy_window(table)
+        return True
+
+
+def _merge_reports(
+    reports: dict[str, WindowReport], source: WindowSource, reason: str
+) -> WindowTable | None:
+    """Return the largest counts of the reports from one source, None without any.
+
+    `reason` tells in the log why they are copied.
+    """
+    known = {n: each for n, each in reports.items() if each.source is source}
+    if not known:
+        return None
+    names = ",".join(known)
+    try:
+        merged = merge_tables(each.table for each in known.values())
+    except (ValueError, TypeError) as error:
+        _log.write("window not copied", repr(error), peer=names)
+        return None
+    _log.write(
+        "window copied",
+        reason,
+        peer=names,
+        source=source.value,
+        organisations=len(merged),
+        tables=len(known),
+    )
+    return merged
 
 
 async def _ask(datagrams: FleetDatagrams, names: list[str]) -> dict[str, WindowReport]:
--- a/celerypulley/fleet/window_table.py
+++ b/celerypulley/fleet/window_table.py
@@ -18,6 +18,7 @@
     "count_by_step",
     "counted_total",
     "merge_tables",
+    "spread_counts",
 ]
 
 WINDOW_STEPS = 5  # parts of a window for which its requests are copied
@@ -98,6 +99,18 @@
     return table
 
 
+def spread_counts(
+    counts: Iterable[float], now_ms: float, window_ms: float
+) -> list[tuple[float, float]]:
+    """Return one organisation's counts of a table with times, oldest first.
+
+    Requests get the newest moment of their part of the window.
+    """
+    step_ms = window_ms / WINDOW_STEPS
+    rows = [(now_ms - step * step_ms, count) for step, count in enumerate(counts)]
+    return [row for row in reversed(rows) if row[1] > 0]
+
+
 def merge_tables(tables: Iterable[WindowTable]) -> WindowTable:
     """Return the largest counts of tables of which each may lack some requests.
 
--- a/celerypulley/fleet/window_witness.py
+++ b/celerypulley/fleet/window_witness.py
@@ -19,13 +19,13 @@
 from celerypulley.fleet.fleet_gossip import FleetGossip, PeerCounts
 from celerypulley.fleet.fleet_members import FleetMember
 from celerypulley.fleet.window_table import (
-    WINDOW_STEPS,
     WindowReport,
     WindowRow,
     WindowSource,
     WindowTable,
     count_by_step,
     counted_total,
+    spread_counts,
 )
 
 __all__ = ["WINDOW_KIND", "WindowWitness", "choose_witnesses"]
@@ -91,8 +91,7 @@
         self.has_unsaved = asyncio.Event()
         self.is_save_urgent = asyncio.Event()
         self._started_ms = clock.now_ms()
-        self._is_restored = False
-        self._has_copied_window = False
+        self._source = WindowSource.NONE
         self._recent: dict[str, _Recent] = {}
         gossip = FleetGossip(datagrams, lambda: ({}, {}, {}), lambda: 0, clock)
         gossip.on_message.append(self._on_peer_counts)
@@ -114,7 +113,7 @@
 
     def restore(self, rows: list[WindowRow]) -> None:
         """Count what was saved before the start, the newest row as just counted."""
-        self._is_restored = True
+        self._source = WindowSource.RESTORED
         newest_ms = rows[-1].at_ms if rows else 0.0
         for row in rows:
             age_ms = elapsed_ms(row.at_ms, newest_ms, "saved window")
@@ -130,14 +129,12 @@
         Requests count from the newest moment of their part of the window.
         """
         now_ms = self.clock.now_ms()
-        step_ms = self.window_ms / WINDOW_STEPS
-        self._has_copied_window = True
+        self._source = WindowSource.HEARD
         self._recent.clear()
         for organisation, counts in table.items():
             recent = self._recent[organisation] = _Recent()
-            for step, count in reversed(list(enumerate(counts))):
-                if count > 0:
-                    recent.record(now_ms - step * step_ms, count)
+            for at_ms, count in spread_counts(counts, now_ms, self.window_ms):
+                recent.record(at_ms, count)
         self.has_unsaved.set()
         self.is_save_urgent.set()
 
@@ -171,10 +168,12 @@
 
     def knows_window(self) -> bool:
         """Return whether this storage host has heard all messages of the window."""
-        if self._has_copied_window:
-            return True
+        return self.window_source() is WindowSource.HEARD
+
+    def window_source(self) -> WindowSource:
+        """Return what this storage host knows the last window from."""
         age_ms = elapsed_ms(self._started_ms, self.clock.now_ms(), "window witness")
-        return age_ms >= self.window_ms
+        return WindowSource.HEARD if age_ms >= self.window_ms else self._source
 
     def window_counts(self) -> dict[str, list[float]]:
         """Return the requests of the last window, as a host's meter does."""
@@ -184,11 +183,10 @@
 
     def report(self) -> WindowReport:
         """Return what this storage host knows of the window."""
-        if self.knows_window():
-            return WindowReport(WindowSource.HEARD, self.window_counts())
-        if self._is_restored:
-            return WindowReport(WindowSource.RESTORED, self.window_counts())
-        return WindowReport(WindowSource.NONE)
+        source = self.window_source()
+        if source is WindowSource.NONE:
+            return WindowReport(source)
+        return WindowReport(source, self.window_counts())
 
     async def _handle_request(self, _sender: str, _payload: list) -> list:
         return self.report().to_payload()
--- a/celerypulley/links/prefix_follower.py
+++ b/celerypulley/links/prefix_follower.py
@@ -104,10 +104,10 @@
 
     def _is_trusted(self, sent_ms: float) -> bool:
         """Return whether a peer confirms that a pending watch misses no changes."""
-        if not self._is_behind():
-            return self._is_checked()
+        if not self._is_checked():
+            return False
         behind_ms = self.clock.now_ms() - max(sent_ms, self._behind_since_ms)
-        return self._is_checked() and behind_ms < _BEHIND_LIMIT_MS
+        return not self._is_behind() or behind_ms < _BEHIND_LIMIT_MS
 
     async def _watch_while_trusted(self, revision: int) -> WatchBatch | None:
         """Return the response to a long watch, None if it is not trusted any more."""
--- a/celerypulley/storage/record_journal.py
+++ b/celerypulley/storage/record_journal.py
@@ -14,6 +14,11 @@
 
 import attrs
 
+from celerypulley.storage.durable_files import (
+    append_durably,
+    replace_durably,
+    sync_directory,
+)
 from celerypulley.storage.frames import (
     FRAME_HEADER_BYTES,
     encode_frame,
@@ -83,13 +88,7 @@
         if re.fullmatch(rf"[0-9a-f]{{{2 * _IDENTITY_BYTES}}}", text):
             return text
         disk_id = secrets.token_hex(_IDENTITY_BYTES)
-        draft = path.with_suffix(".new")
-        with draft.open("wb") as file:
-            file.write(disk_id.encode())
-            file.flush()
-            os.fsync(file.fileno())
-        draft.replace(path)
-        self._sync_directory()
+        replace_durably(path, disk_id.encode())
         return disk_id
 
     def is_complete(self) -> bool:
@@ -104,7 +103,7 @@
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
-        self._sync_directory()
+        sync_directory(self.directory)
 
     def append(self, records: list[bytes]) -> list[RecordPlace]:
         """Write records, sync, and return their places."""
@@ -113,11 +112,8 @@
         segment = self._segments[-1]
         data = b"".join(map(encode_frame, records))
         assert self._descriptor is not None, "a segment is open"
-        view = memoryview(data)
         try:
-            while view:
-                view = view[os.write(self._descriptor, view) :]
-            os.fdatasync(self._descriptor)
+            append_durably(self._descriptor, data)
         except OSError:
             # What follows a frame that was cut short would not be read again.
             self._close_segment()
@@ -150,15 +146,8 @@
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         self._descriptor = os.open(path, flags, 0o644)
         os.fsync(self._descriptor)
-        self._sync_directory()
+        sync_directory(self.directory)
         self._segments.append(_Segment(path, number))
 
     def _segment_path(self, number: int) -> Path:
         return self.directory / f"{number:010}{_SEGMENT_SUFFIX}"
-
-    def _sync_directory(self) -> None:
-        descriptor = os.open(self.directory, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
--- a/celerypulley/storage/window_journal.py
+++ b/celerypulley/storage/window_journal.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
+from celerypulley.storage.durable_files import append_durably, replace_durably
 from celerypulley.storage.frames import encode_frame, intact_frames
 
 __all__ = ["WindowJournal"]
@@ -36,12 +37,10 @@
     def append(self, row: bytes) -> None:
         """Write a row and sync; raise OSError if it may not be on the disk."""
         assert self._descriptor is not None, "the file has not been replaced"
-        view = memoryview(encode_frame(row))
-        self._growth_bytes += len(view)
+        frame = encode_frame(row)
+        self._growth_bytes += len(frame)
         try:
-            while view:
-                view = view[os.write(self._descriptor, view) :]
-            os.fdatasync(self._descriptor)
+            append_durably(self._descriptor, frame)
         except OSError:
             # What follows a frame that was cut short would not be read again.
             self.close()
@@ -50,14 +49,7 @@
     def replace(self, rows: Iterable[bytes]) -> None:
         """Replace the file by one with `rows`; raise OSError if the old one stays."""
         self.close()
-        draft = self._path.with_suffix(".new")
-        data = b"".join(map(encode_frame, rows))
-        with draft.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        draft.replace(self._path)
-        self._sync_directory()
+        replace_durably(self._path, b"".join(map(encode_frame, rows)))
         self._descriptor = os.open(self._path, os.O_WRONLY | os.O_APPEND)
         self._growth_bytes = 0
 
@@ -66,10 +58,3 @@
         if self._descriptor is not None:
             os.close(self._descriptor)
             self._descriptor = None
-
-    def _sync_directory(self) -> None:
-        descriptor = os.open(self._path.parent, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
--- a/tests/test_rates_over_restarts.py
+++ b/tests/test_rates_over_restarts.py
@@ -116,16 +116,17 @@
 
     def run_evenly(self) -> None:
         """Reach a state in which the limit is used up evenly over the window."""
-        saturating_per_s, self.demand_per_s = self.demand_per_s, RULE.rate_per_s
-        self.run(2 * WINDOW_MS)
-        self.demand_per_s = saturating_per_s
-        self.run(WINDOW_MS)
+        self._run_up_from(RULE.rate_per_s)
 
     def run_in_bursts(self) -> None:
         """Reach a state in which the limit is used up at the start of each window."""
-        saturating_per_s, self.demand_per_s = self.demand_per_s, 0.0
+        self._run_up_from(0.0)
+
+    def _run_up_from(self, demand_per_s: float) -> None:
+        """Run with another demand for two windows, and with the usual one for one."""
+        usual_per_s, self.demand_per_s = self.demand_per_s, demand_per_s
         self.run(2 * WINDOW_MS)
-        self.demand_per_s = saturating_per_s
+        self.demand_per_s = usual_per_s
         self.run(WINDOW_MS)
 
     def _send_request(self) -> None:
@@ -397,30 +398,23 @@
     assert max_in_window(fleet.admitted) <= MAX_IN_WINDOW
 
 
-def test_restored_window_costs_callers_below_the_limit_requests():
-    """Guards against storage hosts that assume more than was admitted."""
-    fleet = _Fleet(7, 0.0, copies_windows=False)
-    witnesses = _SavingWitnesses(fleet)
-    for host in fleet.hosts:
-        witnesses.connect(host)
-    fleet.demand_per_s = 0.6 * RULE.rate_per_s
-    fleet.run(2 * WINDOW_MS)
-    fleet.refused = 0
-    witnesses.kill_all(500.0, 1)
-    fleet.run(2 * WINDOW_MS)
-    assert fleet.refused <= 0.01 * len(fleet.admitted)
-
-
-def test_witnesses_cost_callers_below_the_limit_requests():
+@pytest.mark.parametrize(
+    ("make_witnesses", "kill"),
+    [
+        (_Witnesses, lambda fleet, witnesses: _kill_all(fleet, witnesses, 500.0)),
+        (_SavingWitnesses, lambda _fleet, witnesses: witnesses.kill_all(500.0, 1)),
+    ],
+)
+def test_witnesses_cost_callers_below_the_limit_requests(make_witnesses, kill):
     """A fleet that was killed refuses no usual demand, as it knows the window."""
     fleet = _Fleet(7, 0.0, copies_windows=False)
-    witnesses = _Witnesses(fleet)
+    witnesses = make_witnesses(fleet)
     for host in fleet.hosts:
         witnesses.connect(host)
     fleet.demand_per_s = 0.6 * RULE.rate_per_s
     fleet.run(2 * WINDOW_MS)
     fleet.refused = 0
-    _kill_all(fleet, witnesses, 500.0)
+    kill(fleet, witnesses)
     fleet.run(2 * WINDOW_MS)
     assert fleet.refused <= 0.01 * len(fleet.admitted)
 
--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -22,8 +22,8 @@
 
 
 @asynccontextmanager
-async def _silenced_client() -> AsyncIterator[tuple[PlatformStore, FleetStore]]:
-    """Yield a client all of whose kept channels have gone silent, and the store."""
+async def _client_behind_proxy() -> AsyncIterator[tuple]:
+    """Yield a client with a kept channel, the store, and the proxy between them."""
     async with (
         running_store() as (store, address),
         SilencingProxy(free_address(), Address.parse(address)) as proxy,
@@ -31,10 +31,18 @@
     ):
         store.put(_KEY, b"value")
         client = PlatformStore(str(proxy.address), session, _TIMEOUT_MS)
+        await client.read(_KEY)
+        yield client, store, proxy
+        await client.close()
+
+
+@asynccontextmanager
+async def _silenced_client() -> AsyncIterator[tuple[PlatformStore, FleetStore]]:
+    """Yield a client all of whose kept channels have gone silent, and the store."""
+    async with _client_behind_proxy() as (client, store, proxy):
         await asyncio.gather(*(client.read(_KEY) for _ in range(_CHANNELS)))
         assert proxy.silence_open() == _CHANNELS
         yield client, store
-        await client.close()
 
 
 async def _read(client: KeyValueStore) -> object:
@@ -67,20 +75,13 @@
 
 async def test_pending_watch_is_sent_again_once_a_channel_is_found_silent():
     """Guards against changes that hosts learn of only at the end of a long watch."""
-    async with (
-        running_store() as (store, address),
-        SilencingProxy(free_address(), Address.parse(address)) as proxy,
-        aiohttp.ClientSession() as session,
-    ):
-        client = PlatformStore(str(proxy.address), session, _TIMEOUT_MS)
-        await client.read(_KEY)
+    async with _client_behind_proxy() as (client, store, proxy):
         watch = asyncio.create_task(client.watch("kept/", store.revision, 5_000))
         await wait_until(lambda: store.watch_waits_ms)
         proxy.silence_open()
         store.put(_KEY, b"changed")
         await client.read(_KEY)
         assert (await watch).items[0].value == b"changed"
-        await client.close()
 
 
 async def test_write_on_a_silent_channel_is_not_sent_again():
